Command line, demo, and room for every call at once

Cause: the demo on Blue Mahoe showed 29 of 132 top-tier calls late on an idle service. The HTTP client's default pool holds 30 connections for all hosts together; claims and short calls waited behind open streams.

Ruled out: the service (5 ms each, 32 slots), the order at the agent (no reservation waited), key hashing (cached after the first call).

Change: each client says how many calls it makes at once; the agent's calls to its server and to the table service no longer share a pool.

--- /dev/null
+++ b/seampond/__main__.py
@@ -0,0 +1,6 @@
+"""`python -m seampond`."""
+
+from seampond.operators.main import main
+
+if __name__ == '__main__':
+    main()
--- a/seampond/daemons/agent.py
+++ b/seampond/daemons/agent.py
@@ -28,6 +28,7 @@
 
 _INCARNATION_BYTES = 8
 _DRAIN_POLL_MS = 20
+_SPARE_CONNECTIONS = 8
 _logger = logging.getLogger(__name__)
 
 
@@ -125,8 +126,12 @@
             Caller(platform.tables, client, platform.timeout_ms)
         )
         claims = Claims(tables, clock, f'{settings.name}/{incarnation}')
+        # Claims must never wait behind streams for a connection.
+        backend_client = await stack.enter_async_context(
+            open_client(backend.slots_max + _SPARE_CONNECTIONS)
+        )
         call = BackendCall(
-            backend.url, backend.kind, backend.timeout_ms, client
+            backend.url, backend.kind, backend.timeout_ms, backend_client
         )
         runner = Runner(
             settings, clock, promises, metrics, claims, call.carry_out
--- a/seampond/daemons/entry.py
+++ b/seampond/daemons/entry.py
@@ -21,6 +21,7 @@
     follow_members,
 )
 from seampond.metrics import EntryMetrics
+from seampond.metrics.entry import counts_by_labels
 from seampond.platform.http import Caller, open_client
 from seampond.platform.http_tables import http_tables
 from seampond.platform.vms import http_vms
@@ -92,6 +93,9 @@
             'waiting': len(self.room),
             'open': self.dispatcher.open_tickets,
             'promises_broken': self.promises.broken,
+            'requests': counts_by_labels(self.metrics.requests),
+            'refusals': counts_by_labels(self.metrics.refusals),
+            'retries': counts_by_labels(self.metrics.retries),
             'agents': agents,
         }
 
--- /dev/null
+++ b/seampond/demo/traffic.py
@@ -0,0 +1,82 @@
+"""What the demo sends: every template of a deployment, in its tier."""
+
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from seampond.demo.fleet import Fleet
+from seampond.templates.models import Template, Workspace
+
+_HISTORY_CHARACTERS = 24_000
+_MEDIUM_CHARACTERS = 2400
+_SHORT_CHARACTERS = 160
+_HISTORIES = 4
+_STREAM_SHARE = 0.6
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """One request of the demo."""
+
+    number: int
+    entry: int
+    workspace: str
+    template: Template
+    tier: int
+    prompt: str = ''
+    max_tokens: int = 0
+    is_stream: bool = False
+
+    @property
+    def key(self) -> str:
+        """The idempotency key; empty where none is needed."""
+        return '' if self.template.repeatable else f'demo-{self.number}'
+
+
+def _prompt(
+    workspace: Workspace, template: Template, rng: random.Random
+) -> str:
+    if template.repeatable:
+        length = rng.choice((_SHORT_CHARACTERS, _MEDIUM_CHARACTERS))
+        return f'{template.name} {rng.random()} '.ljust(length, 'x')
+    # A member's history comes back: the same head, another question.
+    member = rng.randrange(_HISTORIES)
+    history = f'{workspace.name} {member} '.ljust(_HISTORY_CHARACTERS, 'h')
+    return f'{history} question {rng.random()}'
+
+
+def _offers(fleet: Fleet) -> list[tuple[Workspace, Template]]:
+    configuration = fleet.entries[0].parts.holder.current
+    return [
+        (workspace, configuration.templates[name])
+        for workspace in configuration.workspaces.values()
+        for name in workspace.parameters
+    ]
+
+
+def make_calls(fleet: Fleet, count: int, seed: int) -> Iterator[Call]:
+    """Give `count` calls that take turns over workspaces and templates."""
+    rng = random.Random(seed)
+    offers = _offers(fleet)
+    for number in range(count):
+        workspace, template = offers[number % len(offers)]
+        call = Call(
+            number,
+            entry=rng.randrange(len(fleet.entries)),
+            workspace=workspace.name,
+            template=template,
+            tier=workspace.parameters[template.name].tier,
+        )
+        if template.kind == 'service':
+            yield call
+            continue
+        yield Call(
+            number,
+            entry=call.entry,
+            workspace=call.workspace,
+            template=template,
+            tier=call.tier,
+            prompt=_prompt(workspace, template, rng),
+            max_tokens=rng.randint(4, template.answer_tokens // 2),
+            is_stream=rng.random() < _STREAM_SHARE,
+        )
--- /dev/null
+++ b/seampond/demo/verify.py
@@ -0,0 +1,31 @@
+"""Hold the demo's outcome against the engines' own count of runs."""
+
+from seampond.demo.drive import DemoReport
+from seampond.demo.fleet import Fleet
+
+
+def find_wrong(fleet: Fleet, report: DemoReport) -> list[str]:
+    """Give every promise that did not hold, as a line each."""
+    wrong = list(report.wrong)
+    ran: set[str] = set()
+    for running in fleet.engines:
+        engine = running.engine
+        ran.update(engine.runs)
+        wrong += [
+            f'request {request_id} ran {count} times'
+            for request_id, count in engine.runs.items()
+            if count > 1
+        ]
+        wrong += [
+            f'idempotency key {key} ran {count} times'
+            for key, count in engine.keys.items()
+            if count > 1
+        ]
+    wrong += [
+        f'request {request_id} was refused as not run, and ran'
+        for request_id in report.not_run
+        if request_id in ran
+    ]
+    if fleet.promises_broken:
+        wrong.append(f'{fleet.promises_broken} promises broken in the program')
+    return wrong
--- a/seampond/metrics/entry.py
+++ b/seampond/metrics/entry.py
@@ -13,6 +13,25 @@
 )  # fmt: skip
 
 
+def counts_by_labels(counter: Counter) -> dict[str, float]:
+    """Give the totals of a counter by its label values.
+
+    Examples
+    --------
+    >>> counter = Counter('x', 'X.', ['reason', 'run'], registry=None)
+    >>> counter.labels('shed', 'no').inc()
+    >>> counts_by_labels(counter)
+    {'shed/no': 1.0}
+
+    """
+    return {
+        '/'.join(sample.labels.values()): sample.value
+        for metric in counter.collect()
+        for sample in metric.samples
+        if sample.name.endswith('_total')
+    }
+
+
 class EntryMetrics:
     """The metrics of one entry, in a registry of their own."""
 
--- /dev/null
+++ b/seampond/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The command line: daemons and operators' commands."""
--- /dev/null
+++ b/seampond/operators/base.py
@@ -0,0 +1,121 @@
+"""What the commands share: settings, JSON, and errors as one line."""
+
+import asyncio
+import json
+from abc import abstractmethod
+from pathlib import Path
+from typing import Any
+
+from cleo.commands.command import Command
+from cleo.helpers import option
+from cleo.io.inputs.option import Option
+
+from seampond.errors import SeampondError, SettingsError
+from seampond.operators.edits import Editor, open_editor
+from seampond.settings import load_settings
+from seampond.settings.models import OperatorSettings
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_SETTINGS = 2
+
+
+def settings_option() -> Option:
+    """Give the option that names the settings file."""
+    return option('settings', 's', 'The settings file (TOML).', flag=False)
+
+
+def json_option() -> Option:
+    """Give the option for JSON output."""
+    return option('json', 'j', 'Print JSON.')
+
+
+def version_option() -> Option:
+    """Give the option for the version that an edit started from."""
+    return option(
+        'from-version',
+        None,
+        'The row version that you started from, as `show` printed it.',
+        flag=False,
+    )
+
+
+class BaseCommand(Command):
+    """A command whose errors are one line with the cure."""
+
+    def handle(self) -> int:
+        """Run; 2 for bad settings or arguments, 1 for other failures."""
+        try:
+            return self.work()
+        except SettingsError as error:
+            self.line_error(f'<error>{error.message}</error>')
+            return EXIT_SETTINGS
+        except SeampondError as error:
+            self.line_error(f'<error>{error}</error>')
+            return EXIT_FAILED
+
+    @abstractmethod
+    def work(self) -> int:
+        """Do the command's work."""
+
+    def settings_path(self) -> Path:
+        """Give the path of the settings file.
+
+        Raises
+        ------
+        SettingsError
+            If the option is missing.
+
+        """
+        path = self.option('settings')
+        if not path:
+            raise SettingsError(
+                'name the settings file with --settings FILE', step='arguments'
+            )
+        return Path(path)
+
+    def show(self, content: Any, text: str) -> int:
+        """Print JSON or text, as asked."""
+        self.line(json.dumps(content) if self.option('json') else text)
+        return EXIT_OK
+
+
+class OperatorCommand(BaseCommand):
+    """A command that talks to the table service."""
+
+    def work(self) -> int:
+        """Open the table service and go on with :meth:`edit`."""
+        settings = load_settings(self.settings_path(), OperatorSettings)
+        return asyncio.run(self._work(settings))
+
+    @abstractmethod
+    async def edit(self, editor: Editor, settings: OperatorSettings) -> int:
+        """Do the command's work."""
+
+    def from_version(self) -> int | None:
+        """Give the version that the edit started from, if it was named.
+
+        Raises
+        ------
+        SettingsError
+            If it is not a number.
+
+        """
+        text = self.option('from-version')
+        if text is None:
+            return None
+        if not text.isdecimal():
+            raise SettingsError(
+                f'--from-version: {text!r} is not a number', step='arguments'
+            )
+        return int(text)
+
+    def show_generation(self, generation: int) -> int:
+        """Print the generation that an edit made."""
+        return self.show(
+            {'generation': generation}, f'accepted as generation {generation}'
+        )
+
+    async def _work(self, settings: OperatorSettings) -> int:
+        async with open_editor(settings) as editor:
+            return await self.edit(editor, settings)
--- /dev/null
+++ b/seampond/operators/main.py
@@ -0,0 +1,60 @@
+"""The `seampond` command."""
+
+import sys
+from importlib.metadata import version
+
+from cleo.application import Application
+from cleo.io.inputs.argv_input import ArgvInput
+
+from seampond.operators.programs import (
+    AgentCommand,
+    EngineCommand,
+    EntryCommand,
+    PlatformCommand,
+)
+from seampond.operators.rows import (
+    TemplateDelete,
+    TemplateList,
+    TemplateSet,
+    TemplateShow,
+    WorkspaceKey,
+    WorkspaceList,
+    WorkspaceSet,
+    WorkspaceShow,
+)
+from seampond.operators.show import CheckCommand, StatusCommand
+
+_HELP_CALLS: tuple[list[str], ...] = ([], ['--help'], ['-h'])
+COMMANDS = (
+    EntryCommand,
+    AgentCommand,
+    PlatformCommand,
+    EngineCommand,
+    CheckCommand,
+    StatusCommand,
+    TemplateList,
+    TemplateShow,
+    TemplateSet,
+    TemplateDelete,
+    WorkspaceList,
+    WorkspaceShow,
+    WorkspaceSet,
+    WorkspaceKey,
+)
+
+
+def make_application() -> Application:
+    """Give the application with all commands."""
+    application = Application('seampond', version('seampond'))
+    for command in COMMANDS:
+        application.add(command())
+    return application
+
+
+def main() -> None:
+    """Run the command line; alone or with --help it lists the commands."""
+    words = sys.argv[1:]
+    if words in _HELP_CALLS:
+        words = ['list']
+    arguments = ArgvInput([sys.argv[0], *words])
+    sys.exit(make_application().run(arguments))
--- /dev/null
+++ b/seampond/operators/show.py
@@ -0,0 +1,75 @@
+"""`seampond status` and `seampond check`."""
+
+from pathlib import Path
+from typing import Any
+
+from cleo.helpers import argument
+
+from seampond.operators.base import (
+    EXIT_OK,
+    BaseCommand,
+    OperatorCommand,
+    json_option,
+    settings_option,
+)
+from seampond.operators.edits import Editor
+from seampond.operators.status import FleetStatus, read_status
+from seampond.settings import load_any
+from seampond.settings.models import OperatorSettings
+
+
+def _entry_lines(entry: dict[str, Any]) -> list[str]:
+    state = 'ready' if entry['ready'] else 'not ready'
+    if entry['draining']:
+        state = 'draining'
+    lines = [
+        '{name}: {state}, generation {generation}, {waiting} waiting, '
+        '{promises_broken} promises broken'.format(**{**entry, 'state': state})
+    ]
+    lines.extend(
+        '  {name} ({pool}): {state}, {running}/{slots} running, '
+        '{queued} queued, generation {generation}'.format(**agent)
+        for agent in entry['agents']
+    )
+    return lines
+
+
+def format_status(status: FleetStatus) -> str:
+    """Give the status as text, a line an entry and an agent."""
+    lines = [f'newest generation {status.generation}']
+    for entry in status.entries:
+        lines.extend(_entry_lines(entry))
+        refused = entry['refusals']
+        if refused:
+            lines.append(f'  refusals: {refused}')
+    lines.extend(f'{name}: does not answer' for name in status.silent)
+    return '\n'.join(lines)
+
+
+class StatusCommand(OperatorCommand):
+    """`seampond status`."""
+
+    name = 'status'
+    description = 'Shows entries, agents, generations and counters.'
+    options = [settings_option(), json_option()]
+
+    async def edit(self, editor: Editor, settings: OperatorSettings) -> int:
+        """Print what the entries say."""
+        status = await read_status(editor, settings)
+        return self.show(status.as_json(), format_status(status))
+
+
+class CheckCommand(BaseCommand):
+    """`seampond check`."""
+
+    name = 'check'
+    description = 'Checks a settings file and does nothing else.'
+    arguments = [argument('file', 'The settings file.')]
+
+    def work(self) -> int:
+        """Load the file."""
+        path = Path(self.argument('file'))
+        settings = load_any(path)
+        kind = type(settings).__name__
+        self.line(f'{path}: good ({kind})')
+        return EXIT_OK
--- a/seampond/platform/http.py
+++ b/seampond/platform/http.py
@@ -7,16 +7,19 @@
 from typing import Any
 
 import aiosonic
+from aiosonic.connectors import TCPConnector
 from aiosonic.exceptions import (
     AiosonicError,
     ConnectTimeout,
     HttpParsingError,
 )
+from aiosonic.pools import PoolConfig
 from aiosonic.timeout import Timeouts
 
 from seampond.clock import MS_PER_SECOND
 from seampond.errors import PlatformError, UnknownOutcomeError
 
+PLATFORM_CONNECTIONS = 64
 _NO_TRANSPORT = (ConnectionRefusedError, ConnectTimeout)
 _FAILURES = (AiosonicError, HttpParsingError, OSError, EOFError, ValueError)
 
@@ -110,9 +113,19 @@
 
 
 @asynccontextmanager
-async def open_client() -> AsyncIterator[aiosonic.HTTPClient]:
-    """Give an HTTP client that is closed at the end."""
-    client = aiosonic.HTTPClient()
+async def open_client(
+    connections: int = PLATFORM_CONNECTIONS,
+) -> AsyncIterator[aiosonic.HTTPClient]:
+    """Give an HTTP client that is closed at the end.
+
+    Parameters
+    ----------
+    connections : int
+        How many calls may run at once, over all hosts; more wait.
+
+    """
+    pools = {':default': PoolConfig(size=connections)}
+    client = aiosonic.HTTPClient(TCPConnector(pool_configs=pools))
     try:
         yield client
     finally:
--- /dev/null
+++ b/seampond/platform/tests/test_client.py
@@ -0,0 +1,38 @@
+"""The HTTP client: as many calls at once as it was made for."""
+
+import asyncio
+import unittest
+
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import PlainTextResponse, Response
+from starlette.routing import Route
+
+from seampond.daemons.http import serve_http
+from seampond.platform.http import open_client
+
+CALLS = 64
+
+
+class ClientTest(unittest.IsolatedAsyncioTestCase):
+    async def test_all_calls_run_at_once(self) -> None:
+        arrived = asyncio.Semaphore(0)
+        everyone = asyncio.Event()
+
+        async def wait_for_all(_request: Request) -> Response:
+            arrived.release()
+            await everyone.wait()
+            return PlainTextResponse('ok')
+
+        app = Starlette(routes=[Route('/', wait_for_all)])
+        async with serve_http(app, '127.0.0.1:0') as web:
+            async with open_client(CALLS) as client:
+                calls = [
+                    asyncio.create_task(client.get(f'http://{web.address}/'))
+                    for _ in range(CALLS)
+                ]
+                for _ in calls:
+                    await asyncio.wait_for(arrived.acquire(), 5)
+                everyone.set()
+                answers = await asyncio.gather(*calls)
+        self.assertEqual({answer.status_code for answer in answers}, {200})
--- a/seampond/settings/load.py
+++ b/seampond/settings/load.py
@@ -13,6 +13,7 @@
     AgentSettings,
     EngineStandInSettings,
     EntrySettings,
+    OperatorSettings,
     PlatformStandInSettings,
 )
 
@@ -25,6 +26,7 @@
         'agent': AgentSettings,
         'platform': PlatformStandInSettings,
         'engine': EngineStandInSettings,
+        'operator': OperatorSettings,
     }
 )
 
--- a/seampond/settings/models.py
+++ b/seampond/settings/models.py
@@ -154,3 +154,10 @@
     event_loss: float = Field(default=0.1, ge=0, le=_HUNDRED_PERCENT)
     seed: int = 1
     logs: LogSettings = LogSettings()
+
+
+class OperatorSettings(Section):
+    """The operators' commands: who edits, and where."""
+
+    author: str = Field(min_length=1)
+    platform: PlatformSettings
