--- a/bin/run_tests.py
+++ b/bin/run_tests.py
@@ -2,6 +2,7 @@
 
 import argparse
 import doctest
+import faulthandler
 import importlib
 import pkgutil
 import sys
@@ -14,6 +15,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / 'KNOWN-RED.txt'
 MAX_KNOWN_RED = 3
+MAX_SECONDS = 270
 
 
 def list_known_red() -> dict[str, str]:
@@ -74,8 +76,13 @@
     if len(known) > MAX_KNOWN_RED:
         print(f'KNOWN-RED.txt: {MAX_KNOWN_RED} lines at most')
         return 1
-    suite = split_red(collect(parser.parse_args().pattern), known)
-    outcome = unittest.TextTestRunner(verbosity=1).run(suite)
+    options = parser.parse_args()
+    suite = split_red(collect(options.pattern), known)
+    # A hung test ends the run with a traceback, never in silence.
+    faulthandler.dump_traceback_later(MAX_SECONDS, exit=True)
+    runner = unittest.TextTestRunner(verbosity=2 if options.pattern else 1)
+    outcome = runner.run(suite)
+    faulthandler.cancel_dump_traceback_later()
     failed = len(outcome.failures) + len(outcome.errors)
     failed += len(outcome.unexpectedSuccesses)
     passed = outcome.testsRun - failed
--- /dev/null
+++ b/seampond/daemons/tests/test_processes.py
@@ -0,0 +1,97 @@
+"""All programs as separate processes on loopback, under failure."""
+
+import asyncio
+import signal
+import tempfile
+import unittest
+from collections import Counter
+from http import HTTPStatus
+from pathlib import Path
+
+from seampond.platform.http import open_client
+from seampond.testing.caller import Caller, Chat, Reply, check_chat
+from seampond.testing.processes import Processes, run_processes
+
+CALLS = 60
+CHAT = Chat('trainer-answer', max_tokens=40)
+SHORT_RESUME = '\n[entry.routing]\nresume_ms = 1500\n'
+SETTLE_SECONDS = 1.5
+
+
+class ProcessesTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        scratch = tempfile.TemporaryDirectory()
+        self.addCleanup(scratch.cleanup)
+        self.processes: Processes = self.enterContext(
+            run_processes(
+                Path(scratch.name), 'fitlink-kochi', {'entry': SHORT_RESUME}
+            )
+        )
+        self.key = self.processes.command('workspace', 'key', 'trainers')['key']
+
+    async def asyncSetUp(self) -> None:
+        self.client = await self.enterAsyncContext(open_client(200))
+        # The key must be in force at both entries.
+        for entry in ('entry-1', 'entry-2'):
+            while (
+                await self.caller(entry).chat(CHAT)
+            ).status == HTTPStatus.UNAUTHORIZED:
+                await asyncio.sleep(0.1)
+
+    def caller(self, entry: str) -> Caller:
+        return Caller(self.processes.url(entry), self.key, self.client)
+
+    def start_calls(self) -> 'list[asyncio.Task[Reply]]':
+        return [
+            asyncio.create_task(
+                self.caller(f'entry-{number % 2 + 1}').chat(CHAT)
+            )
+            for number in range(CALLS)
+        ]
+
+    def assert_ran_once(self) -> None:
+        runs: Counter[str] = Counter()
+        for number in range(1, 5):
+            page = self.processes.read(f'engine-{number}', '/control/runs')
+            runs.update(page['runs'])
+        self.assertEqual([key for key, count in runs.items() if count > 1], [])
+
+    async def test_a_streamed_answer_arrives_whole(self) -> None:
+        reply = await self.caller('entry-1').chat(CHAT)
+        usage = check_chat(CHAT, reply)
+        self.assertEqual(usage['completion_tokens'], CHAT.max_tokens)
+
+    async def test_kill_of_an_agent_loses_no_waiting_request(self) -> None:
+        calls = self.start_calls()
+        await asyncio.sleep(SETTLE_SECONDS / 3)
+        status = self.processes.read('entry-1', '/status')
+        self.assertGreater(status['waiting'], 0)
+        self.processes.signal('agent-3', signal.SIGKILL)
+        outcomes = await asyncio.gather(*calls, return_exceptions=True)
+        replies = [part for part in outcomes if isinstance(part, Reply)]
+        whole = [reply for reply in replies if reply.is_ok]
+        for reply in whole:
+            check_chat(CHAT, reply)
+        # Only what ran on the killed agent (6 slots) may be in doubt.
+        self.assertGreaterEqual(len(whole), CALLS - 6)
+        for reply in replies:
+            self.assertTrue(reply.is_ok or reply.error['run'] == 'maybe')
+        self.assert_ran_once()
+
+    async def test_planned_stop_of_an_entry_cuts_no_stream(self) -> None:
+        calls = self.start_calls()
+        await asyncio.sleep(SETTLE_SECONDS / 3)
+        self.processes.signal('entry-1', signal.SIGTERM)
+        for reply in await asyncio.gather(*calls):
+            check_chat(CHAT, reply)
+        self.assertEqual(self.processes.wait('entry-1'), 0)
+        self.assert_ran_once()
+
+    async def test_planned_stop_of_an_agent_cuts_no_stream(self) -> None:
+        calls = self.start_calls()
+        await asyncio.sleep(SETTLE_SECONDS / 3)
+        self.processes.signal('agent-1', signal.SIGTERM)
+        for reply in await asyncio.gather(*calls):
+            check_chat(CHAT, reply)
+        self.assertEqual(self.processes.wait('agent-1'), 0)
+        self.assert_ran_once()
--- a/seampond/demo/drive.py
+++ b/seampond/demo/drive.py
@@ -3,23 +3,19 @@
 import asyncio
 import json
 from dataclasses import dataclass, field
-from http import HTTPStatus
-from typing import Any
 
 import aiosonic
-from aiosonic.exceptions import AiosonicError
-from aiosonic.timeout import Timeouts
 
 from seampond.clock import MS_PER_SECOND, Clock
 from seampond.demo.fleet import Fleet
 from seampond.demo.traffic import Call
 from seampond.platform.http import open_client
-from seampond.testing.engine.app import token_text
-
-_ID_HEADER = 'x-request-id'
-_TIMEOUT_SECONDS = 60
-_FAILURES = (AiosonicError, OSError, EOFError, ValueError)
-_END = 'data: [DONE]'
+from seampond.testing.caller import (
+    FAILURES,
+    Caller,
+    Reply,
+    check_chat,
+)
 
 
 @dataclass
@@ -47,99 +43,36 @@
         return self.tiers.setdefault(number, TierReport())
 
 
-@dataclass(frozen=True)
-class Reply:
-    """Status, headers and body of an answer."""
-
-    status: int
-    request_id: str
-    body: bytes
-
-
-def _events(body: bytes) -> list[dict[str, Any]]:
-    lines = body.decode().splitlines()
-    return [
-        json.loads(line.removeprefix('data: '))
-        for line in lines
-        if line.startswith('data: {')
-    ]
-
-
-def _text_and_usage(call: Call, body: bytes) -> tuple[str, dict[str, Any]]:
-    if not call.is_stream:
-        content = json.loads(body)
-        text: str = content['choices'][0]['message']['content']
-        return text, content['usage']
-    events = _events(body)
-    if not body.decode().rstrip().endswith(_END):
-        raise ValueError('the stream has no end mark')
-    deltas = [event['choices'][0]['delta'] for event in events]
-    text = ''.join(delta['content'] for delta in deltas)
-    return text, events[-1]['usage']
-
-
-def _check_chat(call: Call, reply: Reply, tier: TierReport) -> None:
-    text, usage = _text_and_usage(call, reply.body)
-    wanted = ''.join(
-        token_text(reply.request_id, number)
-        for number in range(call.max_tokens)
-    )
-    if text != wanted:
-        raise ValueError('not the whole answer to its own request')
-    reused = usage['prompt_tokens_details']['cached_tokens']
-    tier.computed += usage['prompt_tokens'] - reused
-    tier.reused += reused
-
-
 def _note_refusal(reply: Reply, tier: TierReport, report: DemoReport) -> None:
-    error = json.loads(reply.body)['error']
-    reason = error['reason']
+    reason = reply.error['reason']
     tier.refused[reason] = tier.refused.get(reason, 0) + 1
-    if error['run'] == 'no':
-        report.not_run.append(error['request_id'])
+    if reply.error['run'] == 'no':
+        report.not_run.append(reply.error['request_id'])
 
 
 def _check(call: Call, reply: Reply, report: DemoReport) -> None:
     tier = report.tier(call.tier)
-    if reply.status >= HTTPStatus.BAD_REQUEST:
+    if not reply.is_ok:
         _note_refusal(reply, tier, report)
-    elif call.template.kind == 'model':
-        _check_chat(call, reply, tier)
+    elif call.chat:
+        usage = check_chat(call.chat, reply)
+        reused = usage['prompt_tokens_details']['cached_tokens']
+        tier.computed += usage['prompt_tokens'] - reused
+        tier.reused += reused
     elif json.loads(reply.body)['request_id'] != reply.request_id:
         raise ValueError("another request's answer")
 
 
-def _target(call: Call) -> tuple[str, bytes]:
-    """Give the path and the body of a call."""
-    if call.template.kind == 'service':
-        name = call.template.name
-        return f'/services/{name}/check/{call.number}', b'{}'
-    content = {
-        'model': call.template.name,
-        'messages': [{'role': 'user', 'content': call.prompt}],
-        'max_tokens': call.max_tokens,
-        'stream': call.is_stream,
-    }
-    return '/v1/chat/completions', json.dumps(content).encode()
-
-
 async def _send(client: aiosonic.HTTPClient, fleet: Fleet, call: Call) -> Reply:
-    key = fleet.keys[call.workspace]
-    headers = {'authorization': f'Bearer {key}'}
-    if call.key:
-        headers['idempotency-key'] = call.key
-    path, body = _target(call)
-    response = await client.post(
-        fleet.entries[call.entry].url + path,
-        headers=headers,
-        data=body,
-        timeouts=Timeouts(
-            sock_read=_TIMEOUT_SECONDS, request_timeout=_TIMEOUT_SECONDS
-        ),
+    caller = Caller(
+        fleet.entries[call.entry].url, fleet.keys[call.workspace], client
     )
-    answer = await response.content()
-    request_id = response.headers.get(_ID_HEADER, '')
-    return Reply(response.status_code, request_id, answer)
+    headers = {'idempotency-key': call.key} if call.key else {}
+    if call.chat:
+        return await caller.chat(call.chat, **headers)
+    name = call.template.name
+    path = f'/services/{name}/check/{call.number}'
+    return await caller.post(path, b'{}', **headers)
 
 
 async def drive(
@@ -155,10 +88,10 @@
         try:
             reply = await _send(client, fleet, call)
             _check(call, reply, report)
-        except _FAILURES as error:
+        except FAILURES as error:
             report.wrong.append(f'call {call.number}: {error!r}')
             return
-        if reply.status == HTTPStatus.OK:
+        if reply.is_ok:
             took_ms = clock.now() - started_ms
             in_time = took_ms <= call.template.deadline_ms
             tier.in_time += in_time
--- a/seampond/demo/fleet.py
+++ b/seampond/demo/fleet.py
@@ -1,8 +1,9 @@
 """A whole deployment in one process, from its example folder."""
 
+import random
 import re
 import socket
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
 from pathlib import Path
@@ -25,6 +26,8 @@
 
 _ADDRESS = re.compile(r'127\.0\.0\.1:(\d+)')
 _POLL_MS = 20
+_FIRST_PORT = 20_000
+_LAST_PORT = 32_000
 
 
 @dataclass(frozen=True)
@@ -45,11 +48,27 @@
         return agents + entries
 
 
-def _free_port() -> int:
+def _is_free(port: int) -> bool:
     with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        port: int = probe.getsockname()[1]
-        return port
+        try:
+            probe.bind(('127.0.0.1', port))
+        except OSError:
+            return False
+    return True
+
+
+def free_ports() -> Iterator[int]:
+    """Give free ports, each once.
+
+    Explanation
+    -----------
+    They lie below the range that the system hands to outgoing connections,
+    so that none is taken between the choice and its use.
+    """
+    start = random.randrange(_FIRST_PORT, _LAST_PORT)
+    for port in (*range(start, _LAST_PORT), *range(_FIRST_PORT, start)):
+        if _is_free(port):
+            yield port
 
 
 def copy_with_free_ports(source: Path, target: Path) -> None:
@@ -61,11 +80,12 @@
     roles still find each other.
     """
     ports: dict[str, int] = {}
+    free = free_ports()
 
     def swap(match: re.Match[str]) -> str:
         port = match.group(1)
         if port not in ports:
-            ports[port] = _free_port()
+            ports[port] = next(free)
         return f'127.0.0.1:{ports[port]}'
 
     for path in sorted(source.glob('*.toml')):
--- a/seampond/demo/traffic.py
+++ b/seampond/demo/traffic.py
@@ -6,6 +6,7 @@
 
 from seampond.demo.fleet import Fleet
 from seampond.templates.models import Template, Workspace
+from seampond.testing.caller import Chat
 
 _HISTORY_CHARACTERS = 24_000
 _MEDIUM_CHARACTERS = 2400
@@ -23,9 +24,7 @@
     workspace: str
     template: Template
     tier: int
-    prompt: str = ''
-    max_tokens: int = 0
-    is_stream: bool = False
+    chat: Chat | None = None
 
     @property
     def key(self) -> str:
@@ -60,23 +59,19 @@
     offers = _offers(fleet)
     for number in range(count):
         workspace, template = offers[number % len(offers)]
-        call = Call(
+        chat = None
+        if template.kind == 'model':
+            chat = Chat(
+                template.name,
+                _prompt(workspace, template, rng),
+                rng.randint(4, template.answer_tokens // 2),
+                is_stream=rng.random() < _STREAM_SHARE,
+            )
+        yield Call(
             number,
             entry=rng.randrange(len(fleet.entries)),
             workspace=workspace.name,
             template=template,
             tier=workspace.parameters[template.name].tier,
-        )
-        if template.kind == 'service':
-            yield call
-            continue
-        yield Call(
-            number,
-            entry=call.entry,
-            workspace=call.workspace,
-            template=template,
-            tier=call.tier,
-            prompt=_prompt(workspace, template, rng),
-            max_tokens=rng.randint(4, template.answer_tokens // 2),
-            is_stream=rng.random() < _STREAM_SHARE,
+            chat=chat,
         )
--- a/seampond/engines/runner.py
+++ b/seampond/engines/runner.py
@@ -131,7 +131,7 @@
                 self._stop(run)
 
     def _is_abandoned(self, run: Run, now_ms: int) -> bool:
-        if not run.orphaned_ms or not run.grant.repeatable:
+        if run.orphaned_ms is None or not run.grant.repeatable:
             return False
         return now_ms - run.orphaned_ms > self._settings.orphan_ms
 
--- a/seampond/engines/runs.py
+++ b/seampond/engines/runs.py
@@ -37,7 +37,7 @@
     parts : list
         Head and frames so far, for resuming on a new link.
     orphaned_ms : int
-        Since when there is no link; 0 while there is.
+        Since when there is no link; None while there is.
 
     """
 
@@ -51,7 +51,7 @@
     parts: list[Head | Frame] = field(default_factory=list)
     finish: Finish | None = None
     usage: Usage = field(default_factory=Usage)
-    orphaned_ms: int = 0
+    orphaned_ms: int | None = None
     ended_ms: int = 0
 
     @property
@@ -100,7 +100,7 @@
     def resume(self, entry: EntryPeer, next_frame: int) -> None:
         """Go on over a new link from frame `next_frame`."""
         self.entry = entry
-        self.orphaned_ms = 0
+        self.orphaned_ms = None
         for part in self.parts[next_frame:]:
             entry.send(part)
         if self.finish:
--- a/seampond/routing/waiting.py
+++ b/seampond/routing/waiting.py
@@ -70,7 +70,7 @@
         """Let `ticket` in; give the one to shed, which may be itself."""
         victim = None
         if self._count >= self._size:
-            victim = self._choose_victim(ticket)
+            victim = self._shed(ticket)
         if victim is not ticket:
             held = self._by_tier.setdefault(ticket.work.tier, {})
             held[ticket.id] = ticket
@@ -83,16 +83,19 @@
         if held.pop(ticket.id, None):
             self._count -= 1
 
-    def _choose_victim(self, newcomer: Ticket) -> Ticket:
-        tier = self.lowest_tier
-        victim = newcomer
-        if tier > newcomer.work.tier:
-            newest = next(reversed(self._by_tier[tier]))
-            victim = self._by_tier[tier][newest]
-            self.leave(victim)
+    def _shed(self, newcomer: Ticket) -> Ticket:
+        victim = self._pick_victim(newcomer)
         self._promises.check(
             Rule.shed_order,
-            victim.work.tier >= self.lowest_tier,
+            victim.work.tier >= max(self.lowest_tier, newcomer.work.tier),
             step='shed',
         )
+        self.leave(victim)
         return victim
+
+    def _pick_victim(self, newcomer: Ticket) -> Ticket:
+        tier = self.lowest_tier
+        if newcomer.work.tier >= tier:
+            return newcomer
+        newest = next(reversed(self._by_tier[tier]))
+        return self._by_tier[tier][newest]
--- /dev/null
+++ b/seampond/testing/caller.py
@@ -0,0 +1,144 @@
+"""A caller: sends real requests and checks whose answer came back."""
+
+import json
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from typing import Any
+
+import aiosonic
+from aiosonic.exceptions import AiosonicError
+from aiosonic.timeout import Timeouts
+
+from seampond.testing.engine.app import token_text
+
+FAILURES = (AiosonicError, OSError, EOFError, ValueError)
+CHAT_PATH = '/v1/chat/completions'
+_ID_HEADER = 'x-request-id'
+_TIMEOUT_SECONDS = 60
+_END = 'data: [DONE]'
+
+
+@dataclass(frozen=True)
+class Reply:
+    """Status, headers and body of an answer."""
+
+    status: int
+    request_id: str
+    body: bytes
+    retry_after: str = ''
+
+    @property
+    def is_ok(self) -> bool:
+        """Whether it is an answer and not a refusal."""
+        return self.status < HTTPStatus.BAD_REQUEST
+
+    @property
+    def error(self) -> dict[str, Any]:
+        """The error of a refusal."""
+        error: dict[str, Any] = json.loads(self.body)['error']
+        return error
+
+
+@dataclass(frozen=True)
+class Chat:
+    """The words of a chat completion request."""
+
+    template: str
+    prompt: str = 'hello'
+    max_tokens: int = 4
+    is_stream: bool = True
+
+    @property
+    def body(self) -> bytes:
+        """The request's JSON."""
+        content = {
+            'model': self.template,
+            'messages': [{'role': 'user', 'content': self.prompt}],
+            'max_tokens': self.max_tokens,
+            'stream': self.is_stream,
+        }
+        return json.dumps(content).encode()
+
+
+@dataclass(frozen=True)
+class Caller:
+    """Calls one entry with one key."""
+
+    url: str
+    key: str
+    client: aiosonic.HTTPClient
+    headers: dict[str, str] = field(default_factory=dict)
+
+    async def post(self, path: str, body: bytes, **headers: str) -> Reply:
+        """Send a request and read the whole answer.
+
+        Explanation
+        -----------
+        Underscores in the names of `headers` become hyphens.  A broken
+        connection raises one of `FAILURES`.
+        """
+        named = {name.replace('_', '-'): text for name, text in headers.items()}
+        response = await self.client.post(
+            f'{self.url}{path}',
+            headers={'authorization': f'Bearer {self.key}', **named},
+            data=body,
+            timeouts=Timeouts(
+                sock_read=_TIMEOUT_SECONDS, request_timeout=_TIMEOUT_SECONDS
+            ),
+        )
+        answer = await response.content()
+        return Reply(
+            response.status_code,
+            response.headers.get(_ID_HEADER, ''),
+            answer,
+            response.headers.get('retry-after', ''),
+        )
+
+    async def chat(self, chat: Chat, **headers: str) -> Reply:
+        """Send a chat completion request."""
+        return await self.post(CHAT_PATH, chat.body, **headers)
+
+
+def _events(body: bytes) -> list[dict[str, Any]]:
+    return [
+        json.loads(line.removeprefix('data: '))
+        for line in body.decode().splitlines()
+        if line.startswith('data: {')
+    ]
+
+
+def _text_and_usage(body: bytes, is_stream: bool) -> tuple[str, dict[str, Any]]:
+    if not is_stream:
+        content = json.loads(body)
+        text: str = content['choices'][0]['message']['content']
+        return text, content['usage']
+    if not body.decode().rstrip().endswith(_END):
+        raise ValueError('the stream has no end mark')
+    events = _events(body)
+    deltas = [event['choices'][0]['delta'] for event in events]
+    text = ''.join(delta['content'] for delta in deltas)
+    return text, events[-1]['usage']
+
+
+def check_chat(chat: Chat, reply: Reply) -> dict[str, Any]:
+    """Check that `reply` is the whole answer to its own request.
+
+    Returns
+    -------
+    dict
+        The usage that the engine reported.
+
+    Raises
+    ------
+    ValueError
+        If it is not.
+
+    """
+    text, usage = _text_and_usage(reply.body, chat.is_stream)
+    wanted = ''.join(
+        token_text(reply.request_id, number)
+        for number in range(chat.max_tokens)
+    )
+    if text != wanted:
+        raise ValueError('not the whole answer to its own request')
+    return usage
