--- a/seampond/routing/tests/test_place.py
+++ b/seampond/routing/tests/test_place.py
@@ -3,7 +3,6 @@
 import asyncio
 import unittest
 from typing import Any
-from unittest import mock
 
 from seampond.clock import ManualClock
 from seampond.errors import PromiseError
@@ -118,9 +117,9 @@
         room = WaitingRoom(1, build_promises())
         room.enter(build_ticket('low', tier=5))
         high = build_ticket('high', tier=1)
-        with mock.patch.object(room, '_pick_victim', return_value=high):
-            with self.assertRaises(PromiseError):
-                room.enter(high)
+        room._pick_victim = lambda newcomer: high  # type: ignore
+        with self.assertRaises(PromiseError):
+            room.enter(high)
 
 
 class AnswerTest(unittest.IsolatedAsyncioTestCase):
