Slopes measured by a script; heartbeats at the entry's pace, packed

Cause: worked out for 240 links, agents beating once a second each would send an entry 240 x 76 = 18 KB/s against 4 KB/s for control; and each peer held 15.8 KB, nearly all of it a state machine of its own.

Ruled out: a heartbeat interval in the agent's settings, since only the entry knows how many links it keeps.

Change: an agent answers the entry's heartbeat instead of beating itself, and the entry's interval grows with its links; packets are packed by the Cap'n Proto library; one state machine serves all peers.

Measured (bin/slopes): heartbeat 76 -> 28 bytes, reservation 164 -> 108, 16 frames 4,260 -> 3,342; peer 15,819 -> 620 bytes; encoding 16 frames 41.6 us plain and 44.9 us packed in one run. 240 links at 56 bytes for both ways give one heartbeat in 4.5 s and 3 KB/s.

--- a/seampond/daemons/tests/test_processes.py
+++ b/seampond/daemons/tests/test_processes.py
@@ -18,14 +18,17 @@
 SETTLE_SECONDS = 1.5
 
 
+def shorten_resume(folder: Path) -> None:
+    for path in folder.glob('entry-*.toml'):
+        path.write_text(path.read_text() + SHORT_RESUME)
+
+
 class ProcessesTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self) -> None:
         scratch = tempfile.TemporaryDirectory()
         self.addCleanup(scratch.cleanup)
         self.processes: Processes = self.enterContext(
-            run_processes(
-                Path(scratch.name), 'fitlink-kochi', {'entry': SHORT_RESUME}
-            )
+            run_processes(Path(scratch.name), 'fitlink-kochi', shorten_resume)
         )
         self.key = self.processes.command('workspace', 'key', 'trainers')['key']
 
--- a/seampond/engines/agent.py
+++ b/seampond/engines/agent.py
@@ -225,6 +225,8 @@
     def _take_pulse(self, entry: EntryPeer, pulse: Pulse) -> None:
         entry.generation = pulse.generation
         self.generation = max(self.generation, pulse.generation)
+        # The entry sets the pace: it knows how many links it keeps.
+        entry.send(self.pulse)
 
     def _turn_away(self, held: Reservation, reason: Reason) -> None:
         self._metrics.refusals.labels(reason.value).inc()
--- a/seampond/engines/listen.py
+++ b/seampond/engines/listen.py
@@ -21,25 +21,13 @@
 _logger = logging.getLogger(__name__)
 
 
-async def _beat(
-    agent: Agent, entry: EntryPeer, beat_ms: int, clock: Clock
-) -> None:
-    while not entry.link.is_closed:
-        await clock.sleep(beat_ms)
-        entry.send(agent.pulse)
-
-
-async def _serve_entry(
-    agent: Agent, entry: EntryPeer, beat_ms: int, clock: Clock
-) -> None:
+async def _serve_entry(agent: Agent, entry: EntryPeer) -> None:
     agent.came_up(entry)
-    beat = asyncio.create_task(_beat(agent, entry, beat_ms, clock))
     try:
         while True:
             for message in await entry.link.receive():
                 agent.take(entry, message)
     finally:
-        beat.cancel()
         agent.went_down(entry)
 
 
@@ -89,8 +77,7 @@
         secret = self.settings.links.secret
         hello = await shake_hands(link, self.make_hello, secret, dialed=False)
         entry = EntryPeer(hello.name, hello.incarnation, link)
-        beat_ms = self.settings.links.heartbeat_ms
-        await _serve_entry(self.agent, entry, beat_ms, self.clock)
+        await _serve_entry(self.agent, entry)
 
 
 @asynccontextmanager
--- a/seampond/links/codec.py
+++ b/seampond/links/codec.py
@@ -106,7 +106,8 @@
     for row, message in zip(rows, batch, strict=True):
         kind = _KIND_OF[type(message)]
         _fill(row.init(kind), kind, message)
-    return packet.to_bytes()
+    packed: bytes = packet.to_bytes_packed()
+    return packed
 
 
 def _read_headers(rows: Any) -> tuple[messages.Header, ...]:
@@ -149,10 +150,10 @@
 
     """
     try:
-        with _schema().Packet.from_bytes(
+        reader = _schema().Packet.from_bytes_packed(
             packet, traversal_limit_in_words=_TRAVERSAL_WORDS
-        ) as reader:
-            return [_read(row) for row in reader.items]
+        )
+        return [_read(row) for row in reader.items]
     except _DECODE_FAILURES as error:
         raise ForeignMessageError(
             f'not a packet of this protocol: {type(error).__name__}',
--- a/seampond/routing/keep.py
+++ b/seampond/routing/keep.py
@@ -21,7 +21,8 @@
 CONNECT_SECONDS = 2
 _FIRST_BACKOFF_MS = 100
 _MAX_BACKOFF_MS = 3000
-_PULSE_BYTES = 72
+# A heartbeat and its answer, packed, with their lengths.
+_PULSE_BYTES = 56
 _BUDGET_BYTES_PER_MS = 3
 _logger = logging.getLogger(__name__)
 
--- a/seampond/routing/peer.py
+++ b/seampond/routing/peer.py
@@ -42,6 +42,23 @@
     return {'trigger': trigger, 'source': source, 'dest': target}
 
 
+# One machine serves all peers: one each would hold 12 KB.
+_MACHINE = Machine(
+    None,
+    states=PeerState,
+    initial=PeerState.connecting,
+    transitions=[
+        _transition('came_up', '*', PeerState.ready),
+        _transition('went_down', '*', PeerState.connecting),
+        _transition('fell_silent', PeerState.ready, PeerState.silent),
+        _transition('spoke_again', PeerState.silent, PeerState.ready),
+        _transition('said_leaving', '*', PeerState.leaving),
+    ],
+    auto_transitions=False,
+    ignore_invalid_triggers=True,
+)
+
+
 class Peer:
     """An agent as one entry sees it.
 
@@ -61,20 +78,6 @@
         self.reserved: dict[str, Ticket] = {}
         self.granted: dict[str, Ticket] = {}
         self.state: PeerState = PeerState.connecting
-        self._machine = Machine(
-            self,
-            states=PeerState,
-            initial=PeerState.connecting,
-            transitions=[
-                _transition('came_up', '*', PeerState.ready),
-                _transition('went_down', '*', PeerState.connecting),
-                _transition('fell_silent', PeerState.ready, PeerState.silent),
-                _transition('spoke_again', PeerState.silent, PeerState.ready),
-                _transition('said_leaving', '*', PeerState.leaving),
-            ],
-            auto_transitions=False,
-            ignore_invalid_triggers=True,
-        )
 
     @property
     def name(self) -> str:
@@ -88,7 +91,7 @@
 
     def fire(self, trigger: str) -> None:
         """Fire a transition by name."""
-        self.trigger(trigger)  # type: ignore[attr-defined]
+        _MACHINE.events[trigger].trigger(self)
 
     def send(self, message: Message) -> None:
         """Send, if there is a link."""
--- /dev/null
+++ b/seampond/slopes/__init__.py
@@ -0,0 +1,1 @@
+"""Measured slopes: what one more of each thing costs."""
--- /dev/null
+++ b/seampond/slopes/roles.py
@@ -0,0 +1,150 @@
+"""Processor time of each role, from separate processes under load."""
+
+import asyncio
+import re
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from pathlib import Path
+from urllib.request import urlopen
+
+from seampond.platform.http import open_client
+from seampond.slopes.processor import MICROSECONDS, Slope
+from seampond.testing.caller import Caller, Chat, check_chat
+from seampond.testing.processes import Processes, run_processes
+
+_CPU = re.compile(r'^process_cpu_seconds_total (\S+)$', re.MULTILINE)
+_RSS = re.compile(r'^process_resident_memory_bytes (\S+)$', re.MULTILINE)
+_IDLE_SECONDS = 8
+_PERCENT = 100
+_AT_ONCE = 16
+_REQUESTS = 640
+_FEW_TOKENS = 2
+_MANY_TOKENS = 66
+_STREAMS = 320
+_AGENTS = ('agent-1', 'agent-2', 'agent-3', 'agent-4')
+_ENTRIES = ('entry-1', 'entry-2')
+
+
+@dataclass(frozen=True)
+class Use:
+    """Processor seconds and resident bytes, summed over a role."""
+
+    seconds: float
+    largest_bytes: float
+
+
+def _page(processes: Processes, name: str) -> str:
+    settings_address = processes.address(name)
+    if name.startswith('agent'):
+        settings_address = processes.status_address(name)
+    with urlopen(f'http://{settings_address}/metrics') as page:
+        text: str = page.read().decode()
+    return text
+
+
+def _number(pattern: 're.Pattern[str]', text: str) -> float:
+    match = pattern.search(text)
+    if match is None:
+        raise ValueError('the page lacks a process metric')
+    return float(match.group(1))
+
+
+def read_use(processes: Processes, names: tuple[str, ...]) -> Use:
+    """Read the processes' own metrics."""
+    pages = [_page(processes, name) for name in names]
+    return Use(
+        sum(_number(_CPU, page) for page in pages),
+        max(_number(_RSS, page) for page in pages),
+    )
+
+
+async def _send(caller: Caller, chat: Chat, count: int) -> None:
+    gate = asyncio.Semaphore(_AT_ONCE)
+
+    async def one() -> None:
+        async with gate:
+            check_chat(chat, await caller.chat(chat))
+
+    await asyncio.gather(*(one() for _ in range(count)))
+
+
+async def _cost(
+    processes: Processes, load: Callable[[], Awaitable[None]], count: int
+) -> tuple[float, float]:
+    """Give microseconds for each unit of load, at entries and at agents."""
+    entries = read_use(processes, _ENTRIES).seconds
+    agents = read_use(processes, _AGENTS).seconds
+    await load()
+    entry = read_use(processes, _ENTRIES).seconds - entries
+    agent = read_use(processes, _AGENTS).seconds - agents
+    return entry / count * MICROSECONDS, agent / count * MICROSECONDS
+
+
+def _prepare(folder: Path) -> None:
+    for path in folder.glob('engine-*.toml'):
+        text = path.read_text()
+        text = re.sub(
+            'decode_tokens_per_s = .*', 'decode_tokens_per_s = 2000', text
+        )
+        path.write_text(text)
+    seed = folder / 'seed.toml'
+    seed.write_text(
+        seed.read_text()
+        .replace('requests_per_s = 200', 'requests_per_s = 100000')
+        .replace('tokens_per_s = 50000', 'tokens_per_s = 100000000')
+    )
+
+
+async def _measure(processes: Processes, key: str) -> list[Slope]:
+    async with open_client(_AT_ONCE) as client:
+        caller = Caller(processes.url('entry-1'), key, client)
+        while not (await caller.chat(Chat('trainer-answer'))).is_ok:
+            await asyncio.sleep(1 / _AT_ONCE)
+        few = Chat('trainer-answer', max_tokens=_FEW_TOKENS)
+        many = Chat('trainer-answer', max_tokens=_MANY_TOKENS)
+        await _send(caller, few, _STREAMS)
+        request = await _cost(
+            processes, lambda: _send(caller, few, _REQUESTS), _REQUESTS
+        )
+        stream = await _cost(
+            processes, lambda: _send(caller, many, _STREAMS), _STREAMS
+        )
+    frames = _MANY_TOKENS - _FEW_TOKENS
+    return [
+        Slope('entry: short streamed request', request[0], 'us'),
+        Slope('agent: short streamed request', request[1], 'us'),
+        Slope('entry: token', (stream[0] - request[0]) / frames, 'us'),
+        Slope('agent: token', (stream[1] - request[1]) / frames, 'us'),
+    ]
+
+
+def _measure_idle(
+    processes: Processes, role: str, names: tuple[str, ...]
+) -> Slope:
+    before = read_use(processes, names).seconds
+    started = time.monotonic()
+    time.sleep(_IDLE_SECONDS)
+    elapsed = time.monotonic() - started
+    spent = read_use(processes, names).seconds - before
+    share = spent / len(names) / elapsed * _PERCENT
+    return Slope(f'{role}: idle', share, '% of a core')
+
+
+def measure_roles(folder: Path) -> list[Slope]:
+    """Run the example as processes; measure idle, requests and tokens."""
+    with run_processes(folder, 'fitlink-kochi', _prepare) as processes:
+        key = processes.command('workspace', 'key', 'trainers')['key']
+        idle = [
+            _measure_idle(processes, 'entry', _ENTRIES),
+            _measure_idle(processes, 'agent', _AGENTS),
+        ]
+        loaded = asyncio.run(_measure(processes, key))
+        entries = read_use(processes, _ENTRIES)
+        agents = read_use(processes, _AGENTS)
+    return [
+        *idle,
+        Slope('entry: memory after load', entries.largest_bytes, 'bytes'),
+        Slope('agent: memory after load', agents.largest_bytes, 'bytes'),
+        *loaded,
+    ]
--- a/seampond/testing/processes.py
+++ b/seampond/testing/processes.py
@@ -4,7 +4,7 @@
 import signal
 import subprocess
 import sys
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -20,6 +20,8 @@
 _POLLS = 600
 _STOP_SECONDS = 60
 
+Prepare = Callable[[Path], None]
+
 
 @dataclass
 class Processes:
@@ -65,6 +67,12 @@
         listen: str = settings.listen
         return listen
 
+    def status_address(self, name: str) -> str:
+        """Give the address of an agent's pages."""
+        settings: Any = load_any(self.folder / f'{name}.toml')
+        listen: str = settings.status_listen
+        return listen
+
     def url(self, name: str) -> str:
         """Give the HTTP URL of a role."""
         address = self.address(name)
@@ -115,14 +123,9 @@
             process.wait()
 
 
-def _append(folder: Path, start: str, text: str) -> None:
-    for path in folder.glob(f'{start}*.toml'):
-        path.write_text(path.read_text() + text)
-
-
 @contextmanager
 def run_processes(
-    folder: Path, deployment: str, changes: dict[str, str]
+    folder: Path, deployment: str, prepare: Prepare
 ) -> Iterator[Processes]:
     """Run every role of a deployment in a process of its own.
 
@@ -130,13 +133,12 @@
     ----------
     folder : Path
         An empty folder for settings and logs.
-    changes : dict[str, str]
-        For a file name's start: TOML to add at its end.
+    prepare : Callable[[Path], None]
+        Changes the settings in the folder before the start.
 
     """
     copy_with_free_ports(EXAMPLES / deployment, folder)
-    for start, text in changes.items():
-        _append(folder, start, text)
+    prepare(folder)
     processes = Processes(folder)
     try:
         processes.start_all()
