--- a/bin/run_tests.py
+++ b/bin/run_tests.py
@@ -4,6 +4,7 @@
 import doctest
 import faulthandler
 import importlib
+import logging
 import pkgutil
 import sys
 import unittest
@@ -77,6 +78,7 @@
         print(f'KNOWN-RED.txt: {MAX_KNOWN_RED} lines at most')
         return 1
     options = parser.parse_args()
+    logging.getLogger('asyncio').setLevel(logging.ERROR)
     suite = split_red(collect(options.pattern), known)
     # A hung test ends the run with a traceback, never in silence.
     faulthandler.dump_traceback_later(MAX_SECONDS, exit=True)
--- /dev/null
+++ b/seampond/callers/tests/test_border.py
@@ -0,0 +1,177 @@
+"""The HTTP border: whole path in one process, and every bad input."""
+
+import asyncio
+import json
+import unittest
+from typing import Any
+
+from seampond.demo.fleet import Fleet
+from seampond.metrics.entry import counts_by_labels
+from seampond.platform.http import open_client
+from seampond.platform.standin.models import Faults
+from seampond.requests.refusals import FACTS, Reason
+from seampond.testing.caller import Caller, Chat, Reply, check_chat
+from seampond.testing.fleets import open_fleet
+
+ANSWER = Chat('trainer-answer', max_tokens=2)
+DRAFT = Chat('renewal-draft', max_tokens=2)
+
+
+class BorderTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.fleet: Fleet = await self.enterAsyncContext(open_fleet())
+        self.parts = self.fleet.entries[0].parts
+        self.client = await self.enterAsyncContext(open_client())
+
+    def caller(self, workspace: str, entry: int = 0, key: str = '') -> Caller:
+        return Caller(
+            self.fleet.entries[entry].url,
+            key or self.fleet.keys[workspace],
+            self.client,
+        )
+
+    def runs(self) -> int:
+        return sum(
+            running.engine.runs.total() for running in self.fleet.engines
+        )
+
+    def assert_refused(self, reply: Reply, reason: Reason) -> None:
+        self.assertEqual(reply.error['reason'], reason.value)
+        self.assertEqual(reply.error['run'], 'no')
+        self.assertEqual(reply.status, FACTS[reason].status)
+        self.assertEqual(self.runs(), 0)
+        refusals = self.parts.metrics.refusals
+        self.assertEqual(counts_by_labels(refusals), {f'{reason.value}/no': 1})
+
+    async def test_streamed_and_whole_answers_arrive(self) -> None:
+        for is_stream in (True, False):
+            chat = Chat('trainer-answer', max_tokens=3, is_stream=is_stream)
+            reply = await self.caller('trainers').chat(chat)
+            self.assertEqual(check_chat(chat, reply)['completion_tokens'], 3)
+
+    async def test_a_plain_service_is_passed_through(self) -> None:
+        reply = await self.caller('turnstiles').post(
+            '/services/pass-check/gate%20a/7?side=left', b'{"pass": 1}'
+        )
+        content = json.loads(reply.body)
+        self.assertEqual(content['path'], '/gate a/7')
+        self.assertEqual(content['received_bytes'], 11)
+        self.assertEqual(content['request_id'], reply.request_id)
+
+    async def test_bad_json_is_refused(self) -> None:
+        reply = await self.caller('trainers').post(
+            '/v1/chat/completions', b'{"model": '
+        )
+        self.assert_refused(reply, Reason.bad_request)
+
+    async def test_a_missing_field_is_named(self) -> None:
+        reply = await self.caller('trainers').post(
+            '/v1/chat/completions', b'{"model": "trainer-answer"}'
+        )
+        self.assert_refused(reply, Reason.bad_request)
+        self.assertIn('messages', reply.error['message'])
+
+    async def test_an_unknown_template_is_refused(self) -> None:
+        reply = await self.caller('trainers').chat(Chat('no-such'))
+        self.assert_refused(reply, Reason.unknown_template)
+
+    async def test_a_template_of_another_workspace_is_refused(self) -> None:
+        reply = await self.caller('turnstiles').chat(ANSWER)
+        self.assert_refused(reply, Reason.unknown_template)
+
+    async def test_a_wrong_key_is_refused(self) -> None:
+        caller = self.caller('trainers', key='trainers.wrong')
+        self.assert_refused(await caller.chat(ANSWER), Reason.wrong_key)
+
+    async def test_a_body_over_the_limit_is_refused(self) -> None:
+        reply = await self.caller('trainers').post(
+            '/v1/chat/completions', b' ' * 9_000_000
+        )
+        self.assert_refused(reply, Reason.body_too_large)
+
+    async def test_a_past_deadline_is_refused(self) -> None:
+        caller = self.caller('trainers')
+        reply = await caller.chat(ANSWER, x_deadline_ms='-5')
+        self.assert_refused(reply, Reason.deadline_past)
+
+    async def test_a_deadline_that_is_no_number_is_refused(self) -> None:
+        caller = self.caller('trainers')
+        reply = await caller.chat(ANSWER, x_deadline_ms='soon')
+        self.assert_refused(reply, Reason.bad_request)
+
+    async def test_unrepeatable_work_needs_a_key(self) -> None:
+        reply = await self.caller('renewals').chat(DRAFT)
+        self.assert_refused(reply, Reason.key_required)
+
+    async def test_a_draining_entry_refuses_new_work(self) -> None:
+        self.fleet.entries[0].parts.is_draining = True
+        reply = await self.caller('trainers').chat(ANSWER)
+        self.assert_refused(reply, Reason.draining)
+        self.assertEqual(reply.retry_after, '1')
+
+    async def test_one_key_runs_once_through_two_entries(self) -> None:
+        calls = [
+            self.caller('renewals', entry).chat(DRAFT, idempotency_key='k1')
+            for entry in (0, 1, 0, 1)
+        ]
+        replies = await asyncio.gather(*calls)
+        answered = [reply for reply in replies if reply.is_ok]
+        self.assertEqual(len(answered), 1)
+        for reply in replies:
+            if not reply.is_ok:
+                self.assertEqual(reply.error['reason'], 'claim-taken')
+                self.assertEqual(reply.error['run'], 'maybe')
+        self.assertEqual(self.runs(), 1)
+
+    async def test_a_lost_claim_answer_still_runs_once(self) -> None:
+        self.fleet.platform.platform.faults = Faults(lose_answers=1)
+        reply = await self.caller('renewals').chat(DRAFT, idempotency_key='k')
+        check_chat(DRAFT, reply)
+        self.assertEqual(self.runs(), 1)
+
+    async def test_a_store_that_is_down_means_not_run_in_time(self) -> None:
+        self.fleet.platform.platform.faults = Faults(down=True)
+        reply = await self.caller('renewals').chat(
+            DRAFT, idempotency_key='k', x_deadline_ms='1700'
+        )
+        self.assert_refused(reply, Reason.claim_store_down)
+
+    async def test_a_short_engine_answer_is_an_error(self) -> None:
+        for running in self.fleet.engines:
+            running.engine.faults.short = 1
+        chat = Chat('trainer-answer', max_tokens=5)
+        with self.assertRaises(ValueError):
+            check_chat(chat, await self.caller('trainers').chat(chat))
+
+    async def test_another_requests_answer_is_refused(self) -> None:
+        for running in self.fleet.engines:
+            running.engine.faults.crossed = 1
+        reply = await self.caller('trainers').chat(ANSWER)
+        self.assertEqual(reply.error['reason'], 'wrong-answer')
+        self.assertEqual(reply.error['run'], 'maybe')
+
+    async def test_a_caller_that_leaves_stops_its_run(self) -> None:
+        chat = Chat('trainer-answer', max_tokens=2000)
+        call = asyncio.create_task(self.caller('trainers').chat(chat))
+        batches = [running.engine.batch for running in self.fleet.engines]
+        while not any(batch.load['running'] for batch in batches):
+            await asyncio.sleep(0.01)
+        call.cancel()
+        while any(batch.load['running'] for batch in batches):
+            await asyncio.sleep(0.01)
+        cancelled = sum(batch.totals.cancelled for batch in batches)
+        self.assertEqual(cancelled, 1)
+        while self.parts.dispatcher.open_tickets:
+            await asyncio.sleep(0.01)
+
+    async def test_pages_for_operators(self) -> None:
+        url = self.fleet.entries[0].url
+        for path, word in (
+            ('/healthz', 'ok'),
+            ('/readyz', 'ready'),
+            ('/metrics', 'seampond_generation'),
+            ('/status', 'promises_broken'),
+        ):
+            response = await self.client.get(f'{url}{path}')
+            text: Any = await response.text()
+            self.assertIn(word, text)
--- a/seampond/engines/listen.py
+++ b/seampond/engines/listen.py
@@ -14,7 +14,7 @@
 from seampond.links.trust import HelloMaker
 from seampond.metrics import AgentMetrics
 from seampond.settings.models import AgentSettings
-from seampond.tasks import run_tasks
+from seampond.tasks import cancel_all, run_tasks
 
 TIDY_MS = 250
 _BACKLOG = 1024
@@ -69,9 +69,7 @@
 
     async def close(self) -> None:
         """Close all links."""
-        for task in list(self.tasks):
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await cancel_all(list(self.tasks))
 
     async def _serve_link(self, link: Connection) -> None:
         secret = self.settings.links.secret
--- a/seampond/engines/runner.py
+++ b/seampond/engines/runner.py
@@ -175,8 +175,10 @@
 
     async def _claim(self, run: Run) -> Claim | None:
         try:
+            # Later than this, the run itself would be late.
+            until_ms = run.deadline_ms - round(self._service_ms)
             claim = await self._claims.make(
-                run.grant.claim_key, run.id, run.deadline_ms
+                run.grant.claim_key, run.id, until_ms
             )
         except ClaimRefusedError as refused:
             word, reason = RunWord.never, Reason.claim_store_down
--- a/seampond/links/connection.py
+++ b/seampond/links/connection.py
@@ -127,7 +127,8 @@
         self.flush()
         self._writer.close()
         try:
-            await asyncio.wait_for(self._writer.wait_closed(), timeout=1)
+            async with asyncio.timeout(1):
+                await self._writer.wait_closed()
         except (OSError, asyncio.TimeoutError):
             self._writer.transport.abort()
 
--- a/seampond/links/trust.py
+++ b/seampond/links/trust.py
@@ -121,9 +121,8 @@
     sides = (_DIALER, _LISTENER) if dialed else (_LISTENER, _DIALER)
     hello = make_hello(secrets.token_bytes(NONCE_BYTES))
     try:
-        return await asyncio.wait_for(
-            _exchange(link, hello, secret, sides), HANDSHAKE_SECONDS
-        )
+        async with asyncio.timeout(HANDSHAKE_SECONDS):
+            return await _exchange(link, hello, secret, sides)
     except asyncio.TimeoutError as error:
         raise LinkError(
             'no answer to our hello', step='handshake', peer=link.peer
--- a/seampond/membership/follow.py
+++ b/seampond/membership/follow.py
@@ -18,6 +18,7 @@
 from seampond.routing.candidates import choose_subset
 from seampond.routing.keep import Keeping, keep_peer
 from seampond.routing.peer import Peer, PeerState
+from seampond.tasks import cancel_all
 
 _JITTER = 0.2
 _logger = logging.getLogger(__name__)
@@ -71,10 +72,9 @@
                 self._start(vm)
             self._note_leaving(peers[name], vm)
 
-    def stop_all(self) -> None:
-        """Stop every task."""
-        for task in self.tasks.values():
-            task.cancel()
+    async def stop_all(self) -> None:
+        """Stop every task and wait for its end."""
+        await cancel_all(self.tasks.values())
 
     def _start(self, vm: Vm) -> None:
         peer = Peer(vm)
@@ -129,4 +129,4 @@
             spread = random.uniform(1 - _JITTER, 1 + _JITTER)
             await tasks.keeping.clock.sleep(plan.poll_ms * spread)
     finally:
-        tasks.stop_all()
+        await tasks.stop_all()
--- a/seampond/requests/refusals.py
+++ b/seampond/requests/refusals.py
@@ -117,6 +117,12 @@
 )
 
 
+# Another agent may do better; for any other reason it would not.
+RETRYABLE = frozenset(
+    (Reason.leaving, Reason.ask_expired, Reason.engine_unreachable)
+)
+
+
 def parse_reason(label: str) -> Reason:
     """Give the reason with this label; an unknown one is `internal`."""
     try:
--- a/seampond/routing/answer.py
+++ b/seampond/routing/answer.py
@@ -6,7 +6,7 @@
 from seampond.promises import Rule
 from seampond.promises.rules import Promises
 from seampond.requests import Reason, RefusedError, Run, Ticket
-from seampond.requests.refusals import parse_reason
+from seampond.requests.refusals import RETRYABLE, parse_reason
 from seampond.requests.work import AgentLost, Event
 from seampond.routing.place import Placement, next_event, place
 from seampond.routing.retries import RetryBudget
@@ -135,7 +135,7 @@
     budget: RetryBudget,
     refusal: RefusedError,
 ) -> None:
-    if refusal.run is not Run.never or ticket.next_frame:
+    if refusal.run is not Run.never or refusal.reason not in RETRYABLE:
         raise refusal
     if ticket.attempt >= placement.settings.attempts_max:
         raise refusal
--- a/seampond/routing/keep.py
+++ b/seampond/routing/keep.py
@@ -53,9 +53,8 @@
     """Dial an agent, shake hands, and close at the end."""
     host, _, port = peer.vm.address.rpartition(':')
     try:
-        reader, writer = await asyncio.wait_for(
-            asyncio.open_connection(host, int(port)), CONNECT_SECONDS
-        )
+        async with asyncio.timeout(CONNECT_SECONDS):
+            reader, writer = await asyncio.open_connection(host, int(port))
     except (OSError, asyncio.TimeoutError) as error:
         raise LinkError(
             'cannot connect', step='connect', peer=peer.vm.address
--- a/seampond/routing/place.py
+++ b/seampond/routing/place.py
@@ -55,9 +55,8 @@
     if left_ms <= 0:
         return None
     try:
-        return await asyncio.wait_for(
-            ticket.mailbox.get(), left_ms / MS_PER_SECOND
-        )
+        async with asyncio.timeout(left_ms / MS_PER_SECOND):
+            return await ticket.mailbox.get()
     except asyncio.TimeoutError:
         return None
 
--- a/seampond/tasks.py
+++ b/seampond/tasks.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import logging
-from collections.abc import AsyncIterator, Coroutine
+from collections.abc import AsyncIterator, Coroutine, Iterable
 from contextlib import asynccontextmanager
 from typing import Any
 
+_REPEAT_SECONDS = 0.5
 _logger = logging.getLogger(__name__)
 
 
@@ -14,6 +15,21 @@
         _logger.critical('background task died', exc_info=task.exception())
 
 
+async def cancel_all(tasks: Iterable['asyncio.Task[None]']) -> None:
+    """Cancel tasks and wait until all have ended.
+
+    Explanation
+    -----------
+    A wait inside a library may swallow a cancellation when its answer
+    comes at the same moment, so it is repeated until the task has ended.
+    """
+    pending = {task for task in tasks if not task.done()}
+    while pending:
+        for task in pending:
+            task.cancel()
+        _, pending = await asyncio.wait(pending, timeout=_REPEAT_SECONDS)
+
+
 @asynccontextmanager
 async def run_tasks(
     *coroutines: Coroutine[Any, Any, None],
@@ -25,6 +41,4 @@
     try:
         yield tasks
     finally:
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await cancel_all(tasks)
