Capacity worked out by the script; an unchanged VM list is not sent again

Cause: worked out from the slopes, one poll of the whole VM list a second costs an entry at the target 4,240 rows of some 130 bytes, 550 KB/s against 4 KB/s for control.

Ruled out: polling more rarely, since every change of state would still send all rows, and a leaving server has to be seen within seconds.

Change: the list is asked for with the tag of the last one and comes compressed; links for each pool are 24 by default, so that 12 pools make 288. `bin/slopes` prints both tables of the capacity page.

--- a/seampond/platform/http.py
+++ b/seampond/platform/http.py
@@ -20,6 +20,7 @@
 from seampond.errors import PlatformError, UnknownOutcomeError
 
 PLATFORM_CONNECTIONS = 64
+_WITHOUT_BODY = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
 _NO_TRANSPORT = (ConnectionRefusedError, ConnectTimeout)
 _FAILURES = (AiosonicError, HttpParsingError, OSError, EOFError, ValueError)
 
@@ -30,6 +31,7 @@
 
     status: int
     content: Any
+    tag: str = ''
 
 
 @dataclass(frozen=True)
@@ -98,9 +100,10 @@
             ),
             **kwargs,
         )
-        if response.status_code == HTTPStatus.NO_CONTENT:
-            return Reply(response.status_code, None)
-        return Reply(response.status_code, await response.json())
+        tag = response.headers.get('etag', '')
+        if response.status_code in _WITHOUT_BODY:
+            return Reply(response.status_code, None, tag)
+        return Reply(response.status_code, await response.json(), tag)
 
     def _failure(
         self, kind: type[PlatformError], path: str, error: Exception
--- a/seampond/platform/standin/app.py
+++ b/seampond/platform/standin/app.py
@@ -1,5 +1,6 @@
 """The platform's services over HTTP, with faults on demand."""
 
+import secrets
 from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -8,6 +9,8 @@
 
 from pydantic import ValidationError
 from starlette.applications import Starlette
+from starlette.middleware import Middleware
+from starlette.middleware.gzip import GZipMiddleware
 from starlette.requests import Request
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
@@ -20,6 +23,8 @@
 from seampond.settings.models import PlatformStandInSettings
 
 _STUCK_MS = 3_600_000
+_TAG_BYTES = 4
+_MIN_COMPRESSED = 1024
 _MISSING = JSONResponse(
     {'error': 'no such row or object'}, status_code=HTTPStatus.NOT_FOUND
 )
@@ -49,6 +54,7 @@
             for vm in settings.vms
         }
         self._versions = deque([ListVersion(0, vms)])
+        self.started = secrets.token_hex(_TAG_BYTES)
         self.tables = MemoryTables()
         self.objects: dict[str, Any] = {}
         self.faults = Faults(
@@ -56,12 +62,12 @@
         )
 
     @property
-    def listed_vms(self) -> dict[str, VmRow]:
+    def listed_vms(self) -> ListVersion:
         """The list as callers see it: late by the lag."""
         horizon = self._clock.now() - self.faults.list_lag_ms
         while len(self._versions) > 1 and self._versions[1].since_ms <= horizon:
             self._versions.popleft()
-        return self._versions[0].vms
+        return self._versions[0]
 
     def set_vm(self, name: str, row: VmRow | None) -> None:
         """Change the true list; None removes the VM."""
@@ -148,9 +154,13 @@
 
 
 def _vm_routes(platform: Platform) -> list[Route]:
-    async def list_vms(_request: Request) -> Response:
-        rows = platform.listed_vms.values()
-        return JSONResponse([row.model_dump() for row in rows])
+    async def list_vms(request: Request) -> Response:
+        listed = platform.listed_vms
+        tag = f'"{platform.started}-{listed.since_ms}"'
+        if request.headers.get('if-none-match') == tag:
+            return Response(status_code=HTTPStatus.NOT_MODIFIED)
+        rows = [row.model_dump() for row in listed.vms.values()]
+        return JSONResponse(rows, headers={'etag': tag})
 
     async def put_vm(request: Request) -> Response:
         row = VmRow.model_validate_json(await request.body())
@@ -207,6 +217,7 @@
     ]
     return Starlette(
         routes=routes,
+        middleware=[Middleware(GZipMiddleware, minimum_size=_MIN_COMPRESSED)],
         exception_handlers={
             ValidationError: _refuse_invalid,
             KeyError: _refuse_invalid,
--- a/seampond/platform/tests/test_standin.py
+++ b/seampond/platform/tests/test_standin.py
@@ -69,6 +69,18 @@
         self.platform.faults.list_lag_ms = 0
         self.assertEqual([vm.name for vm in await list_vms()], ['b'])
 
+    async def test_an_unchanged_vm_list_is_not_sent_again(self) -> None:
+        for number in range(40):
+            name = f'b{number}'
+            row = VmRow(name=name, hall='h', role='backend', address='a:1')
+            self.platform.set_vm(name, row)
+        list_vms = http_vms(self.caller)
+        first = await list_vms()
+        self.assertEqual(len(first), 40)
+        self.assertIs(await list_vms(), first)
+        self.platform.set_vm('b7', None)
+        self.assertEqual(len(await list_vms()), 39)
+
     async def test_objects_come_back(self) -> None:
         objects = http_objects(self.caller)
         await objects.put('a/b', [1])
--- a/seampond/platform/vms.py
+++ b/seampond/platform/vms.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Any
 
 from seampond.errors import PlatformError
 from seampond.platform.http import Caller
@@ -10,6 +12,7 @@
 BACKEND_ROLE = 'backend'
 LIVE = 'live'
 LEAVING = 'leaving'
+_PATH = '/vms'
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,17 +30,46 @@
 ListVms = Callable[[], Awaitable[tuple[Vm, ...]]]
 
 
+@dataclass(slots=True)
+class _LastList:
+    """The last list read and the tag that the service gave it."""
+
+    tag: str = ''
+    vms: tuple[Vm, ...] = ()
+
+
+def _parse(content: Any, caller: Caller) -> tuple[Vm, ...]:
+    try:
+        return tuple(Vm(**row) for row in content)
+    except TypeError as error:
+        raise PlatformError(
+            f'is not a VM list: {error}', step=_PATH, peer=caller.url
+        ) from error
+
+
 def http_vms(caller: Caller) -> ListVms:
-    """Give the VM list behind `caller`; it raises `PlatformError`."""
+    """Give the VM list behind `caller`; it raises `PlatformError`.
+
+    Explanation
+    -----------
+    A list that has not changed is not sent again: the request carries the
+    tag of the last one [1]_.  One that has comes compressed.
+
+    References
+    ----------
+    .. [1] RFC 9110, HTTP Semantics, section 13.1.2 (If-None-Match), 2022.
+
+    """
+    last = _LastList()
 
     async def list_vms() -> tuple[Vm, ...]:
-        path = '/vms'
-        reply = await caller.ask(path)
-        try:
-            return tuple(Vm(**row) for row in reply.content)
-        except TypeError as error:
-            raise PlatformError(
-                f'is not a VM list: {error}', step=path, peer=caller.url
-            ) from error
+        headers = {'accept-encoding': 'gzip'}
+        if last.tag:
+            headers['if-none-match'] = last.tag
+        reply = await caller.ask(_PATH, headers=headers)
+        if reply.status != HTTPStatus.NOT_MODIFIED:
+            last.vms = _parse(reply.content, caller)
+            last.tag = reply.tag
+        return last.vms
 
     return list_vms
--- a/seampond/settings/models.py
+++ b/seampond/settings/models.py
@@ -64,7 +64,7 @@
 
     waiting_max: int = Field(default=2000, gt=0)
     reservations: int = Field(default=3, gt=0)
-    links_per_pool: int = Field(default=120, gt=0)
+    links_per_pool: int = Field(default=24, gt=0)
     spill_tokens_per_ms: float = Field(default=8.0, gt=0)
     spill_max_ms: Milliseconds = 400
     attempts_max: int = Field(default=3, gt=0)
--- a/seampond/slopes/__main__.py
+++ b/seampond/slopes/__main__.py
@@ -8,11 +8,34 @@
 from dataclasses import asdict
 from pathlib import Path
 
-from seampond.slopes.links import measure_links
+from seampond.slopes.capacity import work_out
+from seampond.slopes.links import measure_links, measure_polls
 from seampond.slopes.memory import measure_memory
-from seampond.slopes.processor import measure_change, measure_messages
+from seampond.slopes.processor import (
+    Slope,
+    measure_change,
+    measure_messages,
+)
 from seampond.slopes.roles import measure_roles
 
+_SLOPE_ROW = '| {slope.name} | {slope.value:,.1f} | {slope.unit} |'
+_FIGURE_ROW = (
+    '| {row.role} | {row.what} | {row.formula} | {row.today:,.2f} '
+    '| {row.target:,.2f} | {row.unit} | {row.limit} |'
+)
+
+
+def print_page(slopes: list[Slope]) -> None:
+    """Print the two tables of docs/CAPACITY.md."""
+    print('| slope | measured | unit |\n|---|---:|---|')
+    for slope in slopes:
+        print(_SLOPE_ROW.format(slope=slope))
+    print('\n| role | what | formula | today | target | unit | limit |')
+    print('|---|---|---|---:|---:|---|---:|')
+    measured = {each.name: each.value for each in slopes}
+    for row in work_out(measured):
+        print(_FIGURE_ROW.format(row=row))
+
 
 def main() -> int:
     """Measure and print a line a slope, or JSON."""
@@ -21,6 +44,7 @@
     options = parser.parse_args()
     slopes = [
         *asyncio.run(measure_links()),
+        *asyncio.run(measure_polls()),
         *measure_messages(),
         *measure_change(),
         *measure_memory(),
@@ -30,8 +54,7 @@
     if options.json:
         print(json.dumps([asdict(slope) for slope in slopes]))
         return 0
-    for slope in slopes:
-        print(f'{slope.name:<44} {slope.value:>14,.1f} {slope.unit}')
+    print_page(slopes)
     return 0
 
 
--- /dev/null
+++ b/seampond/slopes/capacity.py
@@ -0,0 +1,189 @@
+"""Work out the target's figures from measured slopes."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+MEGABYTE = 1_000_000
+KILOBYTE = 1000
+_DAY_SECONDS = 86_400
+_MILLION = 1_000_000
+_PERCENT = 100
+_BEAT_BYTES = 56
+_POLLS_PER_S = 2
+_BUDGET_BYTES_PER_S = 3000
+_TICKET_EXTRA = 2
+_SHARE = '% of a core'
+
+
+@dataclass(frozen=True)
+class Size:
+    """A size of deployment."""
+
+    name: str
+    entries: int
+    agents: int
+    pools: int
+    requests_per_s: float
+    tokens_per_s: float
+    open_streams: int
+    workspaces: int
+    changes_per_day: int
+    vm_events_per_day: int
+
+    @property
+    def links(self) -> int:
+        """Links of one entry: 24 for each pool, or all."""
+        each = min(24, self.agents // self.pools)
+        return each * self.pools
+
+    @property
+    def agent_links(self) -> float:
+        """Links of one agent."""
+        return self.links * self.entries / self.agents
+
+    @property
+    def beat_s(self) -> float:
+        """Seconds between two heartbeats on a link."""
+        return max(1, self.links * _BEAT_BYTES / _BUDGET_BYTES_PER_S)
+
+
+TODAY = Size('today', 3, 14, 2, 30, 4000, 60, 5, 20, 4)
+TARGET = Size('target', 340, 3900, 12, 8000, 2_400_000, 98_600, 2900, 2200, 838)
+
+
+@dataclass(frozen=True)
+class Figure:
+    """One row of the capacity page."""
+
+    role: str
+    what: str
+    formula: str
+    today: float
+    target: float
+    unit: str
+    limit: str = ''
+
+
+Slopes = Mapping[str, float]
+Label = tuple[str, str, str, str]
+
+
+def _entry_rows(size: Size, slopes: Slopes) -> list[float]:
+    beats = size.links / size.beat_s
+    beat_us = slopes['heartbeat, sent and received']
+    share = _PERCENT / _MILLION
+    requests = size.requests_per_s / size.entries
+    tokens = size.tokens_per_s / size.entries
+    poll_us = slopes['configuration poll']
+    vm_bytes = slopes['VM row, compressed'] * (size.agents + size.entries)
+    reservation = (
+        3 * slopes['reserve: size']
+        + 2 * slopes['withdraw: size']
+        + 2 * slopes['ask: size']
+    )
+    memory = (
+        slopes['entry: memory after load']
+        + size.links * (slopes['link, both ends'] / 2)
+        + size.links * slopes['peer without its link']
+        + (size.agents + size.entries) * slopes['VM in the list']
+        + size.workspaces * slopes['workspace in a configuration']
+        + size.workspaces * 4 * slopes['two buckets of a limit']
+        + size.open_streams
+        / size.entries
+        * _TICKET_EXTRA
+        * slopes['waiting request without its body']
+    )
+    return [
+        beats * beat_us * share,
+        _POLLS_PER_S * poll_us * share,
+        beats * _BEAT_BYTES / KILOBYTE,
+        (
+            size.vm_events_per_day * vm_bytes
+            + size.changes_per_day * slopes['workspace row as JSON']
+        )
+        / _DAY_SECONDS
+        / KILOBYTE,
+        requests * reservation / KILOBYTE,
+        requests * slopes['entry: short streamed request'] * share,
+        tokens * slopes['entry: token'] * share,
+        memory / MEGABYTE,
+    ]
+
+
+_ENTRY_LABELS = (
+    ('control: heartbeats', 'links / beat x heartbeat', _SHARE, '1.4'),
+    ('control: polls', '2 a second x poll', _SHARE, '1.4'),
+    ('control: heartbeats', 'links / beat x 56 bytes', 'KB/s', '4'),
+    (
+        'control: VM list and changes',
+        '(VM events x list + changes x row) / day',
+        'KB/s',
+        '4',
+    ),
+    (
+        'scheduling: reservations',
+        'requests x (3 reserve + 2 withdraw + 2 ask)',
+        'KB/s',
+        '',
+    ),
+    ('requests', 'requests x request', _SHARE, ''),
+    ('tokens', 'tokens x token', _SHARE, ''),
+    (
+        'memory',
+        'base + links + members + workspaces + streams',
+        'MB',
+        '128',
+    ),
+)
+
+
+def _agent_rows(size: Size, slopes: Slopes) -> list[float]:
+    beats = size.agent_links / size.beat_s
+    share = _PERCENT / _MILLION
+    requests = size.requests_per_s / size.agents
+    tokens = size.tokens_per_s / size.agents
+    kept_runs = requests * 60
+    memory = (
+        slopes['agent: memory after load']
+        + size.agent_links * slopes['link, both ends'] / 2
+        + kept_runs * slopes['waiting request without its body']
+        + size.open_streams
+        / size.agents
+        * slopes['run of 100 frames kept by the agent']
+        * 3
+    )
+    return [
+        beats * slopes['heartbeat, sent and received'] * share,
+        beats * _BEAT_BYTES / KILOBYTE,
+        requests * slopes['agent: short streamed request'] * share,
+        tokens * slopes['agent: token'] * share,
+        memory / MEGABYTE,
+    ]
+
+
+_AGENT_LABELS = (
+    ('control: heartbeats', 'links / beat x heartbeat', _SHARE, '1.4'),
+    ('control: heartbeats', 'links / beat x 56 bytes', 'KB/s', '4'),
+    ('requests', 'requests x request', _SHARE, ''),
+    ('tokens', 'tokens x token', _SHARE, ''),
+    ('memory', 'base + links + kept answers', 'MB', '128'),
+)
+
+
+def _figure(role: str, label: Label, amounts: list[float]) -> Figure:
+    what, formula, unit, limit = label
+    today, target = amounts
+    return Figure(role, what, formula, today, target, unit, limit)
+
+
+def work_out(slopes: Slopes) -> list[Figure]:
+    """Give the rows of the capacity page."""
+    rows = []
+    for role, labels, work in (
+        ('entry', _ENTRY_LABELS, _entry_rows),
+        ('agent', _AGENT_LABELS, _agent_rows),
+    ):
+        today, target = work(TODAY, slopes), work(TARGET, slopes)
+        for label, *amounts in zip(labels, today, target, strict=True):
+            rows.append(_figure(role, label, amounts))
+    return rows
--- a/seampond/slopes/links.py
+++ b/seampond/slopes/links.py
@@ -1,17 +1,29 @@
 """Memory and processor time of links between two real ends."""
 
 import asyncio
+import gzip
+import json
+import random
 import resource
 import time
 
 from seampond.clock import Clock
+from seampond.daemons import run_platform
 from seampond.links import Connection
 from seampond.links.messages import Pulse
+from seampond.platform.http import Caller, open_client
+from seampond.platform.http_tables import http_tables
+from seampond.platform.standin.models import VmRow
+from seampond.settings.models import PlatformStandInSettings
 from seampond.slopes.processor import MICROSECONDS, Slope
+from seampond.templates import Configuration
+from seampond.templates.follow import read_changes
 
 _LINKS = 400
 _BEATS = 20
 _KIB = 1024
+_POLLS = 300
+_VMS = 4240
 
 
 def resident_bytes() -> int:
@@ -48,6 +60,41 @@
     ]
 
 
+async def measure_polls() -> list[Slope]:
+    """Poll a stand-in that has nothing new; and weigh a VM list."""
+    settings = PlatformStandInSettings(
+        listen='127.0.0.1:0', list_lag_ms=0, answer_delay_ms=0
+    )
+    async with run_platform(settings, Clock()) as running:
+        async with open_client() as client:
+            address = running.web.address
+            caller = Caller(f'http://{address}', client, 1000)
+            tables = http_tables(caller)
+            await read_changes(tables, Configuration(1))
+            started = time.process_time()
+            for _ in range(_POLLS):
+                await read_changes(tables, Configuration(1))
+            spent = time.process_time() - started
+    poll = Slope('configuration poll', spent / _POLLS * MICROSECONDS, 'us')
+    return [poll, _weigh_list()]
+
+
+def _weigh_list() -> Slope:
+    rng = random.Random(1)
+    rows = [
+        VmRow(
+            name=f'backend-{number}',
+            hall='hall-1',
+            role='backend',
+            address='10.{0}.{1}.{2}:7000'.format(*rng.choices(range(256), k=3)),
+            pool=f'model-{number % 12}',
+        ).model_dump()
+        for number in range(_VMS)
+    ]
+    packed = gzip.compress(json.dumps(rows).encode())
+    return Slope('VM row, compressed', len(packed) / _VMS, 'bytes')
+
+
 async def _beat(dialed: list[Connection], ends: list[Connection]) -> float:
     started = time.process_time()
     for _ in range(_BEATS):
--- a/seampond/slopes/processor.py
+++ b/seampond/slopes/processor.py
@@ -7,6 +7,7 @@
 
 from seampond.links.codec import decode, encode
 from seampond.links.messages import (
+    Ask,
     Frame,
     Message,
     Pulse,
@@ -69,6 +70,7 @@
     pulse = [Pulse(1, 2, 3, 4, False, 5, 6)]
     reserve = [Reserve('a' * 32, 1, 3, 1000, 500, 'b' * 32)]
     withdraw = [Withdraw('a' * 32, 1)]
+    ask = [Ask('a' * 32, 1)]
     frames = [
         Frame('a' * 32, 1, number, _FRAME_PAYLOAD) for number in range(16)
     ]
@@ -76,6 +78,7 @@
         *_measure_batch('pulse', pulse),
         *_measure_batch('reserve', reserve),
         *_measure_batch('withdraw', withdraw),
+        *_measure_batch('ask', ask),
         *_measure_batch('16 frames', frames),
     ]
 
