--- a/seampond/callers/answers.py
+++ b/seampond/callers/answers.py
@@ -61,11 +61,9 @@
     }
 
 
-def error_response(refusal: RefusedError, request_id: str = '') -> Response:
+def error_response(refusal: RefusedError, request_id: str) -> Response:
     """Give the HTTP answer of a refusal."""
-    headers = {}
-    if request_id:
-        headers[REQUEST_ID_HEADER] = request_id
+    headers = {REQUEST_ID_HEADER: request_id}
     if refusal.retry_after_ms:
         seconds = -(-refusal.retry_after_ms // MS_PER_SECOND)
         headers['retry-after'] = str(seconds)
--- a/seampond/callers/app.py
+++ b/seampond/callers/app.py
@@ -1,5 +1,6 @@
 """The web application of an entry."""
 
+import uuid
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -64,12 +65,13 @@
 
     def serving(make_work: MakeWork) -> Callable[..., Awaitable[Response]]:
         async def endpoint(request: Request) -> Response:
+            request.state.request_id = uuid.uuid4().hex
             try:
                 _check_open(pages)
                 return AnswerResponse(front, await make_work(request))
             except RefusedError as refusal:
                 front.count_refusal(refusal)
-                return error_response(refusal)
+                return error_response(refusal, request.state.request_id)
 
         return endpoint
 
--- a/seampond/callers/tests/test_border.py
+++ b/seampond/callers/tests/test_border.py
@@ -38,6 +38,8 @@
     def assert_refused(self, reply: Reply, reason: Reason) -> None:
         self.assertEqual(reply.error['reason'], reason.value)
         self.assertEqual(reply.error['run'], 'no')
+        self.assertTrue(reply.request_id)
+        self.assertEqual(reply.error['request_id'], reply.request_id)
         self.assertEqual(reply.status, FACTS[reason].status)
         self.assertEqual(self.runs(), 0)
         refusals = self.parts.metrics.refusals
--- a/seampond/callers/works.py
+++ b/seampond/callers/works.py
@@ -1,7 +1,6 @@
 """Make the work of an admitted request: deadline, claim key, rate."""
 
 import hashlib
-import uuid
 from dataclasses import dataclass
 from urllib.parse import quote
 
@@ -96,7 +95,7 @@
 ) -> Work:
     """Check deadline, idempotency key and rate, in this order."""
     template = admission.template
-    request_id = uuid.uuid4().hex
+    request_id: str = request.state.request_id
     tokens = -(-len(payload.prompt) // CHARACTERS_PER_TOKEN)
     work = Work(
         id=request_id,
--- /dev/null
+++ b/seampond/settings/tests/test_load.py
@@ -0,0 +1,80 @@
+"""Settings: refused with file, key and cure; the examples are good."""
+
+import tempfile
+import unittest
+from pathlib import Path
+
+from seampond.errors import SettingsError
+from seampond.settings import load_any, load_settings
+from seampond.settings.models import AgentSettings, EntrySettings
+from seampond.testing.processes import EXAMPLES
+
+GOOD = """
+[entry]
+name = "entry-1"
+hall = "kakkanad"
+listen = "127.0.0.1:7111"
+[entry.links]
+secret = "a-secret-that-is-long"
+[entry.platform]
+tables = "http://127.0.0.1:7101"
+objects = "http://127.0.0.1:7101"
+vms = "http://127.0.0.1:7101"
+"""
+
+
+class LoadTest(unittest.TestCase):
+    def setUp(self) -> None:
+        scratch = tempfile.TemporaryDirectory()
+        self.addCleanup(scratch.cleanup)
+        self.path = Path(scratch.name) / 'entry.toml'
+
+    def problem(self, text: str) -> str:
+        self.path.write_text(text)
+        with self.assertRaises(SettingsError) as caught:
+            load_settings(self.path, EntrySettings)
+        self.assertIn(str(self.path), caught.exception.message)
+        return caught.exception.message
+
+    def test_good_settings_load(self) -> None:
+        self.path.write_text(GOOD)
+        settings = load_settings(self.path, EntrySettings)
+        self.assertEqual(settings.links.heartbeat_ms, 1000)
+
+    def test_an_unknown_key_is_named(self) -> None:
+        message = self.problem(GOOD.replace('hall', 'zone'))
+        self.assertIn('zone: unknown key', message)
+        self.assertIn('hall: missing', message)
+
+    def test_a_bad_address_says_how_to_write_it(self) -> None:
+        message = self.problem(GOOD.replace('127.0.0.1:7111', 'localhost'))
+        self.assertIn('listen', message)
+        self.assertIn('IP:PORT', message)
+
+    def test_a_short_secret_is_refused(self) -> None:
+        message = self.problem(GOOD.replace('-that-is-long', ''))
+        self.assertIn('links.secret', message)
+
+    def test_what_is_not_toml_is_refused(self) -> None:
+        self.assertIn('not TOML', self.problem('[entry'))
+
+    def test_a_missing_file_is_refused(self) -> None:
+        with self.assertRaises(SettingsError):
+            load_any(self.path)
+
+    def test_the_file_of_another_role_is_refused(self) -> None:
+        self.path.write_text(GOOD)
+        with self.assertRaises(SettingsError) as caught:
+            load_settings(self.path, AgentSettings)
+        self.assertIn('[agent]', caught.exception.message)
+
+    def test_two_roles_in_a_file_are_refused(self) -> None:
+        self.assertIn('just one of', self.problem(f'{GOOD}\n[agent]\n'))
+
+    def test_every_example_is_good(self) -> None:
+        paths = [
+            path for path in EXAMPLES.glob('*/*.toml') if path.stem != 'seed'
+        ]
+        self.assertGreater(len(paths), 20)
+        for path in paths:
+            load_any(path)
