--- /dev/null
+++ b/seampond/tests/test_pages.py
@@ -0,0 +1,45 @@
+"""The operators' page names every setting, reason and metric."""
+
+import unittest
+from collections.abc import Iterator
+from pathlib import Path
+
+from pydantic import BaseModel
+
+from seampond.metrics import AgentMetrics, EntryMetrics
+from seampond.requests import Reason
+from seampond.settings.load import ROLES
+
+PAGE = Path(__file__).resolve().parents[2] / 'docs' / 'OPERATORS.md'
+
+
+def keys(model: type[BaseModel], start: str = '') -> Iterator[str]:
+    for name, field in model.model_fields.items():
+        inner = field.annotation
+        if isinstance(inner, type) and issubclass(inner, BaseModel):
+            yield from keys(inner, f'{start}{name}.')
+        else:
+            yield f'{start}{name}'
+
+
+class OperatorsPageTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.page = PAGE.read_text(encoding='utf-8')
+
+    def assert_named(self, name: str) -> None:
+        self.assertIn(f'| `{name}` |', self.page)
+
+    def test_every_setting_is_named(self) -> None:
+        for model in ROLES.values():
+            for key in keys(model):
+                self.assert_named(key)
+
+    def test_every_reason_is_named(self) -> None:
+        for reason in Reason:
+            self.assert_named(reason.value)
+
+    def test_every_metric_is_named(self) -> None:
+        for metrics in (EntryMetrics(), AgentMetrics()):
+            for metric in metrics.registry.collect():
+                if metric.name.startswith('seampond'):
+                    self.assert_named(metric.name)
