--- a/seampond/daemons/entry.py
+++ b/seampond/daemons/entry.py
@@ -25,7 +25,7 @@
 from seampond.platform.http import Caller, open_client
 from seampond.platform.http_tables import http_tables
 from seampond.platform.vms import http_vms
-from seampond.promises import Promises
+from seampond.promises import Promises, Rule
 from seampond.routing.dispatcher import Dispatcher
 from seampond.routing.keep import Keeping
 from seampond.routing.place import Placement
@@ -126,6 +126,9 @@
         self.parts.is_draining = True
         await clock.sleep(settings.linger_ms)
         await self.web.drain()
+        self.parts.promises.check(
+            Rule.drain, self.parts.dispatcher.open_tickets == 0, step='drain'
+        )
         _logger.info('entry drained', extra={'entry': settings.name})
 
 
--- a/seampond/engines/agent.py
+++ b/seampond/engines/agent.py
@@ -62,7 +62,6 @@
         )
         self._asks = Asks(runner.slots, settings.ask_ms)
         self._refused: dict[tuple[str, int], int] = {}
-        self._is_leaving = False
         self.entries: set[EntryPeer] = set()
         self.generation = 0
         runner.on_free = self.pump
@@ -80,7 +79,7 @@
     @property
     def is_leaving(self) -> bool:
         """Whether a planned stop has begun."""
-        return self._is_leaving
+        return self._runner.is_leaving
 
     @property
     def is_idle(self) -> bool:
@@ -96,14 +95,14 @@
             slots=slots.limit,
             queued=len(self._reservations),
             floor=self._reservations.floor.current(self._clock.now()),
-            leaving=self._is_leaving,
+            leaving=self.is_leaving,
             generation=self.generation,
             backlog_ms=self._backlog_ms(),
         )
 
     def leave(self) -> None:
         """Begin a planned stop: no new work, what runs finishes."""
-        self._is_leaving = True
+        self._runner.is_leaving = True
         for held in self._reservations.take_all():
             self._turn_away(held, Reason.leaving)
         for entry in self.entries:
@@ -138,7 +137,7 @@
     def pump(self) -> None:
         """Ask for the best reservations while there are free slots."""
         now_ms = self._clock.now()
-        while self._runner.slots.free and not self._is_leaving:
+        while self._runner.slots.free and not self.is_leaving:
             best = self._reservations.pop_best()
             if best is None:
                 break
@@ -162,7 +161,7 @@
     def _take_reserve(self, entry: EntryPeer, reserve: Reserve) -> None:
         now_ms = self._clock.now()
         reservation = Reservation(entry, reserve, now_ms + reserve.remaining_ms)
-        if self._is_leaving:
+        if self.is_leaving:
             self._turn_away(reservation, Reason.leaving)
             return
         victim = self._reservations.add(reservation, now_ms)
@@ -178,7 +177,7 @@
     def _take_grant(self, entry: EntryPeer, grant: Grant) -> None:
         now_ms = self._clock.now()
         reservation = self._asks.take_for(grant, now_ms)
-        if self._is_leaving:
+        if self.is_leaving:
             self._refuse(entry, grant, Reason.leaving)
         elif reservation is None or self._was_refused(grant):
             self._refuse(entry, grant, Reason.ask_expired)
--- a/seampond/engines/runner.py
+++ b/seampond/engines/runner.py
@@ -57,6 +57,7 @@
         self.runs: dict[str, Run] = {}
         self.slots = Slots(settings.backend.slots)
         self.on_free: Callable[[], None] = lambda: None
+        self.is_leaving = False
 
     @property
     def is_idle(self) -> bool:
@@ -72,6 +73,12 @@
 
     def start(self, run: Run) -> None:
         """Run a granted request."""
+        self._promises.check(
+            Rule.no_work_when_leaving,
+            not self.is_leaving,
+            step='start',
+            peer=run.owner,
+        )
         earlier = self.runs.get(run.id)
         self._promises.check(
             Rule.single_dispatch,
@@ -162,12 +169,12 @@
 
     async def _run_claimed(self, run: Run) -> None:
         if run.grant.repeatable:
-            await self._dispatch_in_time(run)
+            await self._dispatch_in_time(run, None)
             return
         claim = await self._claim(run)
         if claim is None:
             return
-        await self._dispatch_in_time(run)
+        await self._dispatch_in_time(run, claim)
         if run.was_not_run:
             self._claims.abandon(claim)
         else:
@@ -190,13 +197,19 @@
         self._metrics.claims.labels('made').inc()
         return claim
 
-    async def _dispatch_in_time(self, run: Run) -> None:
+    async def _dispatch_in_time(self, run: Run, claim: Claim | None) -> None:
         if self._clock.now() >= run.deadline_ms or run.is_cancelled:
             self._end(run, RunWord.never, Reason.deadline)
             return
         self._promises.check(
             Rule.single_dispatch, run.stage is Stage.granted, step='dispatch'
         )
+        is_claimed = claim is not None and claim.key == run.grant.claim_key
+        self._promises.check(
+            Rule.single_claim,
+            run.grant.repeatable or is_claimed,
+            step='dispatch',
+        )
         run.stage = Stage.dispatched
         try:
             await self._carry_out(run)
--- a/seampond/engines/tests/test_agent.py
+++ b/seampond/engines/tests/test_agent.py
@@ -4,7 +4,7 @@
 import unittest
 from typing import Any
 
-from seampond.claims import Claims
+from seampond.claims import Claim, Claims
 from seampond.clock import ManualClock
 from seampond.engines import Agent
 from seampond.engines.call import BackendError
@@ -239,7 +239,18 @@
         run = Run(build_grant(), 'entry-1', 10_000, None)
         run.stage = Stage.dispatched
         with self.assertRaises(PromiseError):
-            await self.runner._dispatch_in_time(run)
+            await self.runner._dispatch_in_time(run, None)
+
+    async def test_an_unclaimed_dispatch_is_a_broken_promise(self) -> None:
+        grant = build_grant(repeatable=False, claim_key='w/t/k')
+        run = Run(grant, 'entry-1', 10_000, None)
+        with self.assertRaises(PromiseError):
+            await self.runner._dispatch_in_time(run, Claim('other', 't'))
+
+    async def test_work_while_leaving_is_a_broken_promise(self) -> None:
+        self.agent.leave()
+        with self.assertRaises(PromiseError):
+            self.runner.start(Run(build_grant(), 'entry-1', 10_000, None))
 
     async def test_not_run_after_frames_is_a_broken_promise(self) -> None:
         run = Run(build_grant(), 'entry-1', 10_000, None)
--- a/seampond/routing/answer.py
+++ b/seampond/routing/answer.py
@@ -86,6 +86,12 @@
             _count_prompt(event, placement)
             return
         if isinstance(event, Head | Frame):
+            promises.check(
+                Rule.own_answer,
+                event.id == ticket.id,
+                step='answer',
+                peer=ticket.holder,
+            )
             if _is_next(ticket, event, placement):
                 yield event
         else:
--- a/seampond/routing/dispatcher.py
+++ b/seampond/routing/dispatcher.py
@@ -101,6 +101,12 @@
 
     def reserve(self, ticket: Ticket, peer: Peer) -> None:
         """Send a reservation for `ticket` to `peer`."""
+        self._promises.check(
+            Rule.no_work_when_leaving,
+            peer.takes_work,
+            step='reserve',
+            peer=peer.name,
+        )
         ticket.reserved.add(peer.name)
         peer.reserved[ticket.id] = ticket
         peer.load.reserved_since += 1
--- a/seampond/routing/tests/test_dispatcher.py
+++ b/seampond/routing/tests/test_dispatcher.py
@@ -154,6 +154,11 @@
         self.assertIs(self.first.state, PeerState.leaving)
         self.assertEqual(self.dispatcher.peers_of('llm'), [self.second])
 
+    def test_a_reservation_while_leaving_is_a_broken_promise(self) -> None:
+        self.dispatcher.take(self.first, Pulse(leaving=True))
+        with self.assertRaises(PromiseError):
+            self.dispatcher.reserve(self.ticket, self.first)
+
     def test_a_turn_away_of_an_earlier_attempt_is_dropped(self) -> None:
         self.dispatcher.reserve(self.ticket, self.first)
         self.ticket.attempt = 2
--- a/seampond/routing/tests/test_place.py
+++ b/seampond/routing/tests/test_place.py
@@ -158,6 +158,10 @@
         with self.assertRaises(PromiseError):
             await self.read(Head('r1', 1, 200), end)
 
+    async def test_another_requests_frame_breaks_a_promise(self) -> None:
+        with self.assertRaises(PromiseError):
+            await self.read(Head('r2', 1, 200))
+
     async def test_a_lost_agent_may_have_run_it(self) -> None:
         with self.assertRaises(RefusedError) as caught:
             await self.read(AgentLost('backend-1'))
--- a/seampond/testing/engine/app.py
+++ b/seampond/testing/engine/app.py
@@ -4,8 +4,8 @@
 import json
 import random
 from collections import Counter, deque
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from collections.abc import AsyncGenerator, AsyncIterator
+from contextlib import aclosing, asynccontextmanager
 from dataclasses import asdict, dataclass, field
 from typing import Any
 
@@ -24,6 +24,7 @@
 _KEPT_REPORTS = 4096
 _METHODS = ('GET', 'POST', 'PUT', 'PATCH', 'DELETE')
 _ID_HEADER = 'x-request-id'
+_EVENTS = 'text/event-stream'
 
 
 class EngineFaults(BaseModel):
@@ -81,86 +82,70 @@
     return f'{owner}.{number} '
 
 
-def _usage(sequence: Sequence) -> dict[str, Any]:
-    return {
-        'prompt_tokens': sequence.prompt_tokens,
-        'completion_tokens': sequence.emitted,
-        'total_tokens': sequence.prompt_tokens + sequence.emitted,
-        'prompt_tokens_details': {'cached_tokens': sequence.cached_tokens},
+def _chunk(sequence: Sequence, text: str, **fields: Any) -> bytes:
+    choice = {'index': 0, 'delta': {'content': text}, 'finish_reason': None}
+    content = {
+        'id': sequence.request_id,
+        'object': 'chat.completion.chunk',
+        'created': 0,
+        'model': 'stand-in',
+        'choices': [choice],
+        **fields,
     }
-
-
-def _event(content: dict[str, Any]) -> bytes:
     return f'data: {json.dumps(content)}\n\n'.encode()
 
 
-def _chunk(sequence: Sequence, text: str, reason: str | None) -> dict[str, Any]:
-    return {
+def _whole(sequence: Sequence, text: str) -> bytes:
+    message = {'role': 'assistant', 'content': text}
+    choice = {'index': 0, 'message': message, 'finish_reason': 'stop'}
+    content = {
         'id': sequence.request_id,
-        'object': 'chat.completion.chunk',
+        'object': 'chat.completion',
         'created': 0,
         'model': 'stand-in',
-        'choices': [
-            {'index': 0, 'delta': {'content': text}, 'finish_reason': reason}
-        ],
+        'choices': [choice],
+        'usage': sequence.usage,
     }
+    return json.dumps(content).encode()
 
 
-async def _events(engine: Engine, sequence: Sequence) -> AsyncIterator[bytes]:
-    kept = engine.keep_stream(sequence.request_id)
+async def _texts(
+    engine: Engine, sequence: Sequence
+) -> AsyncGenerator[str, None]:
+    """Give the tokens as they come; leaving early cancels the sequence."""
+    is_short = engine.faults.short > 0
+    engine.faults.short -= is_short
     try:
-        async for event in _produce(engine, sequence, kept):
-            yield event
+        for number in range(sequence.output_tokens):
+            await sequence.tokens.get()
+            yield token_text(sequence.request_id, number)
+            if is_short:
+                raise ConnectionAbortedError
     finally:
         if sequence.emitted < sequence.output_tokens:
             engine.batch.cancel(sequence)
 
 
-async def _produce(
-    engine: Engine, sequence: Sequence, kept: list[bytes]
+async def _answer(
+    engine: Engine, sequence: Sequence, is_stream: bool
 ) -> AsyncIterator[bytes]:
-    is_short = engine.faults.short > 0
-    engine.faults.short -= is_short
-    for number in range(sequence.output_tokens):
-        await sequence.tokens.get()
-        text = token_text(sequence.request_id, number)
-        kept.append(_event(_chunk(sequence, text, None)))
-        yield kept[-1]
-        if is_short:
-            return
-    last = _chunk(sequence, '', 'stop')
-    kept.append(_event({**last, 'usage': _usage(sequence)}))
+    kept = engine.keep_stream(sequence.request_id)
+    texts = []
+    async with aclosing(_texts(engine, sequence)) as produced:
+        async for text in produced:
+            texts.append(text)
+            if is_stream:
+                kept.append(_chunk(sequence, text))
+                yield kept[-1]
+    if not is_stream:
+        yield _whole(sequence, ''.join(texts))
+        return
+    kept.append(_chunk(sequence, '', usage=sequence.usage))
     kept.append(b'data: [DONE]\n\n')
     for event in kept[-2:]:
         yield event
 
 
-async def _whole(
-    engine: Engine, request: Request, sequence: Sequence
-) -> Response:
-    texts = []
-    for number in range(sequence.output_tokens):
-        while sequence.tokens.empty():
-            await engine.clock.sleep(2)
-            if await request.is_disconnected():
-                engine.batch.cancel(sequence)
-                return Response(status_code=499)
-        sequence.tokens.get_nowait()
-        texts.append(token_text(sequence.request_id, number))
-    message = {'role': 'assistant', 'content': ''.join(texts)}
-    choice = {'index': 0, 'message': message, 'finish_reason': 'stop'}
-    return JSONResponse(
-        {
-            'id': sequence.request_id,
-            'object': 'chat.completion',
-            'created': 0,
-            'model': 'stand-in',
-            'choices': [choice],
-            'usage': _usage(sequence),
-        }
-    )
-
-
 def _make_sequence(request_id: str, content: dict[str, Any]) -> Sequence:
     texts = [str(message.get('content')) for message in content['messages']]
     return Sequence(
@@ -180,25 +165,21 @@
             return JSONResponse({'error': 'failing'}, status_code=500)
         sequence = _make_sequence(request_id, content)
         engine.batch.submit(sequence)
-        if content.get('stream'):
-            response: Response = StreamingResponse(
-                _events(engine, sequence), media_type='text/event-stream'
-            )
-        else:
-            response = await _whole(engine, request, sequence)
-        answered = request_id
-        if engine.faults.crossed > 0:
-            engine.faults.crossed -= 1
-            answered = 'another-request'
-        response.headers[_ID_HEADER] = answered
-        return response
+        is_stream = bool(content.get('stream'))
+        is_crossed = engine.faults.crossed > 0
+        engine.faults.crossed -= is_crossed
+        return StreamingResponse(
+            _answer(engine, sequence, is_stream),
+            media_type=_EVENTS if is_stream else 'application/json',
+            headers={_ID_HEADER: 'another' if is_crossed else request_id},
+        )
 
     async def resume(request: Request) -> Response:
         kept = engine.streams.get(request.path_params['id'])
         if kept is None:
             return JSONResponse({'error': 'no such stream'}, status_code=404)
         start = int(request.query_params.get('after', '0'))
-        return Response(b''.join(kept[start:]), media_type='text/event-stream')
+        return Response(b''.join(kept[start:]), media_type=_EVENTS)
 
     async def cache_events(request: Request) -> Response:
         after = int(request.query_params.get('after', '0'))
--- a/seampond/testing/engine/batch.py
+++ b/seampond/testing/engine/batch.py
@@ -4,6 +4,7 @@
 import hashlib
 from collections import OrderedDict
 from dataclasses import dataclass, field
+from typing import Any
 
 from seampond.clock import MS_PER_SECOND, Clock
 from seampond.settings.models import EngineStandInSettings
@@ -34,6 +35,16 @@
         """Length of the prompt."""
         return len(self.prompt) // CHARACTERS_PER_TOKEN + 1
 
+    @property
+    def usage(self) -> dict[str, Any]:
+        """The usage part of an answer."""
+        return {
+            'prompt_tokens': self.prompt_tokens,
+            'completion_tokens': self.emitted,
+            'total_tokens': self.prompt_tokens + self.emitted,
+            'prompt_tokens_details': {'cached_tokens': self.cached_tokens},
+        }
+
     @property
     def prefill_left(self) -> float:
         """Prompt tokens still to compute."""
