Bound the bodies that wait in an entry by bytes

Ruled out: a lower count alone, since lengths differ a hundredfold. Change: the waiting room is bounded by count and by bytes (24 MB) and sheds the newest of the lowest tier until the newcomer fits.

--- a/seampond/daemons/entry.py
+++ b/seampond/daemons/entry.py
@@ -30,7 +30,7 @@
 from seampond.routing.keep import Keeping
 from seampond.routing.place import Placement
 from seampond.routing.retries import RetryBudget
-from seampond.routing.waiting import DepartureRate, WaitingRoom
+from seampond.routing.waiting import DepartureRate, RoomSize, WaitingRoom
 from seampond.settings.models import EntrySettings
 from seampond.tasks import run_tasks
 from seampond.templates.follow import ConfigurationHolder, follow_configuration
@@ -136,7 +136,10 @@
     """Wire the state of an entry together."""
     metrics = EntryMetrics()
     promises = Promises(lambda rule: metrics.violations.labels(rule).inc())
-    room = WaitingRoom(settings.routing.waiting_max, promises)
+    size = RoomSize(
+        settings.routing.waiting_max, settings.routing.waiting_max_bytes
+    )
+    room = WaitingRoom(size, promises)
     return EntryParts(
         settings=settings,
         clock=clock,
--- a/seampond/routing/place.py
+++ b/seampond/routing/place.py
@@ -159,18 +159,20 @@
 
 
 def _enter_room(ticket: Ticket, placement: Placement) -> None:
-    victim = placement.room.enter(ticket)
-    if victim is None:
-        return
+    victims = placement.room.enter(ticket)
     retry_after_ms = placement.rate.time_for(len(placement.room))
-    if victim is ticket:
-        raise RefusedError(
-            Reason.shed, Run.never, step='wait', retry_after_ms=retry_after_ms
-        )
-    # From here on it can't be granted, whatever is on its way.
-    placement.dispatcher.withdraw(victim)
-    victim.is_over = True
-    victim.mailbox.put_nowait(Evicted(retry_after_ms))
+    for victim in victims:
+        if victim is ticket:
+            raise RefusedError(
+                Reason.shed,
+                Run.never,
+                step='wait',
+                retry_after_ms=retry_after_ms,
+            )
+        # From here on it can't be granted, whatever is on its way.
+        placement.dispatcher.withdraw(victim)
+        victim.is_over = True
+        victim.mailbox.put_nowait(Evicted(retry_after_ms))
 
 
 async def place(ticket: Ticket, placement: Placement) -> str:
--- a/seampond/routing/tests/test_place.py
+++ b/seampond/routing/tests/test_place.py
@@ -21,7 +21,7 @@
 from seampond.routing.peer import Peer
 from seampond.routing.place import place
 from seampond.routing.retries import RetryBudget
-from seampond.routing.waiting import WaitingRoom
+from seampond.routing.waiting import RoomSize, WaitingRoom
 from seampond.testing.builders import (
     build_peer,
     build_placement,
@@ -113,8 +113,20 @@
         self.dispatcher.take(holder, Ask('high', 1))
         self.assertTrue(await high)
 
+    def test_bodies_are_bounded_in_bytes(self) -> None:
+        room = WaitingRoom(RoomSize(100, 1000), build_promises())
+        for number in range(4):
+            low = build_ticket(f'low-{number}', tier=5, body=b'x' * 250)
+            self.assertEqual(room.enter(low), [])
+        high = build_ticket('high', tier=1, body=b'x' * 400)
+        shed = [ticket.id for ticket in room.enter(high)]
+        self.assertEqual(shed, ['low-3', 'low-2'])
+        self.assertEqual(room.body_bytes, 900)
+        late = build_ticket('late', tier=5, body=b'x' * 200)
+        self.assertEqual(room.enter(late), [late])
+
     async def test_shedding_a_higher_tier_is_a_broken_promise(self) -> None:
-        room = WaitingRoom(1, build_promises())
+        room = WaitingRoom(RoomSize(1, 1000), build_promises())
         room.enter(build_ticket('low', tier=5))
         high = build_ticket('high', tier=1)
         room._pick_victim = lambda newcomer: high  # type: ignore
--- a/seampond/settings/models.py
+++ b/seampond/settings/models.py
@@ -63,6 +63,7 @@
     """How an entry places and sheds requests."""
 
     waiting_max: int = Field(default=2000, gt=0)
+    waiting_max_bytes: int = Field(default=24_000_000, gt=0)
     reservations: int = Field(default=3, gt=0)
     links_per_pool: int = Field(default=24, gt=0)
     spill_tokens_per_ms: float = Field(default=8.0, gt=0)
--- a/seampond/testing/builders.py
+++ b/seampond/testing/builders.py
@@ -13,7 +13,7 @@
 from seampond.requests import Ticket, Work
 from seampond.routing import Dispatcher, Peer
 from seampond.routing.place import Placement
-from seampond.routing.waiting import DepartureRate, WaitingRoom
+from seampond.routing.waiting import DepartureRate, RoomSize, WaitingRoom
 from seampond.settings.models import (
     AgentSettings,
     BackendSettings,
@@ -25,6 +25,7 @@
 SECRET = 'a-secret-for-the-tests'
 POOL = 'llm'
 DEADLINE_MS = 10_000
+ROOM_BYTES = 1_000_000
 _NOWHERE = 'http://127.0.0.1:9'
 
 
@@ -91,7 +92,7 @@
     clock = clock or ManualClock()
     promises = build_promises()
     metrics = EntryMetrics()
-    room = WaitingRoom(waiting_max, promises)
+    room = WaitingRoom(RoomSize(waiting_max, ROOM_BYTES), promises)
     dispatcher = Dispatcher(clock, promises, metrics, room)
     dispatcher.peers.update({peer.name: peer for peer in peers})
     return Placement(
