Processes frozen and entries killed, under load

Cause: freezes of whole processes and the unplanned death of an entry were not proved. Change: tests only. An agent stopped for 4 s under 60 streams and continued: all 60 whole, none run twice. An entry killed under load: the other entry's streams whole, and the dead one's repeatable runs cancelled at the engines.

--- a/seampond/daemons/tests/test_processes.py
+++ b/seampond/daemons/tests/test_processes.py
@@ -15,12 +15,17 @@
 CALLS = 60
 CHAT = Chat('trainer-answer', max_tokens=40)
 SHORT_RESUME = '\n[entry.routing]\nresume_ms = 1500\n'
+SHORT_ORPHAN = 'orphan_ms = 1000\n\n[agent.backend]'
 SETTLE_SECONDS = 1.5
+FREEZE_SECONDS = 4
 
 
-def shorten_resume(folder: Path) -> None:
+def shorten_waits(folder: Path) -> None:
     for path in folder.glob('entry-*.toml'):
         path.write_text(path.read_text() + SHORT_RESUME)
+    for path in folder.glob('agent-*.toml'):
+        text = path.read_text()
+        path.write_text(text.replace('\n[agent.backend]', SHORT_ORPHAN))
 
 
 class ProcessesTest(unittest.IsolatedAsyncioTestCase):
@@ -28,7 +33,7 @@
         scratch = tempfile.TemporaryDirectory()
         self.addCleanup(scratch.cleanup)
         self.processes: Processes = self.enterContext(
-            run_processes(Path(scratch.name), 'fitlink-kochi', shorten_resume)
+            run_processes(Path(scratch.name), 'fitlink-kochi', shorten_waits)
         )
         self.key = self.processes.command('workspace', 'key', 'trainers')['key']
 
@@ -81,6 +86,43 @@
             self.assertTrue(reply.is_ok or reply.error['run'] == 'maybe')
         self.assert_ran_once()
 
+    async def test_a_frozen_agent_doubles_and_cuts_nothing(self) -> None:
+        calls = self.start_calls()
+        await asyncio.sleep(SETTLE_SECONDS / 3)
+        self.processes.signal('agent-1', signal.SIGSTOP)
+        await asyncio.sleep(FREEZE_SECONDS)
+        self.processes.signal('agent-1', signal.SIGCONT)
+        for reply in await asyncio.gather(*calls):
+            check_chat(CHAT, reply)
+        self.assert_ran_once()
+
+    async def test_a_killed_entry_leaves_nothing_running(self) -> None:
+        calls = self.start_calls()
+        await asyncio.sleep(SETTLE_SECONDS / 3)
+        self.processes.signal('entry-1', signal.SIGKILL)
+        outcomes = await asyncio.gather(*calls, return_exceptions=True)
+        for number, outcome in enumerate(outcomes):
+            if number % 2:
+                assert isinstance(outcome, Reply)
+                check_chat(CHAT, outcome)
+        # Of the dead entry's work nothing runs on: the agents see the end
+        # of its links and cancel what may be repeated.
+        await self.wait_until_idle()
+        totals = [self.totals(number) for number in (1, 2, 3)]
+        self.assertGreater(sum(total['cancelled'] for total in totals), 0)
+        self.assert_ran_once()
+
+    async def wait_until_idle(self) -> None:
+        for number in (1, 2, 3):
+            address = self.processes.status_address(f'agent-{number}')
+            while self.processes.read_at(address, '/status')['running']:
+                await asyncio.sleep(0.1)
+
+    def totals(self, number: int) -> dict[str, float]:
+        page = self.processes.read(f'engine-{number}', '/control/runs')
+        totals: dict[str, float] = page['totals']
+        return totals
+
     async def test_planned_stop_of_an_entry_cuts_no_stream(self) -> None:
         calls = self.start_calls()
         await asyncio.sleep(SETTLE_SECONDS / 3)
--- a/seampond/testing/processes.py
+++ b/seampond/testing/processes.py
@@ -80,8 +80,12 @@
 
     def read(self, name: str, path: str) -> Any:
         """Give the JSON of a page, None if it does not answer."""
+        return self.read_at(self.address(name), path)
+
+    def read_at(self, address: str, path: str) -> Any:
+        """Give the JSON of a page at an address, None without answer."""
         try:
-            with request.urlopen(f'{self.url(name)}{path}') as page:
+            with request.urlopen(f'http://{address}{path}') as page:
                 return json.load(page)
         except (OSError, error.URLError):
             return None
