--- a/seampond/demo/__main__.py
+++ b/seampond/demo/__main__.py
@@ -75,7 +75,7 @@
         print(f'sending {CALLS} requests over {SECONDS} s', flush=True)
         calls = list(make_calls(fleet, CALLS, seed))
         report = await drive(fleet, calls, SECONDS, clock)
-        wrong = find_wrong(fleet, report)
+        wrong = find_wrong(fleet, report.wrong, report.not_run)
     print_report(report)
     for line in wrong:
         print(f'WRONG: {line}')
--- a/seampond/demo/fleet.py
+++ b/seampond/demo/fleet.py
@@ -5,7 +5,7 @@
 import socket
 from collections.abc import AsyncIterator, Iterator
 from contextlib import AsyncExitStack, asynccontextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 
 from seampond.clock import Clock
@@ -30,6 +30,25 @@
 _LAST_PORT = 32_000
 
 
+@dataclass
+class AgentSlot:
+    """The place of one agent, which may be replaced."""
+
+    settings: AgentSettings
+    clock: Clock
+    stack: AsyncExitStack = field(default_factory=AsyncExitStack)
+
+    async def start(self) -> RunningAgent:
+        """Start a new agent here."""
+        return await self.stack.enter_async_context(
+            run_agent(self.settings, self.clock)
+        )
+
+    async def stop(self) -> None:
+        """End the agent, whatever runs."""
+        await self.stack.aclose()
+
+
 @dataclass(frozen=True)
 class Fleet:
     """All roles of a deployment, running."""
@@ -39,13 +58,23 @@
     agents: list[RunningAgent]
     entries: list[RunningEntry]
     keys: dict[str, str]
+    slots: list[AgentSlot]
+    broken_before: list[int] = field(default_factory=list)
+
+    async def replace_agent(self, index: int, *, planned: bool) -> None:
+        """End an agent and start a new one on its address."""
+        if planned:
+            await self.agents[index].drain()
+        await self.slots[index].stop()
+        self.broken_before.append(self.agents[index].promises.broken)
+        self.agents[index] = await self.slots[index].start()
 
     @property
     def promises_broken(self) -> int:
         """Violations seen by any role."""
         agents = sum(agent.promises.broken for agent in self.agents)
         entries = sum(entry.parts.promises.broken for entry in self.entries)
-        return agents + entries
+        return agents + entries + sum(self.broken_before)
 
 
 def _is_free(port: int) -> bool:
@@ -135,12 +164,14 @@
             )
             for path in paths('engine')
         ]
-        agents = [
-            await stack.enter_async_context(
-                run_agent(load_settings(path, AgentSettings), clock)
-            )
+        slots = [
+            AgentSlot(load_settings(path, AgentSettings), clock)
             for path in paths('agent')
         ]
+        agents = []
+        for slot in slots:
+            stack.push_async_callback(slot.stop)
+            agents.append(await slot.start())
         entries = [
             await stack.enter_async_context(
                 run_entry(load_settings(path, EntrySettings), clock)
@@ -150,4 +181,4 @@
         keys = await _make_keys(platform, clock)
         while not all(_is_settled(entry, len(agents)) for entry in entries):
             await clock.sleep(_POLL_MS)
-        yield Fleet(platform, engines, agents, entries, keys)
+        yield Fleet(platform, engines, agents, entries, keys, slots)
--- a/seampond/links/connection.py
+++ b/seampond/links/connection.py
@@ -122,6 +122,10 @@
             # The other side has stopped reading: it is frozen or gone.
             self._writer.transport.abort()
 
+    def abort(self) -> None:
+        """Cut the connection; what was queued is lost."""
+        self._writer.transport.abort()
+
     async def close(self) -> None:
         """Send what is queued and close; safe to call twice."""
         self.flush()
--- /dev/null
+++ b/seampond/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Long randomised runs: traffic and seeded faults, promises checked."""
--- /dev/null
+++ b/seampond/soak/__main__.py
@@ -0,0 +1,98 @@
+"""`bin/soak`: run a deployment under traffic and seeded faults."""
+
+import argparse
+import asyncio
+import random
+import sys
+import tempfile
+from pathlib import Path
+
+from seampond.clock import MS_PER_SECOND, Clock
+from seampond.demo.__main__ import EXAMPLES
+from seampond.demo.fleet import copy_with_free_ports, run_fleet
+from seampond.demo.verify import find_wrong
+from seampond.logs import set_up_logs
+from seampond.platform.http import open_client
+from seampond.soak.drive import Drive, SoakReport, drive
+from seampond.soak.faults import FAULTS, Fault, Scene, inject
+
+_CONNECTIONS = 256
+_SECONDS_PER_MINUTE = 60
+
+
+async def soak(
+    folder: Path, seed: int, seconds: float, faults: tuple[Fault, ...]
+) -> SoakReport:
+    """Run one soak.
+
+    Parameters
+    ----------
+    folder : Path
+        The settings of a deployment.
+    seed : int
+        Decides traffic and faults; the interleaving is the machine's.
+    seconds : float
+        How long traffic and faults last.
+    faults : tuple[Fault, ...]
+        The faults to choose from.
+
+    Returns
+    -------
+    SoakReport
+        What was seen; `wrong` is empty if every promise held.
+
+    """
+    clock = Clock()
+    report = SoakReport()
+    async with (
+        run_fleet(folder, clock) as fleet,
+        open_client(_CONNECTIONS) as client,
+    ):
+        until_ms = clock.now() + round(seconds * MS_PER_SECOND)
+        scene = Scene(fleet, random.Random(seed), clock, faults)
+        plan = Drive(fleet, client, random.Random(seed + 1), clock, report)
+        await asyncio.gather(
+            inject(scene, until_ms, report.faults), drive(plan, until_ms)
+        )
+        report.wrong = find_wrong(fleet, report.wrong, report.not_run)
+    return report
+
+
+def print_report(report: SoakReport, seed: int) -> None:
+    """Print what was sent, injected, answered and wrong."""
+    print(f'seed {seed}: {report.sent} requests')
+    for name, count in sorted(report.faults.items()):
+        print(f'  fault {name}: {count}')
+    for outcome, count in report.outcomes.most_common():
+        print(f'  outcome {outcome}: {count}')
+    for line in report.wrong:
+        print(f'  WRONG {line}')
+
+
+def main() -> int:
+    """Parse the arguments, run, report; 1 if a promise was broken."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--minutes', type=float, default=1)
+    parser.add_argument('--deployment', default='fitlink-kochi')
+    parser.add_argument(
+        '--faults',
+        nargs='+',
+        choices=sorted(FAULTS),
+        default=sorted(FAULTS),
+        help='only these faults',
+    )
+    options = parser.parse_args()
+    set_up_logs('ERROR')
+    with tempfile.TemporaryDirectory() as scratch:
+        folder = Path(scratch)
+        copy_with_free_ports(EXAMPLES / options.deployment, folder)
+        seconds = options.minutes * _SECONDS_PER_MINUTE
+        faults = tuple(FAULTS[name] for name in options.faults)
+        report = asyncio.run(soak(folder, options.seed, seconds, faults))
+    print_report(report, options.seed)
+    return int(bool(report.wrong))
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/seampond/soak/drive.py
@@ -0,0 +1,108 @@
+"""Callers of a soak: they try again as real ones would, with one key."""
+
+import asyncio
+import json
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+
+import aiosonic
+
+from seampond.clock import Clock
+from seampond.demo.fleet import Fleet
+from seampond.demo.traffic import Call, make_calls
+from seampond.testing.caller import (
+    FAILURES,
+    Caller,
+    Reply,
+    WrongAnswerError,
+    check_chat,
+)
+
+_TRIES = 3
+_PAUSE_MS = 40
+_MAX_RUNNING = 120
+
+
+@dataclass
+class SoakReport:
+    """What the callers saw."""
+
+    sent: int = 0
+    outcomes: 'Counter[str]' = field(default_factory=Counter)
+    faults: dict[str, int] = field(default_factory=dict)
+    not_run: list[str] = field(default_factory=list)
+    wrong: list[str] = field(default_factory=list)
+
+
+@dataclass(frozen=True)
+class Drive:
+    """What driving needs."""
+
+    fleet: Fleet
+    client: aiosonic.HTTPClient
+    rng: random.Random
+    clock: Clock
+    report: SoakReport
+
+    async def run(self, call: Call) -> None:
+        """Send one call; unrepeatable work is tried again by its key."""
+        for attempt in range(_TRIES):
+            entry = (call.entry + attempt) % len(self.fleet.entries)
+            is_over = await self._try(call, entry)
+            if is_over or not call.key:
+                return
+            await self.clock.sleep(self.rng.uniform(0, 500))
+
+    async def _try(self, call: Call, entry: int) -> bool:
+        self.report.sent += 1
+        try:
+            reply = await self._send(call, entry)
+        except FAILURES:
+            self.report.outcomes['broken'] += 1
+            return False
+        self._note(call, reply)
+        return reply.is_ok
+
+    async def _send(self, call: Call, entry: int) -> Reply:
+        key = self.fleet.keys[call.workspace]
+        caller = Caller(self.fleet.entries[entry].url, key, self.client)
+        headers = {'idempotency-key': call.key} if call.key else {}
+        if call.chat:
+            return await caller.chat(call.chat, **headers)
+        path = f'/services/{call.template.name}/{call.number}'
+        return await caller.post(path, b'{}', **headers)
+
+    def _note(self, call: Call, reply: Reply) -> None:
+        if reply.status == 500:
+            self.report.outcomes['engine 500'] += 1
+        elif reply.is_ok:
+            self._check(call, reply)
+        else:
+            error = reply.error
+            self.report.outcomes['{reason}/{run}'.format(**error)] += 1
+            if error['run'] == 'no':
+                self.report.not_run.append(error['request_id'])
+
+    def _check(self, call: Call, reply: Reply) -> None:
+        self.report.outcomes['whole'] += 1
+        try:
+            if call.chat:
+                check_chat(call.chat, reply)
+            elif json.loads(reply.body)['request_id'] != reply.request_id:
+                raise WrongAnswerError("another request's answer")
+        except WrongAnswerError as error:
+            self.report.wrong.append(f'call {call.number}: {error}')
+
+
+async def drive(plan: Drive, until_ms: int) -> None:
+    """Send calls in open loop, up to a bound at once, until `until_ms`."""
+    running: set[asyncio.Task[None]] = set()
+    calls = make_calls(plan.fleet, 1_000_000, plan.rng.randrange(2**30))
+    while plan.clock.now() < until_ms:
+        if len(running) < _MAX_RUNNING:
+            task = asyncio.create_task(plan.run(next(calls)))
+            running.add(task)
+            task.add_done_callback(running.discard)
+        await plan.clock.sleep(plan.rng.uniform(0, _PAUSE_MS))
+    await asyncio.gather(*running)
--- a/seampond/testing/caller.py
+++ b/seampond/testing/caller.py
@@ -11,6 +11,11 @@
 
 from seampond.testing.engine.app import token_text
 
+
+class WrongAnswerError(ValueError):
+    """An answer that is not the whole answer to its own request."""
+
+
 FAILURES = (AiosonicError, OSError, EOFError, ValueError)
 CHAT_PATH = '/v1/chat/completions'
 _ID_HEADER = 'x-request-id'
@@ -113,7 +118,7 @@
         text: str = content['choices'][0]['message']['content']
         return text, content['usage']
     if not body.decode().rstrip().endswith(_END):
-        raise ValueError('the stream has no end mark')
+        raise WrongAnswerError('the stream has no end mark')
     events = _events(body)
     deltas = [event['choices'][0]['delta'] for event in events]
     text = ''.join(delta['content'] for delta in deltas)
@@ -130,7 +135,7 @@
 
     Raises
     ------
-    ValueError
+    WrongAnswerError
         If it is not.
 
     """
@@ -140,5 +145,5 @@
         for number in range(chat.max_tokens)
     )
     if text != wanted:
-        raise ValueError('not the whole answer to its own request')
+        raise WrongAnswerError('not the whole answer to its own request')
     return usage
