Wait for an agent that is being replaced; leave no run behind

At the end of an agent its runs were left as pending tasks.

Ruled out: the planned stop itself (no answer was cut).

Change: with no agent of the pool linked, or all leaving, a request waits up to `routing.server_wait_ms` (2 s); refusals are remembered by incarnation; an agent's runs are cancelled and waited for at its end.

--- a/seampond/daemons/agent.py
+++ b/seampond/daemons/agent.py
@@ -136,6 +136,7 @@
         runner = Runner(
             settings, clock, promises, metrics, claims, call.carry_out
         )
+        stack.push_async_callback(runner.close)
         agent = Agent(settings, clock, promises, metrics, runner)
         running = RunningAgent(
             settings, clock, agent, promises, metrics, incarnation
--- a/seampond/engines/runner.py
+++ b/seampond/engines/runner.py
@@ -16,6 +16,7 @@
 from seampond.requests import Reason
 from seampond.requests import Run as RunWord
 from seampond.settings.models import AgentSettings
+from seampond.tasks import cancel_all
 
 _FIRST_SERVICE_MS = 1000.0
 _SMOOTHING = 0.1
@@ -121,6 +122,10 @@
             run.entry = None
             run.parts.clear()
 
+    async def close(self) -> None:
+        """Stop what still runs and wait for its end."""
+        await cancel_all(list(self._tasks.values()))
+
     def orphan(self, entry: EntryPeer) -> None:
         """The link of `entry` ended: hold its answers for a while."""
         for run in self.runs.values():
--- a/seampond/requests/work.py
+++ b/seampond/requests/work.py
@@ -59,6 +59,7 @@
     """An agent will not take the reservation; it was not run."""
 
     agent: str
+    incarnation: str = ''
     answer: TurnAway | None = None
 
 
--- a/seampond/routing/dispatcher.py
+++ b/seampond/routing/dispatcher.py
@@ -233,7 +233,8 @@
             return
         peer.reserved.pop(answer.id)
         ticket.reserved.discard(peer.name)
-        ticket.mailbox.put_nowait(TurnedAway(peer.name, answer))
+        turned = TurnedAway(peer.name, peer.incarnation, answer)
+        ticket.mailbox.put_nowait(turned)
 
     def _take_answer(self, peer: Peer, message: About) -> None:
         ticket = peer.granted.get(message.id)
--- a/seampond/routing/place.py
+++ b/seampond/routing/place.py
@@ -18,9 +18,15 @@
 _WIDEN_MS = 250
 _TRY_AGAIN_MS = 500
 _MAX_HELD = 8
+_LOOK_AGAIN_MS = 50
+_NO_AGENT = (Reason.no_server, Reason.leaving)
 _NO_SERVER_RETRY_MS = 1000
 
 
+# An agent's name and incarnation.
+Life = tuple[str, str]
+
+
 @dataclass(frozen=True)
 class Placement:
     """What placing needs besides the request."""
@@ -39,8 +45,9 @@
 class Search:
     """How far the search for one request has come."""
 
+    started_ms: int
     spill_at_ms: int
-    refused_by: set[str]
+    refused_by: set[Life]
     last_reason: Reason = Reason.no_server
     retry_after_ms: int = _NO_SERVER_RETRY_MS
 
@@ -68,7 +75,7 @@
         peer
         for peer in placement.dispatcher.peers_of(ticket.work.pool)
         if peer.name not in ticket.reserved
-        and peer.name not in search.refused_by
+        and (peer.name, peer.incarnation) not in search.refused_by
     ]
 
 
@@ -98,7 +105,7 @@
     # Where the link ended the agent may come back, so it stays eligible.
     if not isinstance(event, TurnedAway) or event.answer is None:
         return
-    search.refused_by.add(event.agent)
+    search.refused_by.add((event.agent, event.incarnation))
     search.last_reason = parse_reason(event.answer.reason)
     search.retry_after_ms = event.answer.retry_after_ms
 
@@ -126,12 +133,19 @@
     settings = placement.settings
     saved_ms = ticket.work.prompt_tokens / settings.spill_tokens_per_ms
     wait_ms = min(settings.spill_max_ms, round(saved_ms))
-    return Search(placement.clock.now() + wait_ms, set())
+    now = placement.clock.now()
+    return Search(now, now + wait_ms, set())
 
 
 async def _wait_for_room(
     ticket: Ticket, search: Search, placement: Placement
 ) -> None:
+    waited_ms = placement.clock.now() - search.started_ms
+    if search.last_reason in _NO_AGENT:
+        # An agent that is replaced is back within seconds.
+        if waited_ms < placement.settings.server_wait_ms:
+            await placement.clock.sleep(_LOOK_AGAIN_MS)
+            return
     # Every agent said no: work that may wait asks again a little later.
     if not ticket.work.may_wait:
         raise _give_up(search.last_reason, search, placement)
--- a/seampond/settings/models.py
+++ b/seampond/settings/models.py
@@ -68,6 +68,7 @@
     links_per_pool: int = Field(default=24, gt=0)
     spill_tokens_per_ms: float = Field(default=8.0, gt=0)
     spill_max_ms: Milliseconds = 400
+    server_wait_ms: int = Field(default=2000, ge=0)
     attempts_max: int = Field(default=3, gt=0)
     retry_share: float = Field(default=0.1, ge=0, le=_HUNDRED_PERCENT)
     resume_ms: Milliseconds = 10_000
