Send no request twice behind our back; cancel a run for sure

Cause: the HTTP client sends GET, PUT and DELETE again by itself when a reused connection drops: against a server that drops at its second request, a GET arrived three times in place of two. "Dispatched at most once" did not hold for plain services. And a run's cancellation could be swallowed by the client's wait, so the engine went on for nobody (one of 28 runs of the test of a leaving caller hung on it).

Ruled out: a connection leaked by a cancelled call before its head (its test passed without the special case that was tried, which is reverted).

Change: only POST reuses connections to a backend server, all else gets a fresh one; a cancelled run is cancelled again until it ends; a model engine's 5xx is a typed `engine-failed` and no longer counted as answered in time, a service's own error is passed on and counted as `failed`.

Measured: the new tests failed before (3 arrivals of 2; run still there) and pass after; the test of a leaving caller, now over a raw socket, 18 of 18.

--- a/seampond/callers/answers.py
+++ b/seampond/callers/answers.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncGenerator, AsyncIterator
 from contextlib import aclosing, asynccontextmanager
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import Any
 
 from starlette.responses import JSONResponse, Response
@@ -183,8 +184,13 @@
             )
             await self._refuse(internal, scope, receive, send)
         else:
-            is_late = front.placement.clock.now() > work.deadline_ms
-            front.count_outcome(work, 'late' if is_late else 'in-time')
+            front.count_outcome(work, self._outcome())
+
+    def _outcome(self) -> str:
+        if self.status_code >= HTTPStatus.BAD_REQUEST:
+            return 'failed'
+        now_ms = self._front.placement.clock.now()
+        return 'late' if now_ms > self._work.deadline_ms else 'in-time'
 
     async def _answer(self, send: Send) -> None:
         async with _opened(self._front, self._work) as answer:
--- a/seampond/callers/tests/test_border.py
+++ b/seampond/callers/tests/test_border.py
@@ -153,13 +153,38 @@
         self.assertEqual(reply.error['reason'], 'wrong-answer')
         self.assertEqual(reply.error['run'], 'maybe')
 
+    async def test_a_failing_engine_is_a_typed_error(self) -> None:
+        for running in self.fleet.engines:
+            running.engine.faults.failing = 1
+        reply = await self.caller('trainers').chat(ANSWER)
+        self.assertEqual(reply.error['reason'], 'engine-failed')
+        self.assertEqual(reply.error['run'], 'maybe')
+
+    async def test_a_services_own_error_is_its_answer(self) -> None:
+        for running in self.fleet.engines:
+            running.engine.faults.failing = 1
+        caller = self.caller('turnstiles')
+        reply = await caller.post('/services/pass-check/gate/7', b'')
+        self.assertEqual(reply.status, 500)
+        self.assertEqual(json.loads(reply.body)['error'], 'failing')
+        outcomes = counts_by_labels(self.parts.metrics.requests)
+        self.assertEqual(outcomes, {'1/failed': 1})
+
     async def test_a_caller_that_leaves_stops_its_run(self) -> None:
         chat = Chat('trainer-answer', max_tokens=2000)
-        call = asyncio.create_task(self.caller('trainers').chat(chat))
+        host, _, port = self.parts.settings.listen.rpartition(':')
+        _, writer = await asyncio.open_connection(host, int(port))
+        key = self.fleet.keys['trainers']
+        head = (
+            'POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\n'
+            f'authorization: Bearer {key}\r\n'
+            f'content-length: {len(chat.body)}\r\n\r\n'
+        )
+        writer.write(head.encode() + chat.body)
         batches = [running.engine.batch for running in self.fleet.engines]
         while not any(batch.load['running'] for batch in batches):
             await asyncio.sleep(0.01)
-        call.cancel()
+        writer.transport.abort()
         while any(batch.load['running'] for batch in batches):
             await asyncio.sleep(0.01)
         cancelled = sum(batch.totals.cancelled for batch in batches)
--- a/seampond/daemons/agent.py
+++ b/seampond/daemons/agent.py
@@ -16,7 +16,7 @@
 from seampond.claims import Claims
 from seampond.clock import Clock
 from seampond.daemons.http import WebServer, serve_http
-from seampond.engines import Agent, BackendCall
+from seampond.engines import Agent, open_backend
 from seampond.engines.listen import Listener, listen_for_entries
 from seampond.engines.runner import Runner
 from seampond.links.messages import Hello
@@ -127,11 +127,13 @@
         )
         claims = Claims(tables, clock, f'{settings.name}/{incarnation}')
         # Claims must never wait behind streams for a connection.
-        backend_client = await stack.enter_async_context(
-            open_client(backend.slots_max + _SPARE_CONNECTIONS)
-        )
-        call = BackendCall(
-            backend.url, backend.kind, backend.timeout_ms, backend_client
+        call = await stack.enter_async_context(
+            open_backend(
+                backend.url,
+                backend.kind,
+                backend.timeout_ms,
+                connections=backend.slots_max + _SPARE_CONNECTIONS,
+            )
         )
         runner = Runner(
             settings, clock, promises, metrics, claims, call.carry_out
--- a/seampond/engines/call.py
+++ b/seampond/engines/call.py
@@ -19,6 +19,7 @@
 from seampond.engines.runs import Run, Usage
 from seampond.errors import EngineError
 from seampond.links.messages import Header
+from seampond.platform.http import open_client
 from seampond.requests import Reason
 
 _ID_HEADER = 'x-request-id'
@@ -60,7 +61,8 @@
     url: str
     kind: str
     timeout_ms: int
-    client: aiosonic.HTTPClient
+    reusing: aiosonic.HTTPClient
+    fresh: aiosonic.HTTPClient
 
     async def carry_out(self, run: Run) -> None:
         """Send the request and add its answer to `run`, piece by piece.
@@ -73,7 +75,7 @@
         """
         try:
             async with self._opened(run) as response:
-                self._check_own(run, response)
+                self._check_usable(run, response)
                 run.add_head(response.status_code, _kept_headers(response))
                 await self._read(run, response)
         except _NOT_CONNECTED as refused:
@@ -88,7 +90,8 @@
     async def _opened(self, run: Run) -> AsyncIterator[aiosonic.HttpResponse]:
         grant = run.grant
         seconds = self.timeout_ms / MS_PER_SECOND
-        response = await self.client.request(
+        client = self.reusing if grant.method == 'POST' else self.fresh
+        response = await client.request(
             f'{self.url}{grant.path}',
             method=grant.method,
             headers={header.name: header.value for header in grant.headers},
@@ -106,7 +109,17 @@
             # Closing an unread answer is how the server hears "cancel".
             await response.aclose()
 
-    def _check_own(self, run: Run, response: aiosonic.HttpResponse) -> None:
+    def _check_usable(self, run: Run, response: aiosonic.HttpResponse) -> None:
+        status = response.status_code
+        is_failure = status >= HTTPStatus.INTERNAL_SERVER_ERROR
+        # A plain service's error is its answer; a model's is no answer.
+        if self.kind == 'model' and is_failure:
+            raise BackendError(
+                f'answered {status}',
+                reason=Reason.engine_failed,
+                was_sent=True,
+                peer=self.url,
+            )
         answered = response.headers.get(_ID_HEADER, run.id)
         if answered != run.id:
             raise BackendError(
@@ -154,6 +167,25 @@
         )
 
 
+@asynccontextmanager
+async def open_backend(
+    url: str, kind: str, timeout_ms: int, *, connections: int
+) -> AsyncIterator[BackendCall]:
+    """Give calls to one backend server until the end of the `with`.
+
+    Explanation
+    -----------
+    The HTTP client sends GET, PUT and DELETE again by itself when a reused
+    connection drops, behind the back of "dispatched at most once"; it does
+    not on a fresh connection.  So only POST reuses connections.
+    """
+    async with (
+        open_client(connections) as reusing,
+        open_client(connections, reuses=False) as fresh,
+    ):
+        yield BackendCall(url, kind, timeout_ms, reusing, fresh)
+
+
 def _kept_headers(response: aiosonic.HttpResponse) -> tuple[Header, ...]:
     return tuple(
         Header(name, response.headers[name])
--- a/seampond/engines/runner.py
+++ b/seampond/engines/runner.py
@@ -139,10 +139,13 @@
             is_over = run.stage is Stage.ended
             if is_over and now_ms - run.ended_ms > self._settings.keep_ms:
                 self.runs.pop(run.id)
-            elif not is_over and self._is_abandoned(run, now_ms):
+            elif not is_over and self._must_stop(run, now_ms):
                 self._stop(run)
 
-    def _is_abandoned(self, run: Run, now_ms: int) -> bool:
+    def _must_stop(self, run: Run, now_ms: int) -> bool:
+        # The HTTP client may swallow a cancellation, so it is repeated.
+        if run.is_cancelled:
+            return True
         if run.orphaned_ms is None or not run.grant.repeatable:
             return False
         return now_ms - run.orphaned_ms > self._settings.orphan_ms
--- a/seampond/engines/tests/test_agent.py
+++ b/seampond/engines/tests/test_agent.py
@@ -185,6 +185,24 @@
         wasted = self.agent._metrics.prompt_tokens.labels('wasted')
         self.assertEqual(wasted._value.get(), 70)
 
+    async def test_a_swallowed_cancellation_is_repeated(self) -> None:
+        async def swallow(run: Run) -> None:
+            try:
+                await asyncio.Event().wait()
+            except asyncio.CancelledError:
+                # As the HTTP client does when data comes at that moment.
+                await asyncio.Event().wait()
+
+        self.build(swallow)
+        self.take(build_reserve(), build_grant())
+        await asyncio.sleep(0)
+        self.take(Cancel('r1', 1))
+        await asyncio.sleep(0)
+        self.assertEqual(self.runner.slots.running, 1)
+        self.agent.tidy()
+        await asyncio.sleep(0)
+        self.assertEqual(self.runner.slots.running, 0)
+
     async def test_unrepeatable_work_outlives_its_caller(self) -> None:
         go_on = asyncio.Event()
 
--- a/seampond/platform/http.py
+++ b/seampond/platform/http.py
@@ -118,6 +118,8 @@
 @asynccontextmanager
 async def open_client(
     connections: int = PLATFORM_CONNECTIONS,
+    *,
+    reuses: bool = True,
 ) -> AsyncIterator[aiosonic.HTTPClient]:
     """Give an HTTP client that is closed at the end.
 
@@ -125,9 +127,12 @@
     ----------
     connections : int
         How many calls may run at once, over all hosts; more wait.
+    reuses : bool
+        Whether a connection serves more than one call.
 
     """
-    pools = {':default': PoolConfig(size=connections)}
+    pool = PoolConfig(size=connections, max_conn_requests=None if reuses else 0)
+    pools = {':default': pool}
     client = aiosonic.HTTPClient(TCPConnector(pool_configs=pools))
     try:
         yield client
--- a/seampond/tasks.py
+++ b/seampond/tasks.py
@@ -15,7 +15,7 @@
         _logger.critical('background task died', exc_info=task.exception())
 
 
-async def cancel_all(tasks: Iterable['asyncio.Task[None]']) -> None:
+async def cancel_all(tasks: Iterable['asyncio.Task[Any]']) -> None:
     """Cancel tasks and wait until all have ended.
 
     Explanation
--- a/seampond/testing/engine/app.py
+++ b/seampond/testing/engine/app.py
@@ -24,6 +24,7 @@
 _KEPT_REPORTS = 4096
 _METHODS = ('GET', 'POST', 'PUT', 'PATCH', 'DELETE')
 _ID_HEADER = 'x-request-id'
+_FAILING = JSONResponse({'error': 'failing'}, status_code=500)
 _EVENTS = 'text/event-stream'
 
 
@@ -62,6 +63,12 @@
             self.keys[key] += 1
         return request_id
 
+    def is_failing(self) -> bool:
+        """Whether this request is one of those that fail."""
+        is_failing = self.faults.failing > 0
+        self.faults.failing -= is_failing
+        return is_failing
+
     def keep_stream(self, request_id: str) -> list[bytes]:
         """Start keeping the events of a stream, for resuming it."""
         while len(self.streams) >= _KEPT_STREAMS:
@@ -160,9 +167,8 @@
     async def chat(request: Request) -> Response:
         content = await request.json()
         request_id = engine.note_run(request)
-        if engine.faults.failing > 0:
-            engine.faults.failing -= 1
-            return JSONResponse({'error': 'failing'}, status_code=500)
+        if engine.is_failing():
+            return _FAILING
         sequence = _make_sequence(request_id, content)
         engine.batch.submit(sequence)
         is_stream = bool(content.get('stream'))
@@ -204,6 +210,8 @@
 def _service_routes(engine: Engine) -> list[Route]:
     async def serve(request: Request) -> Response:
         request_id = engine.note_run(request)
+        if engine.is_failing():
+            return _FAILING
         body = await request.body()
         await engine.clock.sleep(
             engine.settings.service_ms * engine.faults.slowdown
