--- a/seampond/routing/place.py
+++ b/seampond/routing/place.py
@@ -122,13 +122,6 @@
     )
 
 
-def _next_check(ticket: Ticket, search: Search, placement: Placement) -> int:
-    now = placement.clock.now()
-    if now < search.spill_at_ms:
-        return min(search.spill_at_ms, ticket.work.deadline_ms)
-    return min(now + _WIDEN_MS, ticket.work.deadline_ms)
-
-
 def _begin(ticket: Ticket, placement: Placement) -> Search:
     settings = placement.settings
     saved_ms = ticket.work.prompt_tokens / settings.spill_tokens_per_ms
@@ -137,30 +130,46 @@
     return Search(now, now + wait_ms, set())
 
 
-async def _wait_for_room(
+def _pause_without_agents(
     ticket: Ticket, search: Search, placement: Placement
-) -> None:
+) -> int:
+    """Give how long to wait when no agent holds a reservation.
+
+    Raises
+    ------
+    RefusedError
+        If waiting would not help.
+
+    """
     waited_ms = placement.clock.now() - search.started_ms
-    if search.last_reason in _NO_AGENT:
+    may_return = waited_ms < placement.settings.server_wait_ms
+    if may_return and search.last_reason in _NO_AGENT:
         # An agent that is replaced is back within seconds.
-        if waited_ms < placement.settings.server_wait_ms:
-            await placement.clock.sleep(_LOOK_AGAIN_MS)
-            return
-    # Every agent said no: work that may wait asks again a little later.
+        return _LOOK_AGAIN_MS
     if not ticket.work.may_wait:
         raise _give_up(search.last_reason, search, placement)
-    spread = placement.rng.uniform(1, 2)
-    await placement.clock.sleep(_TRY_AGAIN_MS * spread)
+    # Every agent said no: work that may wait asks again a little later.
     search.refused_by.clear()
+    return round(_TRY_AGAIN_MS * placement.rng.uniform(1, 2))
+
+
+def _next_look(ticket: Ticket, search: Search, placement: Placement) -> int:
+    """Give when to look again, unless something happens before."""
+    now = placement.clock.now()
+    if ticket.is_waiting and not ticket.reserved:
+        until_ms = now + _pause_without_agents(ticket, search, placement)
+    elif now < search.spill_at_ms:
+        until_ms = search.spill_at_ms
+    else:
+        until_ms = now + _WIDEN_MS
+    return min(until_ms, ticket.work.deadline_ms)
 
 
 async def _search(ticket: Ticket, placement: Placement) -> str:
     search = _begin(ticket, placement)
     while True:
         _reserve_more(ticket, search, placement)
-        if not ticket.reserved and ticket.is_waiting:
-            await _wait_for_room(ticket, search, placement)
-        until_ms = _next_check(ticket, search, placement)
+        until_ms = _next_look(ticket, search, placement)
         event = await next_event(ticket, placement.clock, until_ms)
         if isinstance(event, Granted):
             return event.agent
--- a/seampond/templates/configuration.py
+++ b/seampond/templates/configuration.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
-from typing import Any
+from typing import Any, TypeVar
 
 from pydantic import ValidationError
 
@@ -18,6 +18,8 @@
 LAST_KEY = '~'
 _KEY_DIGITS = 12
 
+_Row = TypeVar('_Row', Template, Workspace)
+
 
 def change_key(generation: int) -> str:
     """Give the key of the change that made `generation`.
@@ -69,21 +71,34 @@
         ) from error
 
 
+def parse_row(
+    model: type[_Row], table: str, key: str, content: dict[str, Any]
+) -> _Row:
+    """Read a template or a workspace from its row.
+
+    Raises
+    ------
+    PlatformError
+        If the row holds something else.
+
+    """
+    try:
+        return model.model_validate(content)
+    except ValidationError as error:
+        raise PlatformError(
+            f'bad {table} row {key}: {error}', step='read configuration'
+        ) from error
+
+
 def _changed_map(
-    rows: dict[str, Any],
-    model: type[Template] | type[Workspace],
-    change: Change,
-) -> dict[str, Any]:
+    rows: dict[str, _Row], model: type[_Row], change: Change
+) -> dict[str, _Row]:
     changed = dict(rows)
     changed.pop(change.key, None)
     if change.content is not None:
-        try:
-            changed[change.key] = model.model_validate(change.content)
-        except ValidationError as error:
-            raise PlatformError(
-                f'bad {change.table} row {change.key}: {error}',
-                step='read configuration',
-            ) from error
+        changed[change.key] = parse_row(
+            model, change.table, change.key, change.content
+        )
     return changed
 
 
--- a/seampond/templates/follow.py
+++ b/seampond/templates/follow.py
@@ -16,12 +16,13 @@
     LAST_KEY,
     TEMPLATES,
     WORKSPACES,
-    Change,
     Configuration,
     apply_changes,
     change_key,
     parse_change,
+    parse_row,
 )
+from seampond.templates.models import Template, Workspace
 
 PAGE_ROWS = 500
 _JITTER = 0.2
@@ -105,18 +106,16 @@
     generation = await read_generation(tables)
     templates = await _scan_all(tables, TEMPLATES)
     workspaces = await _scan_all(tables, WORKSPACES)
-    rows = [
-        Change(generation, row.table, row.key, row.content)
-        for row in (*templates, *workspaces)
-    ]
-    configuration = Configuration(generation - 1)
-    for row in rows:
-        lower = Configuration(
-            generation - 1, configuration.templates, configuration.workspaces
-        )
-        configuration = apply_changes(lower, [row])
     return Configuration(
-        generation, configuration.templates, configuration.workspaces
+        generation,
+        {
+            row.key: parse_row(Template, row.table, row.key, row.content)
+            for row in templates
+        },
+        {
+            row.key: parse_row(Workspace, row.table, row.key, row.content)
+            for row in workspaces
+        },
     )
 
 
