One set of pages and shared counters for all daemons

Cause: four counters and four pages stood twice, two metrics were named and never set (`seampond_links`, the agent's first byte). Change: shared by `pages.py` and `metrics/common.py`; the two are gone until something measures them.

--- a/seampond/callers/app.py
+++ b/seampond/callers/app.py
@@ -3,12 +3,10 @@
 import uuid
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from http import HTTPStatus
 
-from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 from starlette.applications import Starlette
 from starlette.requests import Request
-from starlette.responses import JSONResponse, PlainTextResponse, Response
+from starlette.responses import Response
 from starlette.routing import Route
 
 from seampond.callers.answers import AnswerResponse, Front, error_response
@@ -19,6 +17,7 @@
     read_body,
 )
 from seampond.callers.works import make_chat_work, make_service_work
+from seampond.pages import Pages, page_routes
 from seampond.requests import Reason, RefusedError, Run, Work
 
 _METHODS = ('GET', 'POST', 'PUT', 'PATCH', 'DELETE')
@@ -28,18 +27,17 @@
 
 
 @dataclass(frozen=True)
-class EntryPages:
-    """What the pages for operators and the balancer show."""
+class Doors:
+    """Whether new requests are let in."""
 
     is_ready: Callable[[], bool]
     is_draining: Callable[[], bool]
-    show_status: Callable[[], dict[str, object]]
 
 
-def _check_open(pages: EntryPages) -> None:
-    if pages.is_draining():
+def _check_open(doors: Doors) -> None:
+    if doors.is_draining():
         reason = Reason.draining
-    elif pages.is_ready():
+    elif doors.is_ready():
         return
     else:
         reason = Reason.not_ready
@@ -48,7 +46,7 @@
     )
 
 
-def _request_routes(front: Front, pages: EntryPages) -> list[Route]:
+def _request_routes(front: Front, doors: Doors) -> list[Route]:
     desk = front.desk
 
     async def chat(request: Request) -> Work:
@@ -67,7 +65,7 @@
         async def endpoint(request: Request) -> Response:
             request.state.request_id = uuid.uuid4().hex
             try:
-                _check_open(pages)
+                _check_open(doors)
                 return AnswerResponse(front, await make_work(request))
             except RefusedError as refusal:
                 front.count_refusal(refusal)
@@ -83,36 +81,7 @@
     ]
 
 
-def _page_routes(front: Front, pages: EntryPages) -> list[Route]:
-    registry = front.placement.metrics.registry
-
-    async def metrics(_request: Request) -> Response:
-        return Response(
-            generate_latest(registry), media_type=CONTENT_TYPE_LATEST
-        )
-
-    async def healthz(_request: Request) -> Response:
-        return PlainTextResponse('ok\n')
-
-    async def readyz(_request: Request) -> Response:
-        if pages.is_ready() and not pages.is_draining():
-            return PlainTextResponse('ready\n')
-        return PlainTextResponse(
-            'not ready\n', status_code=HTTPStatus.SERVICE_UNAVAILABLE
-        )
-
-    async def status(_request: Request) -> Response:
-        return JSONResponse(pages.show_status())
-
-    return [
-        Route('/metrics', metrics),
-        Route('/healthz', healthz),
-        Route('/readyz', readyz),
-        Route('/status', status),
-    ]
-
-
-def caller_app(front: Front, pages: EntryPages) -> Starlette:
+def caller_app(front: Front, doors: Doors, pages: Pages) -> Starlette:
     """Give the web application that callers and operators reach."""
-    routes = [*_request_routes(front, pages), *_page_routes(front, pages)]
+    routes = [*_request_routes(front, doors), *page_routes(pages)]
     return Starlette(routes=routes)
--- a/seampond/callers/tests/test_border.py
+++ b/seampond/callers/tests/test_border.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from seampond.demo.fleet import Fleet
-from seampond.metrics.entry import counts_by_labels
+from seampond.metrics.common import counts_by_labels
 from seampond.platform.http import open_client
 from seampond.platform.standin.models import Faults
 from seampond.requests.refusals import FACTS, Reason
--- a/seampond/daemons/agent.py
+++ b/seampond/daemons/agent.py
@@ -5,13 +5,8 @@
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
-from http import HTTPStatus
 
-from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 from starlette.applications import Starlette
-from starlette.requests import Request
-from starlette.responses import JSONResponse, PlainTextResponse, Response
-from starlette.routing import Route
 
 from seampond.claims import Claims
 from seampond.clock import Clock
@@ -21,6 +16,7 @@
 from seampond.engines.runner import Runner
 from seampond.links.messages import Hello
 from seampond.metrics import AgentMetrics
+from seampond.pages import Pages, page_routes
 from seampond.platform.http import Caller, open_client
 from seampond.platform.http_tables import http_tables
 from seampond.promises import Promises, Rule
@@ -82,33 +78,12 @@
 
 
 def _status_app(running: RunningAgent) -> Starlette:
-    async def metrics(_request: Request) -> Response:
-        return Response(
-            generate_latest(running.metrics.registry),
-            media_type=CONTENT_TYPE_LATEST,
-        )
-
-    async def healthz(_request: Request) -> Response:
-        return PlainTextResponse('ok\n')
-
-    async def readyz(_request: Request) -> Response:
-        if running.agent.is_leaving:
-            return PlainTextResponse(
-                'leaving\n', status_code=HTTPStatus.SERVICE_UNAVAILABLE
-            )
-        return PlainTextResponse('ready\n')
-
-    async def status(_request: Request) -> Response:
-        return JSONResponse(running.show_status())
-
-    return Starlette(
-        routes=[
-            Route('/metrics', metrics),
-            Route('/healthz', healthz),
-            Route('/readyz', readyz),
-            Route('/status', status),
-        ]
+    pages = Pages(
+        running.metrics.registry,
+        lambda: not running.agent.is_leaving,
+        running.show_status,
     )
+    return Starlette(routes=page_routes(pages))
 
 
 @asynccontextmanager
--- a/seampond/daemons/entry.py
+++ b/seampond/daemons/entry.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 
 from seampond.callers.answers import Front
-from seampond.callers.app import EntryPages, caller_app
+from seampond.callers.app import Doors, caller_app
 from seampond.callers.desk import Desk
 from seampond.clock import Clock
 from seampond.daemons.http import WebServer, serve_http
@@ -21,7 +21,8 @@
     follow_members,
 )
 from seampond.metrics import EntryMetrics
-from seampond.metrics.entry import counts_by_labels
+from seampond.metrics.common import counts_by_labels
+from seampond.pages import Pages
 from seampond.platform.http import Caller, open_client
 from seampond.platform.http_tables import http_tables
 from seampond.platform.vms import http_vms
@@ -212,12 +213,13 @@
             ),
         )
         await stack.enter_async_context(run_tasks(following, membership))
-        pages = EntryPages(
-            lambda: parts.is_ready,
-            lambda: parts.is_draining,
+        doors = Doors(lambda: parts.is_ready, lambda: parts.is_draining)
+        pages = Pages(
+            parts.metrics.registry,
+            lambda: parts.is_ready and not parts.is_draining,
             parts.show_status,
         )
-        app = caller_app(_make_front(parts), pages)
+        app = caller_app(_make_front(parts), doors, pages)
         web = await stack.enter_async_context(
             serve_http(app, settings.listen, drain_ms=settings.drain_ms)
         )
--- a/seampond/daemons/tests/test_daemons.py
+++ b/seampond/daemons/tests/test_daemons.py
@@ -5,7 +5,7 @@
 
 from seampond.demo.fleet import Fleet
 from seampond.errors import PromiseError
-from seampond.metrics.entry import counts_by_labels
+from seampond.metrics.common import counts_by_labels
 from seampond.platform.http import open_client
 from seampond.testing.builders import build_ticket
 from seampond.testing.caller import Caller, Chat, check_chat
--- a/seampond/metrics/agent.py
+++ b/seampond/metrics/agent.py
@@ -1,70 +1,30 @@
 """What an agent counts."""
 
-from prometheus_client import (
-    CollectorRegistry,
-    Counter,
-    Gauge,
-    Histogram,
-    ProcessCollector,
-)
+from prometheus_client import Gauge
 
-from seampond.metrics.entry import SECONDS_BUCKETS
+from seampond.metrics.common import CommonMetrics
 
 
-class AgentMetrics:
-    """The metrics of one agent, in a registry of their own."""
+class AgentMetrics(CommonMetrics):
+    """The metrics of one agent."""
 
     def __init__(self) -> None:
         """Register everything."""
-        self.registry = CollectorRegistry()
-        ProcessCollector(registry=self.registry)
-        self.dispatches = Counter(
+        super().__init__()
+        self.dispatches = self.count(
             'seampond_dispatches',
-            'Requests sent to the backend server, by outcome.',
-            ['outcome'],
-            registry=self.registry,
+            'Runs by how they ended; `whole` or a reason.',
+            'outcome',
         )
-        self.refusals = Counter(
+        self.refusals = self.count(
             'seampond_agent_refusals',
             'Reservations and grants refused without a run, by reason.',
-            ['reason'],
-            registry=self.registry,
+            'reason',
         )
-        self.claims = Counter(
+        self.claims = self.count(
             'seampond_claims',
             'Claims for work that may not be repeated, by outcome.',
-            ['outcome'],
-            registry=self.registry,
-        )
-        self.violations = Counter(
-            'seampond_promise_violations',
-            'Promises found broken, by rule; must stay 0.',
-            ['rule'],
-            registry=self.registry,
-        )
-        self.link_errors = Counter(
-            'seampond_link_errors',
-            'Links that ended, by kind of error.',
-            ['kind'],
-            registry=self.registry,
-        )
-        self.dropped = Counter(
-            'seampond_dropped_messages',
-            'Messages that matched nothing (late or crossed), by kind.',
-            ['kind'],
-            registry=self.registry,
-        )
-        self.prompt_tokens = Counter(
-            'seampond_prompt_tokens',
-            'Prompt tokens of cancelled or failed runs, estimated.',
-            ['kind'],
-            registry=self.registry,
-        )
-        self.first_byte = Histogram(
-            'seampond_engine_first_byte_seconds',
-            'From the dispatch to the head of the answer.',
-            buckets=SECONDS_BUCKETS,
-            registry=self.registry,
+            'outcome',
         )
         self.running = Gauge(
             'seampond_running_requests',
