Keep the answers of unrepeatable work for retries by the same key

Cause: a caller whose connection broke could only hear "may have run" on its retry, although the work had ended well: a renewal's answer was lost to it.

Ruled out: keeping answers only in the agent, since a retry mostly reaches another one, and agents are replaced daily.

Change: the whole answer goes to the object store before the claim row says `done`; a retry with the same method, path and body gets it through any entry and agent, with the id of the request that ran.

--- a/seampond/claims/claim.py
+++ b/seampond/claims/claim.py
@@ -25,6 +25,7 @@
 
     key: str
     token: str
+    digest: str = ''
 
 
 class ClaimRefusedError(SeampondError):
@@ -35,13 +36,30 @@
     is_taken : bool
         Whether another run holds it; else the store did not answer in time
         and the token is abandoned.
+    held : Row | None
+        The row of the run that holds it.
 
     """
 
-    def __init__(self, message: str, *, is_taken: bool, key: str) -> None:
+    def __init__(
+        self,
+        message: str,
+        *,
+        is_taken: bool,
+        key: str,
+        held: Row | None = None,
+    ) -> None:
         """Say why there is no claim."""
         super().__init__(message, step='claim', peer=key)
         self.is_taken = is_taken
+        self.held = held
+
+    def is_done_for(self, digest: str) -> bool:
+        """Whether the same request has been run to its end."""
+        if self.held is None:
+            return False
+        row = self.held.content
+        return bool(row['state'] == DONE and row['digest'] == digest)
 
 
 class Claims:
@@ -68,7 +86,9 @@
         self._owner = owner
         self._abandoned: set[str] = set()
 
-    async def make(self, key: str, request_id: str, until_ms: int) -> Claim:
+    async def make(
+        self, key: str, request_id: str, until_ms: int, digest: str = ''
+    ) -> Claim:
         """Insert the claim row for `key`, or raise.
 
         Parameters
@@ -79,6 +99,8 @@
             Kept in the row, for operators.
         until_ms : int
             When to stop trying, in clock time.
+        digest : str
+            Of the request's body; a retry must have the same.
 
         Raises
         ------
@@ -86,7 +108,7 @@
             If there is no claim; nothing will run on this call.
 
         """
-        claim = Claim(key, secrets.token_hex(_TOKEN_BYTES))
+        claim = Claim(key, secrets.token_hex(_TOKEN_BYTES), digest)
         try:
             await self._insert(claim, request_id, until_ms)
         except BaseException:
@@ -142,6 +164,7 @@
             'owner': self._owner,
             'request': request_id,
             'state': state,
+            'digest': claim.digest,
         }
 
     async def _write(
@@ -165,5 +188,5 @@
         if row.content['token'] in self._abandoned:
             return row.version
         raise ClaimRefusedError(
-            'another run holds the claim', is_taken=True, key=key
+            'another run holds the claim', is_taken=True, key=key, held=row
         )
--- a/seampond/daemons/agent.py
+++ b/seampond/daemons/agent.py
@@ -19,6 +19,7 @@
 from seampond.pages import Pages, page_routes
 from seampond.platform.http import Caller, open_client
 from seampond.platform.http_tables import http_tables
+from seampond.platform.objects import http_objects
 from seampond.promises import Promises, Rule
 from seampond.settings.models import AgentSettings
 
@@ -100,6 +101,9 @@
         tables = http_tables(
             Caller(platform.tables, client, platform.timeout_ms)
         )
+        objects = http_objects(
+            Caller(platform.objects, client, platform.timeout_ms)
+        )
         claims = Claims(tables, clock, f'{settings.name}/{incarnation}')
         # Claims must never wait behind streams for a connection.
         call = await stack.enter_async_context(
@@ -111,7 +115,7 @@
             )
         )
         runner = Runner(
-            settings, clock, promises, metrics, claims, call.carry_out
+            settings, clock, promises, metrics, claims, objects, call.carry_out
         )
         stack.push_async_callback(runner.close)
         agent = Agent(settings, clock, promises, metrics, runner)
--- a/seampond/demo/drive.py
+++ b/seampond/demo/drive.py
@@ -59,7 +59,7 @@
         reused = usage['prompt_tokens_details']['cached_tokens']
         tier.computed += usage['prompt_tokens'] - reused
         tier.reused += reused
-    elif json.loads(reply.body)['request_id'] != reply.request_id:
+    elif json.loads(reply.body)['request_id'] != reply.owner:
         raise ValueError("another request's answer")
 
 
--- a/seampond/engines/runner.py
+++ b/seampond/engines/runner.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable
 
 from seampond.claims import Claim, ClaimRefusedError, Claims
+from seampond.claims.answers import keep_answer, load_answer
 from seampond.clock import Clock
 from seampond.engines.call import BackendError
 from seampond.engines.entries import EntryPeer
@@ -12,6 +13,7 @@
 from seampond.engines.slots import Slots
 from seampond.links.messages import Cancel, Received, Resume
 from seampond.metrics import AgentMetrics
+from seampond.platform.objects import Objects
 from seampond.promises import Promises, Rule
 from seampond.requests import Reason
 from seampond.requests import Run as RunWord
@@ -44,6 +46,7 @@
         promises: Promises,
         metrics: AgentMetrics,
         claims: Claims,
+        objects: Objects,
         carry_out: CarryOut,
     ) -> None:
         """Start with nothing running."""
@@ -52,6 +55,7 @@
         self._promises = promises
         self._metrics = metrics
         self._claims = claims
+        self._objects = objects
         self._carry_out = carry_out
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._service_ms = _FIRST_SERVICE_MS
@@ -185,17 +189,22 @@
         await self._dispatch_in_time(run, claim)
         if run.was_not_run:
             self._claims.abandon(claim)
-        else:
-            await self._claims.finish(claim, run.id)
+            return
+        if run.is_whole:
+            answer = run.whole_answer(claim.token)
+            await keep_answer(self._objects, claim.key, answer)
+        await self._claims.finish(claim, run.id)
 
     async def _claim(self, run: Run) -> Claim | None:
         try:
             # Later than this, the run itself would be late.
             until_ms = run.deadline_ms - round(self._service_ms)
             claim = await self._claims.make(
-                run.grant.claim_key, run.id, until_ms
+                run.grant.claim_key, run.id, until_ms, run.body_digest
             )
         except ClaimRefusedError as refused:
+            if await self._replay(run, refused):
+                return None
             word, reason = RunWord.never, Reason.claim_store_down
             if refused.is_taken:
                 word, reason = RunWord.maybe, Reason.claim_taken
@@ -205,6 +214,21 @@
         self._metrics.claims.labels('made').inc()
         return claim
 
+    async def _replay(self, run: Run, refused: ClaimRefusedError) -> bool:
+        """Give the kept answer of the run that holds the claim, if any."""
+        if refused.held is None or not refused.is_done_for(run.body_digest):
+            return False
+        token = refused.held.content['token']
+        key = run.grant.claim_key
+        answer = await load_answer(self._objects, key, token)
+        if answer is None:
+            return False
+        run.add_head(answer.status, answer.replay_headers)
+        run.add_payload(answer.body)
+        self._metrics.claims.labels('replayed').inc()
+        self._end(run, RunWord.done, None)
+        return True
+
     async def _dispatch_in_time(self, run: Run, claim: Claim | None) -> None:
         if self._clock.now() >= run.deadline_ms or run.is_cancelled:
             self._end(run, RunWord.never, Reason.deadline)
--- a/seampond/engines/runs.py
+++ b/seampond/engines/runs.py
@@ -1,12 +1,16 @@
 """Runs: granted requests, their frames kept until received."""
 
 import enum
+import hashlib
 from dataclasses import dataclass, field
 
+from seampond.claims.answers import KeptAnswer
 from seampond.engines.entries import EntryPeer
 from seampond.links.messages import Finish, Frame, Grant, Head, Header
 from seampond.requests import Run as RunWord
 
+_DIGEST_BYTES = 16
+
 
 @enum.unique
 class Stage(enum.Enum):
@@ -66,6 +70,32 @@
             return False
         return self.finish.run == RunWord.never.value
 
+    @property
+    def is_whole(self) -> bool:
+        """Whether it ended with a whole answer."""
+        return self.finish is not None and not self.finish.reason
+
+    @property
+    def body_digest(self) -> str:
+        """Digest of method, path and body, to tell a retry by."""
+        grant = self.grant
+        head = f'{grant.method} {grant.path}\n'.encode()
+        return hashlib.blake2b(
+            head + grant.body, digest_size=_DIGEST_BYTES
+        ).hexdigest()
+
+    def whole_answer(self, token: str) -> KeptAnswer:
+        """Give the answer so that it can be kept."""
+        head = self.parts[0]
+        assert isinstance(head, Head)
+        return KeptAnswer(
+            token,
+            self.id,
+            head.status,
+            head.headers,
+            b''.join(self.payloads),
+        )
+
     @property
     def payloads(self) -> list[bytes]:
         """The pieces of the body so far."""
--- a/seampond/soak/drive.py
+++ b/seampond/soak/drive.py
@@ -89,7 +89,7 @@
         try:
             if call.chat:
                 check_chat(call.chat, reply)
-            elif json.loads(reply.body)['request_id'] != reply.request_id:
+            elif json.loads(reply.body)['request_id'] != reply.owner:
                 raise WrongAnswerError("another request's answer")
         except WrongAnswerError as error:
             self.report.wrong.append(f'call {call.number}: {error}')
--- a/seampond/testing/builders.py
+++ b/seampond/testing/builders.py
@@ -9,6 +9,7 @@
 from seampond.links.messages import Grant, Message, Reserve
 from seampond.metrics import EntryMetrics
 from seampond.platform import Vm
+from seampond.platform.objects import Objects
 from seampond.promises import Promises
 from seampond.requests import Ticket, Work
 from seampond.routing import Dispatcher, Peer
@@ -123,6 +124,19 @@
     )
 
 
+def build_objects() -> Objects:
+    """Give an object store in memory."""
+    held: dict[str, Any] = {}
+
+    async def get(key: str) -> Any:
+        return held.get(key)
+
+    async def put(key: str, content: Any) -> None:
+        held[key] = content
+
+    return Objects(get, put)
+
+
 def build_reserve(request_id: str = 'r1', **changes: Any) -> Reserve:
     """Give a reservation of tier 3 with ten seconds to go."""
     content = {'attempt': 1, 'tier': 3, 'remaining_ms': DEADLINE_MS}
--- a/seampond/testing/caller.py
+++ b/seampond/testing/caller.py
@@ -9,6 +9,7 @@
 from aiosonic.exceptions import AiosonicError
 from aiosonic.timeout import Timeouts
 
+from seampond.claims.answers import REPLAY_HEADER
 from seampond.testing.engine.app import token_text
 
 
@@ -31,6 +32,12 @@
     request_id: str
     body: bytes
     retry_after: str = ''
+    original_id: str = ''
+
+    @property
+    def owner(self) -> str:
+        """The id of the request that was run for this answer."""
+        return self.original_id or self.request_id
 
     @property
     def is_ok(self) -> bool:
@@ -97,6 +104,7 @@
             response.headers.get(_ID_HEADER, ''),
             answer,
             response.headers.get('retry-after', ''),
+            response.headers.get(REPLAY_HEADER, ''),
         )
 
     async def chat(self, chat: Chat, **headers: str) -> Reply:
@@ -141,8 +149,7 @@
     """
     text, usage = _text_and_usage(reply.body, chat.is_stream)
     wanted = ''.join(
-        token_text(reply.request_id, number)
-        for number in range(chat.max_tokens)
+        token_text(reply.owner, number) for number in range(chat.max_tokens)
     )
     if text != wanted:
         raise WrongAnswerError('not the whole answer to its own request')
