Link only to the agent that the list names; outlive a broken promise

Cause: found by reading. An agent of another name or pool on a listed address (a VM replaced, a slip in the settings) would have been given that pool's work; and a promise found broken while a message was taken ended the task of that link for good, in silence. Change: name and pool of the hello are checked against the list; a broken promise, counted and logged, ends only the act it guards.

--- a/seampond/engines/listen.py
+++ b/seampond/engines/listen.py
@@ -3,13 +3,13 @@
 import asyncio
 import logging
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field
 
 from seampond.clock import Clock
 from seampond.engines.agent import Agent
 from seampond.engines.entries import EntryPeer
-from seampond.errors import LinkError
+from seampond.errors import LinkError, PromiseError
 from seampond.links import Connection, shake_hands
 from seampond.links.trust import HelloMaker
 from seampond.metrics import AgentMetrics
@@ -26,7 +26,9 @@
     try:
         while True:
             for message in await entry.link.receive():
-                agent.take(entry, message)
+                # Counted and logged already; the act was not done.
+                with suppress(PromiseError):
+                    agent.take(entry, message)
     finally:
         agent.went_down(entry)
 
--- a/seampond/routing/keep.py
+++ b/seampond/routing/keep.py
@@ -4,11 +4,11 @@
 import logging
 import random
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass
 
 from seampond.clock import Clock
-from seampond.errors import LinkError
+from seampond.errors import LinkError, PromiseError
 from seampond.links import Connection, shake_hands
 from seampond.links.messages import Hello, Pulse
 from seampond.links.trust import HelloMaker
@@ -46,6 +46,19 @@
         return max(self.settings.heartbeat_ms, affordable_ms)
 
 
+def _check_identity(peer: Peer, hello: Hello) -> None:
+    if (hello.name, hello.pool) == (peer.name, peer.vm.pool):
+        return
+    pool = peer.vm.pool
+    wanted = f'{peer.name} of pool {pool}'
+    raise LinkError(
+        f'is {hello.name} of pool {hello.pool}, not {wanted}; '
+        'mend the VM list or the settings',
+        step='handshake',
+        peer=peer.vm.address,
+    )
+
+
 @asynccontextmanager
 async def open_link(
     peer: Peer, keeping: Keeping
@@ -64,6 +77,7 @@
         hello = await shake_hands(
             link, keeping.make_hello, keeping.settings.secret, dialed=True
         )
+        _check_identity(peer, hello)
         yield link, hello
     finally:
         await link.close()
@@ -84,7 +98,9 @@
 async def _read(peer: Peer, link: Connection, keeping: Keeping) -> None:
     while True:
         for message in await link.receive():
-            keeping.dispatcher.take(peer, message)
+            # Counted and logged already; the act it guards was not done.
+            with suppress(PromiseError):
+                keeping.dispatcher.take(peer, message)
 
 
 async def _serve_link(peer: Peer, keeping: Keeping) -> None:
