Wait for the state that a process test needs, not for a time

Cause: the process tests slept half a second and took it that all slots were full; with runs shorter than the orphan time, the test of a killed entry passed or failed by the machine's speed (seen to fail once it polled). Change: they wait until requests wait at both entries; the killed entry's requests run for longer than a lost entry's work is kept.

--- a/seampond/daemons/tests/test_processes.py
+++ b/seampond/daemons/tests/test_processes.py
@@ -14,9 +14,11 @@
 
 CALLS = 60
 CHAT = Chat('trainer-answer', max_tokens=40)
+# Runs for longer than a lost entry's work is kept.
+LONG = Chat('trainer-answer', max_tokens=300)
 SHORT_RESUME = '\n[entry.routing]\nresume_ms = 1500\n'
 SHORT_ORPHAN = 'orphan_ms = 1000\n\n[agent.backend]'
-SETTLE_SECONDS = 1.5
+POLL_SECONDS = 0.05
 FREEZE_SECONDS = 4
 
 
@@ -44,19 +46,28 @@
             while (
                 await self.caller(entry).chat(CHAT)
             ).status == HTTPStatus.UNAUTHORIZED:
-                await asyncio.sleep(0.1)
+                await asyncio.sleep(POLL_SECONDS)
 
     def caller(self, entry: str) -> Caller:
         return Caller(self.processes.url(entry), self.key, self.client)
 
-    def start_calls(self) -> 'list[asyncio.Task[Reply]]':
+    def start_calls(self, first: Chat = CHAT) -> 'list[asyncio.Task[Reply]]':
+        """Send calls to both entries in turn; `first` to entry 1."""
         return [
             asyncio.create_task(
-                self.caller(f'entry-{number % 2 + 1}').chat(CHAT)
+                self.caller(f'entry-{number % 2 + 1}').chat(
+                    CHAT if number % 2 else first
+                )
             )
             for number in range(CALLS)
         ]
 
+    async def wait_until_full(self) -> None:
+        """Wait until every slot runs and requests wait at both entries."""
+        for entry in ('entry-1', 'entry-2'):
+            while not self.processes.read(entry, '/status')['waiting']:
+                await asyncio.sleep(POLL_SECONDS)
+
     def assert_ran_once(self) -> None:
         runs: Counter[str] = Counter()
         for number in range(1, 5):
@@ -71,9 +82,7 @@
 
     async def test_kill_of_an_agent_loses_no_waiting_request(self) -> None:
         calls = self.start_calls()
-        await asyncio.sleep(SETTLE_SECONDS / 3)
-        status = self.processes.read('entry-1', '/status')
-        self.assertGreater(status['waiting'], 0)
+        await self.wait_until_full()
         self.processes.signal('agent-3', signal.SIGKILL)
         outcomes = await asyncio.gather(*calls, return_exceptions=True)
         replies = [part for part in outcomes if isinstance(part, Reply)]
@@ -88,7 +97,7 @@
 
     async def test_a_frozen_agent_doubles_and_cuts_nothing(self) -> None:
         calls = self.start_calls()
-        await asyncio.sleep(SETTLE_SECONDS / 3)
+        await self.wait_until_full()
         self.processes.signal('agent-1', signal.SIGSTOP)
         await asyncio.sleep(FREEZE_SECONDS)
         self.processes.signal('agent-1', signal.SIGCONT)
@@ -97,8 +106,8 @@
         self.assert_ran_once()
 
     async def test_a_killed_entry_leaves_nothing_running(self) -> None:
-        calls = self.start_calls()
-        await asyncio.sleep(SETTLE_SECONDS / 3)
+        calls = self.start_calls(LONG)
+        await self.wait_until_full()
         self.processes.signal('entry-1', signal.SIGKILL)
         outcomes = await asyncio.gather(*calls, return_exceptions=True)
         for number, outcome in enumerate(outcomes):
@@ -116,7 +125,7 @@
         for number in (1, 2, 3):
             address = self.processes.status_address(f'agent-{number}')
             while self.processes.read_at(address, '/status')['running']:
-                await asyncio.sleep(0.1)
+                await asyncio.sleep(POLL_SECONDS)
 
     def totals(self, number: int) -> dict[str, float]:
         page = self.processes.read(f'engine-{number}', '/control/runs')
@@ -125,7 +134,7 @@
 
     async def test_planned_stop_of_an_entry_cuts_no_stream(self) -> None:
         calls = self.start_calls()
-        await asyncio.sleep(SETTLE_SECONDS / 3)
+        await self.wait_until_full()
         self.processes.signal('entry-1', signal.SIGTERM)
         for reply in await asyncio.gather(*calls):
             check_chat(CHAT, reply)
@@ -134,7 +143,7 @@
 
     async def test_planned_stop_of_an_agent_cuts_no_stream(self) -> None:
         calls = self.start_calls()
-        await asyncio.sleep(SETTLE_SECONDS / 3)
+        await self.wait_until_full()
         self.processes.signal('agent-1', signal.SIGTERM)
         for reply in await asyncio.gather(*calls):
             check_chat(CHAT, reply)
