Capacity of the platform's service and of the operators' commands

Ruled out: the memory of a command by the children's largest resident size; it counts the parent's pages at the fork (109 MB for a 60 MB program) and is not given. The stand-in's last event says `stop` again.

--- a/seampond/slopes/capacity.py
+++ b/seampond/slopes/capacity.py
@@ -10,6 +10,8 @@
 _PERCENT = 100
 _BEAT_BYTES = 56
 _POLLS_PER_S = 2
+_UNREPEATABLE_SHARE = 1 / 40
+_READS_PER_EDIT = 3
 _BUDGET_BYTES_PER_S = 3000
 _TICKET_EXTRA = 2
 _SHARE = '% of a core'
@@ -170,6 +172,46 @@
 )
 
 
+def _platform_rows(size: Size, slopes: Slopes) -> list[float]:
+    unrepeatable = size.requests_per_s * _UNREPEATABLE_SHARE
+    row = slopes['workspace row as JSON']
+    return [
+        size.entries,
+        size.entries,
+        2 * unrepeatable,
+        unrepeatable,
+        size.workspaces * row / MEGABYTE,
+        size.changes_per_day * row / MEGABYTE,
+    ]
+
+
+_PLATFORM_LABELS = (
+    ('configuration polls', 'entries x 1 a second', 'reads/s', '2000'),
+    ('VM list polls', 'entries x 1 a second', 'requests/s', ''),
+    ('claims', '2 x 1/40 of requests', 'writes/s', 'some hundred'),
+    ('kept answers', '1/40 of requests', 'objects/s', ''),
+    ('workspaces', 'workspaces x row', 'MB', ''),
+    ('change log', 'changes x row', 'MB/day', ''),
+)
+
+
+def _command_rows(size: Size, slopes: Slopes) -> list[float]:
+    return [
+        size.changes_per_day
+        * slopes['command: processor time']
+        / _MILLION
+        / _DAY_SECONDS
+        * _PERCENT,
+        size.changes_per_day * _READS_PER_EDIT / _DAY_SECONDS,
+    ]
+
+
+_COMMAND_LABELS = (
+    ('all edits', 'changes x command / day', _SHARE, ''),
+    ('reads and writes', 'changes x 3 / day', 'calls/s', ''),
+)
+
+
 def _figure(role: str, label: Label, amounts: list[float]) -> Figure:
     what, formula, unit, limit = label
     today, target = amounts
@@ -182,6 +224,8 @@
     for role, labels, work in (
         ('entry', _ENTRY_LABELS, _entry_rows),
         ('agent', _AGENT_LABELS, _agent_rows),
+        ('platform', _PLATFORM_LABELS, _platform_rows),
+        ('command', _COMMAND_LABELS, _command_rows),
     ):
         today, target = work(TODAY, slopes), work(TARGET, slopes)
         for label, *amounts in zip(labels, today, target, strict=True):
--- a/seampond/slopes/roles.py
+++ b/seampond/slopes/roles.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import re
+import resource
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -119,6 +120,14 @@
     ]
 
 
+def _measure_command(processes: Processes) -> Slope:
+    """Measure one operators' command, the first child to end."""
+    processes.command('template', 'list')
+    used = resource.getrusage(resource.RUSAGE_CHILDREN)
+    seconds = used.ru_utime + used.ru_stime
+    return Slope('command: processor time', seconds * MICROSECONDS, 'us')
+
+
 def _measure_idle(
     processes: Processes, role: str, names: tuple[str, ...]
 ) -> Slope:
@@ -134,6 +143,7 @@
 def measure_roles(folder: Path) -> list[Slope]:
     """Run the example as processes; measure idle, requests and tokens."""
     with run_processes(folder, 'fitlink-kochi', _prepare) as processes:
+        command = _measure_command(processes)
         key = processes.command('workspace', 'key', 'trainers')['key']
         idle = [
             _measure_idle(processes, 'entry', _ENTRIES),
@@ -143,6 +153,7 @@
         entries = read_use(processes, _ENTRIES)
         agents = read_use(processes, _AGENTS)
     return [
+        command,
         *idle,
         Slope('entry: memory after load', entries.largest_bytes, 'bytes'),
         Slope('agent: memory after load', agents.largest_bytes, 'bytes'),
--- a/seampond/testing/engine/app.py
+++ b/seampond/testing/engine/app.py
@@ -90,7 +90,8 @@
 
 
 def _chunk(sequence: Sequence, text: str, **fields: Any) -> bytes:
-    choice = {'index': 0, 'delta': {'content': text}, 'finish_reason': None}
+    reason = 'stop' if 'usage' in fields else None
+    choice = {'index': 0, 'delta': {'content': text}, 'finish_reason': reason}
     content = {
         'id': sequence.request_id,
         'object': 'chat.completion.chunk',
