Never say "not run" of a run that was forgotten

Cause: found by reading. An agent forgets an ended run after `keep_ms` (60 s). An entry frozen for longer, its link gone, would resume, hear "not run", and open another attempt: a second dispatch of what had run.

Ruled out: a limit in the entry's clock on resuming, since a frozen entry reads the end of its link only after the thaw and measures from there.

Change: the ids of dispatched runs are remembered for two hours, longer than the longest deadline; a resume of one is answered "may have run".

--- a/seampond/engines/agent.py
+++ b/seampond/engines/agent.py
@@ -6,6 +6,7 @@
 from seampond.clock import Clock
 from seampond.engines.asks import Asks
 from seampond.engines.entries import EntryPeer
+from seampond.engines.memory import TimedSet
 from seampond.engines.reservations import Reservation, Reservations
 from seampond.engines.runner import Runner
 from seampond.engines.runs import Run
@@ -53,7 +54,6 @@
         runner: Runner,
     ) -> None:
         """Start with nothing held."""
-        self._settings = settings
         self._clock = clock
         self._metrics = metrics
         self._runner = runner
@@ -61,7 +61,7 @@
             settings.backend.queue_max, settings.hold_down_ms, promises
         )
         self._asks = Asks(runner.slots, settings.ask_ms)
-        self._refused: dict[tuple[str, int], int] = {}
+        self._refused = TimedSet(settings.keep_ms)
         self.entries: set[EntryPeer] = set()
         self.generation = 0
         runner.on_free = self.pump
@@ -152,10 +152,7 @@
         now_ms = self._clock.now()
         self._asks.drop_expired(now_ms)
         self._runner.tidy(now_ms)
-        horizon = now_ms - self._settings.keep_ms
-        for key, refused_ms in list(self._refused.items()):
-            if refused_ms < horizon:
-                self._refused.pop(key)
+        self._refused.tidy(now_ms)
         self.pump()
 
     def _take_reserve(self, entry: EntryPeer, reserve: Reserve) -> None:
@@ -179,7 +176,7 @@
         reservation = self._asks.take_for(grant, now_ms)
         if self.is_leaving:
             self._refuse(entry, grant, Reason.leaving)
-        elif reservation is None or self._was_refused(grant):
+        elif reservation is None or (grant.id, grant.attempt) in self._refused:
             self._refuse(entry, grant, Reason.ask_expired)
         else:
             run = Run(
@@ -191,20 +188,26 @@
             )
             self._runner.start(run)
 
-    def _was_refused(self, grant: Grant) -> bool:
-        return (grant.id, grant.attempt) in self._refused
-
     def _refuse(
         self, entry: EntryPeer, about: Grant | Resume, reason: Reason
     ) -> None:
-        self._refused[about.id, about.attempt] = self._clock.now()
+        self._refused.add((about.id, about.attempt), self._clock.now())
         self._metrics.refusals.labels(reason.value).inc()
+        self._send_end(entry, about, RunWord.never, reason)
+
+    def _send_end(
+        self,
+        entry: EntryPeer,
+        about: Grant | Resume,
+        word: RunWord,
+        reason: Reason,
+    ) -> None:
         entry.send(
             Finish(
                 about.id,
                 about.attempt,
                 count=0,
-                run=RunWord.never.value,
+                run=word.value,
                 reason=reason.value,
             )
         )
@@ -214,9 +217,13 @@
             self._drop(cancel)
 
     def _take_resume(self, entry: EntryPeer, resume: Resume) -> None:
-        if not self._runner.resume(entry, resume):
-            # The grant never came here; should it still come, it is refused.
-            self._refuse(entry, resume, Reason.ask_expired)
+        if self._runner.resume(entry, resume):
+            return
+        if resume.id in self._runner.forgotten:
+            self._send_end(entry, resume, RunWord.maybe, Reason.agent_lost)
+            return
+        # The grant never came here; should it still come, it is refused.
+        self._refuse(entry, resume, Reason.ask_expired)
 
     def _take_received(self, _entry: EntryPeer, received: Received) -> None:
         self._runner.note_received(received)
--- a/seampond/engines/runner.py
+++ b/seampond/engines/runner.py
@@ -9,6 +9,7 @@
 from seampond.clock import Clock
 from seampond.engines.call import BackendError
 from seampond.engines.entries import EntryPeer
+from seampond.engines.memory import TimedSet
 from seampond.engines.runs import Run, Stage
 from seampond.engines.slots import Slots
 from seampond.links.messages import Cancel, Received, Resume
@@ -20,6 +21,8 @@
 from seampond.settings.models import AgentSettings
 from seampond.tasks import cancel_all
 
+# Longer than any entry keeps a request: an hour's deadline and its grace.
+REMEMBER_MS = 7_200_000
 _FIRST_SERVICE_MS = 1000.0
 _SMOOTHING = 0.1
 _logger = logging.getLogger(__name__)
@@ -60,6 +63,7 @@
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._service_ms = _FIRST_SERVICE_MS
         self.runs: dict[str, Run] = {}
+        self.forgotten = TimedSet(REMEMBER_MS)
         self.slots = Slots(settings.backend.slots)
         self.on_free: Callable[[], None] = lambda: None
         self.is_leaving = False
@@ -142,10 +146,17 @@
         for run in list(self.runs.values()):
             is_over = run.stage is Stage.ended
             if is_over and now_ms - run.ended_ms > self._settings.keep_ms:
-                self.runs.pop(run.id)
+                self._forget(run, now_ms)
             elif not is_over and self._must_stop(run, now_ms):
                 self._stop(run)
 
+        self.forgotten.tidy(now_ms)
+
+    def _forget(self, run: Run, now_ms: int) -> None:
+        self.runs.pop(run.id)
+        if not run.was_not_run:
+            self.forgotten.add(run.id, now_ms)
+
     def _must_stop(self, run: Run, now_ms: int) -> bool:
         # The HTTP client may swallow a cancellation, so it is repeated.
         if run.is_cancelled:
--- a/seampond/engines/tests/test_agent.py
+++ b/seampond/engines/tests/test_agent.py
@@ -161,6 +161,16 @@
         self.assertEqual([frame.number for frame in link.sent_of(Frame)], [2])
         self.assertEqual(link.sent_of(Finish)[0].count, 3)
 
+    async def test_a_forgotten_run_is_not_called_not_run(self) -> None:
+        self.take(build_reserve(), build_grant())
+        await self.settle()
+        self.clock.advance(600_000)
+        self.agent.tidy()
+        self.assertEqual(self.runner.runs, {})
+        # An entry that was frozen since asks for the rest.
+        self.take(Resume('r1', 1, 0))
+        self.assertEqual(self.finish().run, 'maybe')
+
     async def test_a_server_that_was_not_reached_is_not_run(self) -> None:
         async def refuse(run: Run) -> None:
             raise BackendError(
