Keep units of a scarce quota for refused urgent work

Ruled out: a debt that counts the tenant's own margin of 0.4 x 0.1 of its window (reckoned by hand: the large one would still need 202 of 250 units a turn and be given less often than the small); a stricter random part for less urgent work (it would starve it where nothing urgent asks). Change: sharing/fairness.py notes by rank what was asked and given of late. While urgent work was refused within the last second and was given no larger part than other work, other work leaves as many units as it lacked. An urgent request beyond all the bucket ever holds keeps nobody out.

--- a/seampond/sharing/quotas.py
+++ b/seampond/sharing/quotas.py
@@ -6,6 +6,7 @@
 
 from seampond.clock import MS_PER_SECOND, Clock
 from seampond.forwarding.models import Tenant
+from seampond.sharing.fairness import Fairness
 from seampond.sharing.heartbeats import Heartbeat
 from seampond.sharing.peers import Peers
 
@@ -42,10 +43,14 @@
         What we have given in this life of the process.
     told : float
         How much of it the others have been told.
+    fairness : Fairness
+        What the ranks of work have asked here.
+
     """
 
     tenant: Tenant
     filled_ms: int
+    fairness: Fairness
     level: float = 0
     part_level: float = 0
     spent: float = 0
@@ -110,8 +115,8 @@
         Where a tenant asks for more than its quota, small requests would
         empty the bucket before it holds enough for a large one.  So a
         request is let in by the level before it, whatever its size, and may
-        leave a debt; and of less urgent work only a part is let in while
-        the bucket is low.
+        leave a debt; of less urgent work only a part is let in while the
+        bucket is low, and it leaves what urgent work has just lacked.
 
         Parameters
         ----------
@@ -125,20 +130,10 @@
 
         """
         bucket = self._filled(tenant)
-        missing = self._missing(bucket.level, units, 1)
-        if rank and bucket.level < tenant.burst * _LOW_PART:
-            if self._rng.random() > 1 / (1 + rank):
-                missing = max(missing, tenant.burst * _LOW_PART - bucket.level)
-        rate = tenant.rate
-        if not self._peers.all_heard:
-            part = 1 / self._peers.count
-            missing = max(
-                missing, self._missing(bucket.part_level, units, part)
-            )
-            rate *= part
-        if missing > 0:
-            wait_ms = round(missing / max(1.0, rate) * MS_PER_SECOND) + 1
-            return min(_LONGEST_WAIT_MS, wait_ms)
+        wait_ms = self._wait_ms(bucket, units, rank)
+        bucket.fairness.note(rank, units, is_given=not wait_ms)
+        if wait_ms:
+            return wait_ms
         self._spend(bucket, units)
         untold = bucket.spent - bucket.told
         if untold > self.margin.units * _URGENT_PART:
@@ -181,6 +176,30 @@
         incarnation, before = known
         return units - before if incarnation == heartbeat.incarnation else units
 
+    def _wait_ms(self, bucket: Bucket, units: float, rank: int) -> int:
+        """Give how long until there may be enough, 0 if there is now."""
+        missing = self._missing(bucket.level, units, 1)
+        kept = bucket.fairness.kept_from(rank)
+        most = bucket.tenant.burst + self.margin.units * _DEBT_PART
+        if 0 < kept <= most:
+            missing = max(missing, self._missing(bucket.level - units, kept, 1))
+        if rank and bucket.level < bucket.tenant.burst * _LOW_PART:
+            if self._rng.random() > 1 / (1 + rank):
+                missing = max(
+                    missing, bucket.tenant.burst * _LOW_PART - bucket.level
+                )
+        rate = bucket.tenant.rate
+        if not self._peers.all_heard:
+            part = 1 / self._peers.count
+            missing = max(
+                missing, self._missing(bucket.part_level, units, part)
+            )
+            rate *= part
+        if missing <= 0:
+            return 0
+        wait_ms = round(missing / max(1.0, rate) * MS_PER_SECOND) + 1
+        return min(_LONGEST_WAIT_MS, wait_ms)
+
     def _missing(self, level: float, units: float, part: float) -> float:
         """Give what a level lacks for a request, 0 or less for nothing."""
         margin = self.margin.units * part
@@ -194,7 +213,13 @@
         if bucket is None:
             owed = -self.margin.units * _OWED_PART
             given = self._given.pop(tenant.name, 0)
-            bucket = Bucket(tenant, self._started_ms, owed - given, owed)
+            bucket = Bucket(
+                tenant,
+                self._started_ms,
+                Fairness(self._clock),
+                owed - given,
+                owed,
+            )
             self._buckets[tenant.name] = bucket
         bucket.tenant = tenant
         self._fill(bucket)
--- a/seampond/sharing/tests/test_quotas.py
+++ b/seampond/sharing/tests/test_quotas.py
@@ -158,6 +158,16 @@
         """The same where the margin holds units for a debt."""
         self._assert_urgent_first(Fleet(4, slack=800))
 
+    def test_what_the_bucket_never_holds_keeps_nobody_out(self) -> None:
+        """An urgent request beyond all bounds leaves the quota to others."""
+        fleet = Fleet(1)
+        given = 0
+        for _ in range(40):
+            fleet.beat()
+            fleet.quotas['g0'].charge(_TENANT, 3 * _BURST, 0)
+            given += not fleet.quotas['g0'].charge(_TENANT, 100, 2)
+        self.assertGreater(given, 30)
+
     def test_urgent_work_goes_before_other(self) -> None:
         """While the bucket is low, only a part of other work is let in."""
         fleet = Fleet(4, slack=800)
