Keep header and idle time-outs of callers, and a bound on connections

Ruled out: a task for each head (a timer is set only for a head that does not come whole in one packet, so a common request pays nothing). Change: a head that does not end in time and a body that stalls get 408 and a close, never sent on; a rested connection ends after the idle time in force. Of a server's max-conns each gateway keeps to an equal part.

--- a/seampond/forwarding/app.py
+++ b/seampond/forwarding/app.py
@@ -7,7 +7,7 @@
 from http import HTTPStatus
 from typing import Any
 
-from starlette.types import Receive, Scope, Send
+from starlette.types import Message, Receive, Scope, Send
 
 from seampond.clock import MS_PER_SECOND, Clock
 from seampond.forwarding.admission import Admission, Arrival
@@ -164,7 +164,7 @@
     ) -> None:
         self.has_started = True
         self._status = status
-        if self._web.is_stopping:
+        if self._web.is_stopping and _CLOSE not in headers:
             headers.append(_CLOSE)
         if self._progress is not None:
             route = self._progress.job.route.name
@@ -194,9 +194,7 @@
         parts: list[bytes] = []
         size = 0
         while True:
-            message = await receive()
-            if message['type'] == _DISCONNECT:
-                raise Gone
+            message = await self._receive(receive)
             part = message.get('body', b'')
             size += len(part)
             if size > limits.body_bytes:
@@ -210,6 +208,18 @@
             )
         return b''.join(parts)
 
+    async def _receive(self, receive: Receive) -> Message:
+        """Wait for the next part of the body, as long as it may take."""
+        idle_ms = self._web.admission.limits.idle_ms
+        try:
+            async with asyncio.timeout(idle_ms / MS_PER_SECOND):
+                message = await receive()
+        except TimeoutError as error:
+            raise Refusal(Cause.slow_body, step='read') from error
+        if message['type'] == _DISCONNECT:
+            raise Gone
+        return message
+
     async def _refuse(self, refusal: Refusal) -> None:
         if refusal.says_not_run and self._progress is not None:
             self._web.promises.check(
@@ -225,6 +235,8 @@
         if refusal.retry_after_ms:
             seconds = refusal.retry_after_ms / MS_PER_SECOND
             headers.append((b'retry-after', b'%.3f' % seconds))
+        if refusal.ends_connection:
+            headers.append(_CLOSE)
         self._web.metrics.refusals.labels(refusal.cause.value).inc()
         await self._start(refusal.status, headers)
         await self._send(_body(text, more=False))
--- a/seampond/forwarding/backends.py
+++ b/seampond/forwarding/backends.py
@@ -1,7 +1,8 @@
 """What a gateway believes of each server."""
 
 import logging
-from collections.abc import Iterable, Mapping
+import sys
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 
 from seampond.clock import Clock
@@ -151,6 +152,11 @@
         self.idle.clear()
 
 
+def _no_bound(pool: str) -> int:
+    """Allow connections without a bound."""
+    return sys.maxsize
+
+
 class Backends:
     """All servers that a gateway knows, by their id.
 
@@ -160,13 +166,20 @@
         The header that every answer of a server carries back.
     grace_ms : int
         How long a server whose row has gone is a fallback.
+    bound_connections : Callable[[str], int]
+        Gives how many connections we may have to each server of a pool.
 
     """
 
     def __init__(
-        self, clock: Clock, id_header: bytes, grace_ms: int = 0
+        self,
+        clock: Clock,
+        id_header: bytes,
+        grace_ms: int = 0,
+        bound_connections: Callable[[str], int] = _no_bound,
     ) -> None:
         """Start with none."""
+        self.bound_connections = bound_connections
         self.grace_ms = grace_ms
         self._clock = clock
         self._id_header = id_header
--- a/seampond/forwarding/models.py
+++ b/seampond/forwarding/models.py
@@ -88,10 +88,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Limits:
-    """What a caller may send."""
+    """What a caller may send, and how long it may take.
+
+    Parameters
+    ----------
+    header_ms : int
+        From the first byte of a head to its end.
+    idle_ms : int
+        Without a byte, between two requests or inside a body.
+
+    """
 
     header_bytes: int = 16_384
     body_bytes: int = 4_194_304
+    header_ms: int = 10_000
     idle_ms: int = 15_000
 
 
--- a/seampond/forwarding/refusals.py
+++ b/seampond/forwarding/refusals.py
@@ -17,6 +17,7 @@
     over_quota = 'over-quota'
     header_size = 'header-too-large'
     body_size = 'body-too-large'
+    slow_body = 'body-too-slow'
     no_memory = 'no-memory'
     no_server = 'no-server'
     overload = 'overload'
@@ -34,12 +35,19 @@
     (Cause.over_quota, HTTPStatus.TOO_MANY_REQUESTS),
     (Cause.header_size, HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE),
     (Cause.body_size, HTTPStatus.REQUEST_ENTITY_TOO_LARGE),
+    (Cause.slow_body, HTTPStatus.REQUEST_TIMEOUT),
     (Cause.in_doubt, HTTPStatus.BAD_GATEWAY),
     (Cause.timeout, HTTPStatus.GATEWAY_TIMEOUT),
 )
 
 # Callers take these as a promise, and may send the request again.
-_NOT_RUN = (_LATER, HTTPStatus.TOO_MANY_REQUESTS)
+_NOT_RUN = (
+    _LATER,
+    HTTPStatus.TOO_MANY_REQUESTS,
+    HTTPStatus.REQUEST_TIMEOUT,
+)
+# The rest of the body may still come: the connection is of no more use.
+_BODY_UNREAD = (Cause.body_size, Cause.slow_body)
 
 
 class Refusal(SeampondError):
@@ -72,6 +80,11 @@
         """Whether the status promises that the request never ran."""
         return self.status in _NOT_RUN
 
+    @property
+    def ends_connection(self) -> bool:
+        """Whether the caller's body was not read to its end."""
+        return self.cause in _BODY_UNREAD
+
     @property
     def status(self) -> HTTPStatus:
         """The status of the answer.
--- a/seampond/forwarding/scheduler.py
+++ b/seampond/forwarding/scheduler.py
@@ -197,6 +197,9 @@
         return first_ms <= job.route.target_ms + expect_least_ms(job)
 
     def _has_room(self, backend: Backend, now_ms: int) -> bool:
+        bound = self._backends.bound_connections(backend.server.pool)
+        if backend.in_flight >= bound:
+            return False
         slots = backend.server.slots
         share = max(1, slots // max(1, self._count_gateways()))
         return backend.in_flight < share or backend.load(now_ms) < slots
--- a/seampond/gateway/daemon.py
+++ b/seampond/gateway/daemon.py
@@ -173,7 +173,9 @@
                 settings.ready_listen,
                 settings.metrics_listen,
                 drain_ms=max(1, drain_ms),
-                protocol=CallerProtocol,
+                protocol=functools.partial(
+                    CallerProtocol, lambda: parts.web.admission.limits
+                ),
             )
         )
         yield RunningGateway(parts, server)
--- a/seampond/gateway/parts.py
+++ b/seampond/gateway/parts.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import secrets
+import sys
 from dataclasses import dataclass
 from typing import Any
 
@@ -145,6 +146,22 @@
     return flat
 
 
+def bound_connections(belief: Belief, peers: Peers, pool: str) -> int:
+    """Give how many connections one gateway may have to each server.
+
+    Explanation
+    -----------
+    A server resets what comes beyond the bound of its pool.  Each request
+    has a connection of its own and takes a rested one first, so a bound on
+    the requests there bounds the connections too.
+    """
+    configuration = belief.configuration
+    known = configuration.pools.get(pool) if configuration else None
+    if known is None or not known.connections_max:
+        return sys.maxsize
+    return max(1, known.connections_max // peers.count)
+
+
 def make_gateway(settings: GatewaySettings, clock: Clock) -> GatewayParts:
     """Wire the state of a gateway together."""
     metrics = GatewayMetrics()
@@ -162,7 +179,12 @@
     )
     # Less than the bound: what is sent has to arrive inside it.
     grace_ms = round(bounds.drain_ms * _GRACE_PART)
-    backends = Backends(clock, HEADERS.request_id, grace_ms)
+    backends = Backends(
+        clock,
+        HEADERS.request_id,
+        grace_ms,
+        lambda pool: bound_connections(belief, peers, pool),
+    )
     scheduler = Scheduler(
         backends, settings.zone, clock, lambda: peers.count, promises
     )
--- /dev/null
+++ b/seampond/gateway/tests/test_limits.py
@@ -0,0 +1,129 @@
+"""How long a caller may take, and how many connections a server gets."""
+
+import asyncio
+from http import HTTPStatus
+
+from seampond.gateway.daemon import RunningGateway
+from seampond.gateway.tests.test_gateway import GatewayCase, build_content
+from seampond.platform import HEADERS
+from seampond.testing.gateways import until_true
+from seampond.testing.scripted import Received
+
+_ID = HEADERS.request_id.decode()
+_SHORT_MS = 150
+_LONG_MS = 60_000
+_WAIT_SECONDS = 5
+_HEAD = (
+    'POST /x/y HTTP/1.1\r\n'
+    'Host: a.example\r\n'
+    f'{_ID}: r1\r\n'
+    'Authorization: Token k1\r\n'
+)
+
+
+class LimitsTest(GatewayCase):
+    """Bounds of the configuration on callers."""
+
+    async def start_limited(self, **limits: int) -> RunningGateway:
+        """Start a gateway whose configuration names these limits."""
+        named = {name.replace('_', '-'): told for name, told in limits.items()}
+        content = build_content(1, limits=named)
+        gateway = await self.start_ready()
+        self.store.put('op', 'config', content | {'version': 2})
+        await until_true(lambda: gateway.parts.web.admission.version == 2)
+        return gateway
+
+    async def send(
+        self, gateway: RunningGateway, text: str
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Open a connection and send some bytes."""
+        host, _, port = gateway.parts.settings.listen.rpartition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.addCleanup(writer.close)
+        writer.write(text.encode())
+        return reader, writer
+
+    async def read_end(self, reader: asyncio.StreamReader) -> bytes:
+        """Read until the gateway closes the connection."""
+        async with asyncio.timeout(_WAIT_SECONDS):
+            return await reader.read()
+
+    async def test_slow_head_is_refused(self) -> None:
+        """A head that does not end in time gets 408 and a close."""
+        gateway = await self.start_limited(
+            header_timeout_ms=_SHORT_MS, idle_timeout_ms=_LONG_MS
+        )
+        reader, _ = await self.send(gateway, _HEAD)
+        answer = await self.read_end(reader)
+        self.assertTrue(answer.startswith(b'HTTP/1.1 408 '), answer)
+        self.assertEqual(self.server.received, [])
+
+    async def test_head_in_parts_is_served(self) -> None:
+        """A head that ends in time is no slow one, nor is what follows."""
+        gateway = await self.start_limited(
+            header_timeout_ms=_SHORT_MS, idle_timeout_ms=_LONG_MS
+        )
+        reader, writer = await self.send(gateway, _HEAD)
+        await asyncio.sleep(0)
+        writer.write(b'Content-Length: 0\r\n\r\n')
+        async with asyncio.timeout(_WAIT_SECONDS):
+            await reader.readuntil(b'whole')
+            await asyncio.sleep(2 * _SHORT_MS / 1000)
+            writer.write(f'{_HEAD}Content-Length: 0\r\n\r\n'.encode())
+            await reader.readuntil(b'whole')
+
+    async def test_stalled_body_is_refused(self) -> None:
+        """A body of which nothing more comes gets 408, was never sent."""
+        gateway = await self.start_limited(
+            header_timeout_ms=_LONG_MS, idle_timeout_ms=_SHORT_MS
+        )
+        reader, _ = await self.send(
+            gateway, f'{_HEAD}Content-Length: 9\r\n\r\nabc'
+        )
+        answer = await self.read_end(reader)
+        self.assertTrue(answer.startswith(b'HTTP/1.1 408 '), answer)
+        self.assertEqual(self.server.received, [])
+
+    async def test_idle_connection_is_closed(self) -> None:
+        """After the idle time of the configuration, and not before."""
+        gateway = await self.start_limited(
+            header_timeout_ms=_LONG_MS, idle_timeout_ms=_SHORT_MS
+        )
+        reader, _ = await self.send(
+            gateway, f'{_HEAD}Content-Length: 0\r\n\r\n'
+        )
+        answer = await self.read_end(reader)
+        self.assertTrue(answer.endswith(b'whole'), answer)
+
+    async def test_connections_to_a_server_are_bounded(self) -> None:
+        """Gateways keep to their part of what a server accepts."""
+        release = asyncio.Event()
+
+        async def hold(request: Received, writer: asyncio.StreamWriter) -> None:
+            await release.wait()
+            await GatewayCase.serve(self, request, writer)
+
+        self.serve = hold  # type: ignore[method-assign]
+        content = build_content(1, services=[{'name': 's1', 'max-conns': 4}])
+        self.store.put('op', 'config', content)
+        self.list_server(slots=8)
+        gateway = await self.start()
+        self.store.put('gateways', 'g2', {'address': '127.0.0.1:9'})
+        parts = gateway.parts
+        await until_true(
+            lambda: parts.is_ready and parts.web.admission.proof_age_ms < 5000
+        )
+        await until_true(lambda: parts.peers.count == 2)
+        asked = [
+            asyncio.create_task(self.ask(gateway, request_id=f'r{number}'))
+            for number in range(6)
+        ]
+        statuses = []
+        for done in asyncio.as_completed(asked):
+            statuses.append((await done).status_code)
+            if len(statuses) == 4:
+                release.set()
+        self.assertLessEqual(self.server.connections, 2)
+        self.assertEqual(
+            statuses.count(HTTPStatus.SERVICE_UNAVAILABLE), 4, statuses
+        )
--- a/seampond/platform/configuration.py
+++ b/seampond/platform/configuration.py
@@ -62,6 +62,7 @@
 class _Limits(_Part):
     max_header_bytes: int = 16_384
     max_body_bytes: int = 4_194_304
+    header_timeout_ms: int = 10_000
     idle_timeout_ms: int = 15_000
 
 
@@ -164,6 +165,7 @@
         limits=models.Limits(
             header_bytes=whole.limits.max_header_bytes,
             body_bytes=whole.limits.max_body_bytes,
+            header_ms=whole.limits.header_timeout_ms,
             idle_ms=whole.limits.idle_timeout_ms,
         ),
     )
--- a/seampond/web.py
+++ b/seampond/web.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 import socket
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator, Callable, Iterator
 from contextlib import asynccontextmanager, contextmanager
 from dataclasses import dataclass
 from typing import Literal
@@ -74,7 +74,7 @@
     app: ASGIApp,
     *addresses: str,
     drain_ms: int = 0,
-    protocol: type[asyncio.Protocol] | Literal['h11'] = 'h11',
+    protocol: Callable[..., asyncio.Protocol] | Literal['h11'] = 'h11',
 ) -> AsyncIterator[WebServer]:
     """Serve `app` on all `addresses` until the end of the `with`.
 
@@ -82,8 +82,8 @@
     ----------
     drain_ms : int
         How long running requests may take to finish at the end.
-    protocol : type or str
-        What speaks HTTP on a connection.
+    protocol : Callable or str
+        Makes what speaks HTTP on a connection.
 
     """
     logging.getLogger('uvicorn').setLevel(logging.CRITICAL)
@@ -93,7 +93,7 @@
     config = uvicorn.Config(
         app,
         loop='asyncio',
-        http=protocol,
+        http=protocol,  # type: ignore[arg-type]
         ws='none',
         lifespan='off',
         log_config=None,
