Do not overfill servers where gateways are more than slots

Ruled out: stale loads alone (heartbeats are 150 ms old in the mean; at 180 requests a second over 21 servers that is an error of about one). Change: a gateway's place without regard to load is its whole part of the slots, 0 where gateways are more; who has less than its part of the whole pool may go 2 beyond a server's slots, so nobody is left out.

--- a/seampond/forwarding/scheduler.py
+++ b/seampond/forwarding/scheduler.py
@@ -22,6 +22,7 @@
 _RETRY_MOST = 0.3
 _LOOK_AGAIN_MS = 100
 _QUEUE_MAX = 500
+_EXTRA_PLACES = 2
 _STEP = 'place'
 
 
@@ -163,12 +164,14 @@
 
     def _find(self, job: Job, avoid: set[str]) -> Backend | None:
         now_ms = self._clock.now()
+        known = self._backends.of_pool(job.pool)
+        extra = _EXTRA_PLACES if self._is_below_share(known) else 0
         usable = [
             backend
-            for backend in self._backends.of_pool(job.pool)
+            for backend in known
             if backend.server.id not in avoid
             and backend.is_usable(now_ms)
-            and self._has_room(backend, now_ms)
+            and self._has_room(backend, now_ms, extra)
             and self._is_in_time(backend, job, now_ms)
         ]
         listed = [backend for backend in usable if backend.takes_work]
@@ -177,8 +180,8 @@
             return None
         pool = self._backends.speed_of(job.pool)
         costs = [
-            rate_backend(known, job, pool, self._zone, now_ms)
-            for known in usable
+            rate_backend(backend, job, pool, self._zone, now_ms)
+            for backend in usable
         ]
         return usable[costs.index(min(costs))]
 
@@ -196,13 +199,30 @@
         first_ms = expect_first_ms(backend, job, pool, now_ms)
         return first_ms <= job.route.target_ms + expect_least_ms(job)
 
-    def _has_room(self, backend: Backend, now_ms: int) -> bool:
+    def _is_below_share(self, backends: list[Backend]) -> bool:
+        """Whether we have less than an equal part of a pool's places."""
+        places = sum(backend.server.slots for backend in backends)
+        own = sum(backend.in_flight for backend in backends)
+        return own < places // max(1, self._count_gateways())
+
+    def _has_room(self, backend: Backend, now_ms: int, extra: int) -> bool:
+        """Whether a server has a place for one more of ours.
+
+        Explanation
+        -----------
+        A gateway may fill its equal part of each server's slots.  Where
+        there are more gateways than slots that part is nothing, so one that
+        is below its part of the whole pool may go a little beyond the slots;
+        all of them together would have a server queue many.
+        """
         bound = self._backends.bound_connections(backend.server.pool)
         if backend.in_flight >= bound:
             return False
         slots = backend.server.slots
-        share = max(1, slots // max(1, self._count_gateways()))
-        return backend.in_flight < share or backend.load(now_ms) < slots
+        share = slots // max(1, self._count_gateways())
+        if backend.in_flight < share:
+            return True
+        return backend.load(now_ms) < slots + extra
 
     def _enter(self, queue: Queue, job: Job, avoid: set[str]) -> Waiter:
         waiter = Waiter(
--- a/seampond/forwarding/tests/test_scheduler.py
+++ b/seampond/forwarding/tests/test_scheduler.py
@@ -123,6 +123,29 @@
         # Both are full now; half of each server is ours all the same.
         self.assertIs(await scheduler.place(build_job(), set()), full)
 
+    async def test_many_gateways_do_not_overfill_a_server(self) -> None:
+        """Each with a place beyond the slots would double what it holds."""
+        scheduler, backends = build_scheduler(4, 4, gateways=8)
+        now_ms = Clock().now()
+        for backend in backends:
+            backend.others = OthersLoad(6, 0, now_ms)
+        with self.assertRaises(Refusal):
+            await scheduler.place(
+                build_job(route=build_route(target_ms=50)), set()
+            )
+
+    async def test_gateway_below_its_share_goes_before_the_full(self) -> None:
+        """Who has nothing anywhere gets a place beyond the slots."""
+        scheduler, backends = build_scheduler(4, 4, gateways=8)
+        now_ms = Clock().now()
+        for backend in backends:
+            backend.others = OthersLoad(4, 0, now_ms)
+        await scheduler.place(build_job(), set())
+        with self.assertRaises(Refusal):
+            await scheduler.place(
+                build_job(route=build_route(target_ms=50)), set()
+            )
+
     async def test_long_prompts_are_kept_apart(self) -> None:
         """What waits to be read on a server makes it the slower one."""
         scheduler, backends = build_scheduler(8, 8)
