Prove for all gateways what the store holds; calls wait longer

Each of 22 gateways asked for the configuration every 1.5 s, since only an answer proves that no key was taken away, and for the servers every 2 s, since a feed may be dead. Ruled out: longer calls alone (a proof must be younger than revoke_ms, and a dead feed must be noticed inside the configuration's deadline); one gateway that asks for all (it may go at any time). Change: a call waits 15 s. Who has an answer tells the others in its heartbeat the table's newest change and the store's time; whoever holds all up to that change was current then too (watches/currency.py). Where no proof is 1.5 s old or younger the first by name asks, beside its feed and without a wait, the next 0.1 s later (watches/probe.py); who hears of a change that it lacks asks after 0.2 s; a feed is opened again after an outage. Before: no such proof (test_proof_of_another_gateway_counts, ProbeTest and CurrencyTest name what is new); after: 31 tests of watches and gateway pass.

--- a/seampond/gateway/beliefs.py
+++ b/seampond/gateway/beliefs.py
@@ -11,7 +11,7 @@
 from seampond.platform import read_configuration, read_server
 from seampond.platform.names import CONFIGURATION_KEY
 from seampond.promises import Promises, Rule
-from seampond.watches import Page, Row, StoreTime
+from seampond.watches import Page, Row
 
 _logger = logging.getLogger(__name__)
 
@@ -25,25 +25,23 @@
         promises: Promises,
         metrics: GatewayMetrics,
         clock: Clock,
-        store_time: StoreTime,
     ) -> None:
         """Start without a configuration."""
         self._belief = belief
         self._promises = promises
         self._metrics = metrics
         self._clock = clock
-        self._store_time = store_time
 
     def take(self, page: Page) -> None:
         """Take an answer of the store."""
         for row in page.rows:
             if row.key == CONFIGURATION_KEY and not row.is_gone:
                 self._take_row(row)
-        proved_ms = self._store_time.local_ms(page)
-        if page.is_whole or self._belief.configuration is None:
-            # A read may be some seconds behind; a change feed is not.
-            return
-        self._belief.proved_ms = max(self._belief.proved_ms, proved_ms)
+
+    def note_proof(self, proved_ms: int) -> None:
+        """Note when the configuration in force was surely the newest."""
+        if self._belief.configuration is not None:
+            self._belief.proved_ms = max(self._belief.proved_ms, proved_ms)
 
     def _take_row(self, row: Row) -> None:
         try:
--- a/seampond/gateway/daemon.py
+++ b/seampond/gateway/daemon.py
@@ -28,11 +28,12 @@
     unregister,
 )
 from seampond.tasks import run_tasks
-from seampond.watches import Page, Watch
+from seampond.watches import Page, Watch, keep_current
 from seampond.web import WebServer, serve_http
 
 _STOP_MARGIN_MS = 500
-_GATEWAYS_WAIT_MS = 8000
+_PROOF_MS = 1500
+_GATEWAYS_PROOF_MS = 8000
 _logger = logging.getLogger(__name__)
 
 
@@ -63,22 +64,44 @@
 
 @asynccontextmanager
 async def _watch(
-    parts: GatewayParts,
-    table: str,
-    take: Callable[[Page], None],
-    wait_ms: int,
+    parts: GatewayParts, table: str, take: Callable[[Page], None], age_ms: int
 ) -> AsyncIterator[None]:
-    """Follow one table until the end of the `with`."""
+    """Follow one table until the end of the `with`.
+
+    Parameters
+    ----------
+    age_ms : int
+        How old a proof may be that we hold all changes of the table.
+
+    """
 
     def count(step: str) -> None:
         parts.metrics.store_failures.labels(step).inc()
 
-    address = parts.settings.store.address
-    async with open_table(address, table, parts.clock) as source:
+    def take_and_tell(page: Page) -> None:
+        take(page)
+        if not page.is_whole:
+            # A proof saves the others a call.
+            parts.is_urgent.set()
+
+    store, clock = parts.settings.store, parts.clock
+    async with (
+        open_table(store.address, table, clock) as source,
+        open_table(store.address, table, clock) as probe_source,
+    ):
         watch = Watch(
-            source, take, wait_ms, parts.clock, count, parts.store_time
+            source,
+            probe_source,
+            take_and_tell,
+            store.wait_ms,
+            clock,
+            count,
+            parts.currencies[table],
         )
-        async with run_tasks(watch.run()):
+        async with run_tasks(
+            watch.run(),
+            keep_current(watch, age_ms, lambda: parts.peers.rank, clock),
+        ):
             yield
 
 
@@ -140,31 +163,16 @@
     bounds = settings.bounds
     drain_ms = bounds.stop_ms - settings.linger_ms - _STOP_MARGIN_MS
     async with AsyncExitStack() as stack:
-        waits = settings.store
-        await stack.enter_async_context(
-            _watch(
-                parts,
-                CONFIGURATION_TABLE,
-                parts.configuration.take,
-                waits.configuration_wait_ms,
-            )
-        )
-        await stack.enter_async_context(
-            _watch(
-                parts,
-                SERVERS_TABLE,
-                parts.servers.take,
-                waits.servers_wait_ms,
-            )
-        )
-        await stack.enter_async_context(
-            _watch(
-                parts,
+        for table, take, age_ms in (
+            (CONFIGURATION_TABLE, parts.configuration.take, _PROOF_MS),
+            (SERVERS_TABLE, parts.servers.take, _PROOF_MS),
+            (
                 GATEWAYS_TABLE,
                 functools.partial(take_gateways, parts.peers),
-                _GATEWAYS_WAIT_MS,
-            )
-        )
+                _GATEWAYS_PROOF_MS,
+            ),
+        ):
+            await stack.enter_async_context(_watch(parts, table, take, age_ms))
         await stack.enter_async_context(_share(parts))
         server = await stack.enter_async_context(
             serve_http(
--- a/seampond/gateway/parts.py
+++ b/seampond/gateway/parts.py
@@ -4,6 +4,7 @@
 import random
 import secrets
 import sys
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -17,10 +18,15 @@
 from seampond.gateway.beliefs import ConfigurationFollower, ServerFollower
 from seampond.metrics.gateway import GatewayMetrics
 from seampond.platform import HEADERS
+from seampond.platform.names import (
+    CONFIGURATION_TABLE,
+    GATEWAYS_TABLE,
+    SERVERS_TABLE,
+)
 from seampond.promises import Promises
 from seampond.settings.gateway import GatewaySettings
 from seampond.sharing import Heartbeat, Load, Margin, Peers, Quotas
-from seampond.watches import StoreTime
+from seampond.watches import Currency, Proof, StoreTime
 
 _INCARNATION_BITS = 63
 _GRACE_PART = 0.7
@@ -39,7 +45,7 @@
     scheduler: Scheduler
     web: GatewayWeb
     configuration: ConfigurationFollower
-    store_time: StoreTime
+    currencies: Mapping[str, Currency]
     peers: Peers
     quotas: Quotas
     budget: RetryBudget
@@ -76,6 +82,10 @@
     def take_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Take what another gateway has told."""
         self.quotas.take_heartbeat(heartbeat)
+        for table, proof in heartbeat.proofs.items():
+            currency = self.currencies.get(table)
+            if currency is not None:
+                currency.take_proof(proof)
         now_ms = self.clock.now()
         self.backends.take_others(
             {
@@ -96,6 +106,7 @@
             self.web.is_stopping,
             self.quotas.uptime_ms,
             self._loads(),
+            proofs=self._proofs(),
         )
 
     def show_status(self) -> dict[str, object]:
@@ -128,6 +139,13 @@
             'servers': servers,
         }
 
+    def _proofs(self) -> dict[str, Proof]:
+        return {
+            table: currency.proof
+            for table, currency in self.currencies.items()
+            if currency.proof is not None
+        }
+
     def _loads(self) -> dict[str, Load]:
         return {
             backend.server.id: Load(backend.in_flight, backend.own_unread)
@@ -216,6 +234,7 @@
         )
     )
     web = GatewayWeb(admission, forwarder, metrics, clock, promises)
+    configuration = ConfigurationFollower(belief, promises, metrics, clock)
     store_time = StoreTime()
     return GatewayParts(
         settings=settings,
@@ -226,10 +245,14 @@
         backends=backends,
         scheduler=scheduler,
         web=web,
-        configuration=ConfigurationFollower(
-            belief, promises, metrics, clock, store_time
-        ),
-        store_time=store_time,
+        configuration=configuration,
+        currencies={
+            CONFIGURATION_TABLE: Currency(
+                clock, store_time, configuration.note_proof
+            ),
+            SERVERS_TABLE: Currency(clock, store_time, lambda proved_ms: None),
+            GATEWAYS_TABLE: Currency(clock, store_time, lambda proved_ms: None),
+        },
         peers=peers,
         quotas=quotas,
         budget=budget,
--- a/seampond/gateway/tests/test_gateway.py
+++ b/seampond/gateway/tests/test_gateway.py
@@ -18,6 +18,7 @@
     GatewaySettings,
     StoreSettings,
 )
+from seampond.sharing import Heartbeat
 from seampond.testing.gateways import until_true
 from seampond.testing.scripted import (
     Received,
@@ -26,11 +27,14 @@
     write_answer,
 )
 from seampond.testing.store import StandInStore, run_store
+from seampond.watches import Proof
 
 _ID = HEADERS.request_id.decode()
 _STAMP = HEADERS.stamp.decode()
 _HOST = 'a.example'
 _KEY = 'k1'
+# The stand-in's steady clock against ours.
+_STORE_AHEAD_MS = 1_000_000
 
 
 def build_content(version: int, **changes: Any) -> dict[str, Any]:
@@ -281,9 +285,7 @@
     async def test_without_proof_no_key_is_served(self) -> None:
         """A gateway that cannot ask the store stops in time."""
         bounds = BoundSettings(revoke_ms=900, proof_margin_ms=100)
-        store = StoreSettings(
-            address=self.store.address, configuration_wait_ms=200
-        )
+        store = StoreSettings(address=self.store.address, wait_ms=200)
         gateway = await self.start_ready(bounds=bounds, store=store)
         admission = gateway.parts.web.admission
         await until_true(lambda: admission.proof_age_ms < 400)
@@ -295,6 +297,27 @@
         await until_true(lambda: admission.proof_age_ms < 800)
         self.assertEqual((await self.ask(gateway)).status_code, 200)
 
+    async def test_proof_of_another_gateway_counts(self) -> None:
+        """While it has seen no change that we lack; then it does not."""
+        gateway = await self.start_ready()
+        self.store.put('gateways', 'g2', {'address': '127.0.0.1:9'})
+        parts, clock = gateway.parts, self.store.clock
+        await until_true(lambda: parts.peers.count == 2)
+        self.store.is_down = True
+        admission = parts.web.admission
+        changed = int(str(self.store.rows[('op', 'config')]['ver']))
+        for sequence, newer in ((1, 0), (2, 100)):
+            await clock.sleep(300)
+            before_ms = admission.proof_age_ms
+            proof = Proof(changed + newer, clock.now() + _STORE_AHEAD_MS)
+            heartbeat = Heartbeat(
+                'g2', 1, sequence, proofs={'op': proof, 'other': proof}
+            )
+            self.assertTrue(parts.peers.take_heartbeat(heartbeat))
+            parts.take_heartbeat(heartbeat)
+            is_younger = admission.proof_age_ms < before_ms - 100
+            self.assertEqual(is_younger, not newer)
+
     async def test_draining_and_gone_servers_get_nothing(self) -> None:
         """The list's word is heeded at once."""
         gateway = await self.start_ready()
--- a/seampond/settings/gateway.py
+++ b/seampond/settings/gateway.py
@@ -14,15 +14,16 @@
 class StoreSettings(Section):
     """The store that a gateway's beliefs come from.
 
-    Explanation
-    -----------
-    The configuration is asked for often, since each answer also proves that
-    no key was taken away; the servers' rows change seldom.
+    Parameters
+    ----------
+    wait_ms : int
+        How long the store holds a call while nothing changes; less than its
+        history lasts.
+
     """
 
     address: Address
-    configuration_wait_ms: Milliseconds = 1500
-    servers_wait_ms: Milliseconds = 2000
+    wait_ms: Milliseconds = 15_000
 
 
 class BoundSettings(Section):
--- a/seampond/sharing/heartbeat.capnp
+++ b/seampond/sharing/heartbeat.capnp
@@ -11,6 +11,7 @@
   uptimeMs @6 :UInt64;
   loads @7 :List(Load);
   isGone @8 :Bool;
+  proofs @9 :List(Proof);
 }
 
 struct Load {
@@ -23,3 +24,9 @@
   tenant @0 :Text;
   units @1 :Float64;
 }
+
+struct Proof {
+  table @0 :Text;
+  changed @1 :UInt64;
+  storeMs @2 :UInt64;
+}
--- a/seampond/sharing/heartbeats.py
+++ b/seampond/sharing/heartbeats.py
@@ -9,6 +9,7 @@
 import capnp
 
 from seampond.errors import ForeignMessageError
+from seampond.watches import Proof
 
 _MAX_UNREAD = 4_294_967_295
 _SCHEMA_FILE = 'heartbeat.capnp'
@@ -51,6 +52,8 @@
         What it has on each server where it has anything.
     spent : Mapping[str, float]
         What it has given each tenant in this life, in units.
+    proofs : Mapping[str, Proof]
+        By table of the store, what it knows of its newest change.
 
     """
 
@@ -63,6 +66,7 @@
     uptime_ms: int = 0
     loads: Mapping[str, Load] = field(default_factory=dict)
     is_gone: bool = False
+    proofs: Mapping[str, Proof] = field(default_factory=dict)
 
 
 @functools.cache
@@ -70,6 +74,29 @@
     return capnp.load(str(Path(__file__).with_name(_SCHEMA_FILE)))
 
 
+def _write_spent(message: Any, spent: Mapping[str, float]) -> None:
+    rows = message.init('spent', len(spent))
+    for row, (tenant, units) in zip(rows, spent.items(), strict=True):
+        row.tenant = tenant
+        row.units = units
+
+
+def _write_loads(message: Any, loads: Mapping[str, Load]) -> None:
+    rows = message.init('loads', len(loads))
+    for row, (server, load) in zip(rows, loads.items(), strict=True):
+        row.server = server
+        row.running = load.running
+        row.unread = min(load.unread, _MAX_UNREAD)
+
+
+def _write_proofs(message: Any, proofs: Mapping[str, Proof]) -> None:
+    rows = message.init('proofs', len(proofs))
+    for row, (table, proof) in zip(rows, proofs.items(), strict=True):
+        row.table = table
+        row.changed = proof.changed
+        row.storeMs = proof.store_ms
+
+
 def encode(heartbeat: Heartbeat) -> bytes:
     """Encode a heartbeat into one datagram.
 
@@ -88,17 +115,9 @@
         uptimeMs=heartbeat.uptime_ms,
         isGone=heartbeat.is_gone,
     )
-    rows = message.init('spent', len(heartbeat.spent))
-    for row, (tenant, units) in zip(rows, heartbeat.spent.items(), strict=True):
-        row.tenant = tenant
-        row.units = units
-    loads = message.init('loads', len(heartbeat.loads))
-    for entry, (server, load) in zip(
-        loads, heartbeat.loads.items(), strict=True
-    ):
-        entry.server = server
-        entry.running = load.running
-        entry.unread = min(load.unread, _MAX_UNREAD)
+    _write_spent(message, heartbeat.spent)
+    _write_loads(message, heartbeat.loads)
+    _write_proofs(message, heartbeat.proofs)
     packed: bytes = message.to_bytes_packed()
     return packed
 
@@ -124,6 +143,10 @@
             reader.uptimeMs,
             {row.server: Load(row.running, row.unread) for row in reader.loads},
             reader.isGone,
+            {
+                told.table: Proof(told.changed, told.storeMs)
+                for told in reader.proofs
+            },
         )
     except _FAILURES as error:
         raise ForeignMessageError(
--- a/seampond/sharing/peers.py
+++ b/seampond/sharing/peers.py
@@ -60,6 +60,14 @@
         """How many gateways there may be, this one among them."""
         return len(self._alive()) + 1
 
+    @property
+    def rank(self) -> int:
+        """How many others that are heard come before us by name."""
+        return sum(
+            peer.name < self.name and not self._is_silent(peer)
+            for peer in self._alive()
+        )
+
     @property
     def addresses(self) -> list[str]:
         """Where the others listen, also those that were silent for long."""
--- /dev/null
+++ b/seampond/watches/currency.py
@@ -0,0 +1,137 @@
+"""How current a belief of a table is, proved by our own answers or others'."""
+
+import asyncio
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import dataclass
+
+from seampond.clock import MS_PER_SECOND, Clock
+from seampond.watches.rows import Page
+from seampond.watches.store_time import StoreTime
+
+_BEHIND_MS = 200
+
+
+@dataclass(frozen=True, slots=True)
+class Proof:
+    """What was known of a table at one moment of the store.
+
+    Parameters
+    ----------
+    changed : int
+        The version of the table's newest change at that moment.
+    store_ms : int
+        The moment, by the store's steady clock.
+
+    """
+
+    changed: int
+    store_ms: int
+
+
+class Currency:
+    """Since when nothing has proved that we hold all of a table's changes.
+
+    Explanation
+    -----------
+    Whoever holds all changes up to the newest that somebody else saw at some
+    moment was current at that moment too.  So one process that asks the store
+    proves it for all, by passing on its proof; and who hears of a change that
+    it does not hold knows that its own feed is late or dead.
+
+    Parameters
+    ----------
+    on_proof : Callable[[int], None]
+        Told the latest moment of our clock at which we were current.
+    version : int
+        All changes up to here are held.
+
+    Examples
+    --------
+    >>> clock = Clock(lambda: 600)
+    >>> currency = Currency(clock, StoreTime(), lambda proved_ms: None)
+    >>> page = Page((), 7, 5000, 500, 500, False)
+    >>> currency.check(page)
+    >>> currency.take(page)
+    >>> currency.take_proof(Proof(changed=6, store_ms=5040))
+    >>> currency.proved_ms
+    540
+
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        store_time: StoreTime,
+        on_proof: Callable[[int], None],
+    ) -> None:
+        """Start with nothing held."""
+        self.version = 0
+        self.proof: Proof | None = None
+        self.proved_ms = 0
+        self._store_time = store_time
+        self._clock = clock
+        self._on_proof = on_proof
+        self._changed = 0
+        # The newest change that we have heard of and do not hold.
+        self._missing = 0
+        self._missing_ms = 0
+        self._is_missing = asyncio.Event()
+
+    def check(self, page: Page) -> None:
+        """Check that an answer belongs to its call; learn from its times.
+
+        Raises
+        ------
+        PlatformError
+            If it was meant for an earlier call.
+
+        """
+        self._store_time.take(page)
+
+    def take(self, page: Page) -> None:
+        """Note an answer of the store that we hold now."""
+        self.version = max(self.version, page.version)
+        changes = (row.version for row in page.rows)
+        self._changed = max(self._changed, max(changes, default=0))
+        if self.version >= self._missing:
+            self._missing = 0
+            self._is_missing.clear()
+        # A whole read may be some seconds behind; a change feed is not.
+        if not page.is_whole:
+            self._prove(Proof(self._changed, page.store_ms))
+
+    def take_proof(self, proof: Proof) -> None:
+        """Take what another process knows."""
+        if not self.version:
+            return
+        if proof.changed <= self.version:
+            self._prove(proof)
+            return
+        if not self._missing:
+            self._missing_ms = self._clock.now()
+        self._missing = max(self._missing, proof.changed)
+        self._is_missing.set()
+
+    def due_ms(self, age_ms: int) -> int:
+        """Give when to ask the store, if a proof may be `age_ms` old."""
+        if self._missing:
+            return self._missing_ms + _BEHIND_MS
+        return self.proved_ms + age_ms
+
+    async def wait_missing(self, most_ms: int) -> None:
+        """Wait until a change is missing, for `most_ms` at the most."""
+        if self._missing:
+            await self._clock.sleep(most_ms)
+            return
+        with suppress(TimeoutError):
+            async with asyncio.timeout(most_ms / MS_PER_SECOND):
+                await self._is_missing.wait()
+
+    def _prove(self, proof: Proof) -> None:
+        if self.proof is not None and proof.store_ms <= self.proof.store_ms:
+            return
+        self.proof = proof
+        proved_ms = self._store_time.local_ms(proof.store_ms)
+        self.proved_ms = max(self.proved_ms, proved_ms)
+        self._on_proof(proved_ms)
--- /dev/null
+++ b/seampond/watches/probe.py
@@ -0,0 +1,41 @@
+"""Ask the store again where nobody has proved of late what is newest."""
+
+import random
+from collections.abc import Callable
+
+from seampond.clock import Clock
+from seampond.watches.watch import Watch
+
+_STEP_MS = 100
+_MOST_STEPS = 8
+_AGAIN_MS = 300
+
+
+async def keep_current(
+    watch: Watch, age_ms: int, rank: Callable[[], int], clock: Clock
+) -> None:
+    """Probe a watch's table for as long as the process lives.
+
+    Explanation
+    -----------
+    A feed answers at once when something changes, but it may also be dead
+    without a sign.  One call that does not wait tells; and its proof is
+    passed on, so where there are many processes the first of them asks for
+    all.
+
+    Parameters
+    ----------
+    age_ms : int
+        How old a proof may be.
+    rank : Callable[[], int]
+        How many others ask before us.
+
+    """
+    currency = watch.currency
+    while True:
+        steps = min(_MOST_STEPS, rank())
+        left_ms = currency.due_ms(age_ms + steps * _STEP_MS) - clock.now()
+        if left_ms > 0:
+            await currency.wait_missing(left_ms)
+        elif not await watch.probe():
+            await clock.sleep(_AGAIN_MS * random.uniform(0.5, 1))
--- /dev/null
+++ b/seampond/watches/store_time.py
@@ -0,0 +1,51 @@
+"""The store's steady clock against ours."""
+
+import math
+
+from seampond.errors import PlatformError
+from seampond.watches.rows import Page
+
+
+class StoreTime:
+    """Sets the store's steady clock against ours.
+
+    Explanation
+    -----------
+    An answer was given after its call was sent and before it came, so the
+    difference of the clocks lies between two bounds that each answer makes
+    narrower.  An answer outside them belongs to another call.
+
+    Examples
+    --------
+    >>> time = StoreTime()
+    >>> time.take(Page((), 1, 5010, 10, 14, False))
+    >>> time.take(Page((), 1, 7000, 500, 2003, False))
+    >>> time.local_ms(7000)
+    2000
+
+    """
+
+    def __init__(self) -> None:
+        """Start with no answer seen."""
+        self._most_ms = math.inf
+        self._least_ms = -math.inf
+
+    def take(self, page: Page) -> None:
+        """Learn from an answer.
+
+        Raises
+        ------
+        PlatformError
+            If the answer is older than the call.
+
+        """
+        most_ms = page.store_ms - page.sent_ms
+        least_ms = page.store_ms - page.received_ms
+        if most_ms < self._least_ms:
+            raise PlatformError('answer older than the call', step='read')
+        self._most_ms = min(self._most_ms, most_ms)
+        self._least_ms = max(self._least_ms, least_ms)
+
+    def local_ms(self, store_ms: int) -> int:
+        """Give a moment of our clock that is not after the store's."""
+        return store_ms - round(self._most_ms)
--- a/seampond/watches/tests/test_watch.py
+++ b/seampond/watches/tests/test_watch.py
@@ -2,10 +2,20 @@
 
 import asyncio
 import unittest
+from typing import Any
 
-from seampond.clock import Clock
+from seampond.clock import Clock, ManualClock
 from seampond.errors import PlatformError
-from seampond.watches import HistoryGoneError, Page, Row, StoreTime, Watch
+from seampond.watches import (
+    Currency,
+    HistoryGoneError,
+    Page,
+    Proof,
+    Row,
+    StoreTime,
+    Watch,
+    keep_current,
+)
 
 
 def _page(version: int, *keys: str, is_whole: bool = False) -> Page:
@@ -45,6 +55,34 @@
         return answer
 
 
+def build_currency(clock: Clock | None = None) -> Currency:
+    """Give a currency that tells nobody."""
+    return Currency(clock or Clock(), StoreTime(), lambda proved_ms: None)
+
+
+def build_watch(
+    source: ListedSource,
+    probe_source: ListedSource | None = None,
+    **changes: Any,
+) -> Watch:
+    """Give a watch that takes everything."""
+    content: dict[str, Any] = {
+        'take': lambda page: None,
+        'wait_ms': 1000,
+        'clock': Clock(),
+        'count_failure': lambda step: None,
+        'currency': build_currency(),
+    }
+    probes = probe_source or ListedSource()
+    return Watch(source, probes, **(content | changes))
+
+
+def hold(currency: Currency, page: Page) -> None:
+    """Let a belief be as current as an answer says."""
+    currency.check(page)
+    currency.take(page)
+
+
 class WatchTest(unittest.IsolatedAsyncioTestCase):
     """What a watch asks, and what it takes."""
 
@@ -94,9 +132,7 @@
                 raise KeyError('address')
             taken.append(page.version)
 
-        watch = Watch(
-            source, take, 1000, Clock(), lambda step: None, StoreTime()
-        )
+        watch = build_watch(source, take=take)
         with self.assertLogs('seampond.watches.watch', 'ERROR'):
             task = asyncio.create_task(watch.run())
             async with asyncio.timeout(5):
@@ -119,9 +155,9 @@
     async def test_answer_to_an_earlier_call_is_refused(self) -> None:
         """An answer that is older than its call proves nothing."""
         time = StoreTime()
-        time.local_ms(Page((), 1, 50_000, 1000, 1002, False))
+        time.take(Page((), 1, 50_000, 1000, 1002, False))
         with self.assertRaises(PlatformError):
-            time.local_ms(Page((), 1, 51_000, 9000, 9002, False))
+            time.take(Page((), 1, 51_000, 9000, 9002, False))
 
     async def _follow(
         self, *answers: Page | Exception
@@ -130,13 +166,10 @@
         source = ListedSource(*answers)
         taken: list[int] = []
         failures: list[str] = []
-        watch = Watch(
+        watch = build_watch(
             source,
-            lambda page: taken.append(page.version),
-            1000,
-            Clock(),
-            failures.append,
-            StoreTime(),
+            take=lambda page: taken.append(page.version),
+            count_failure=failures.append,
         )
         task = asyncio.create_task(watch.run())
         async with asyncio.timeout(5):
@@ -144,3 +177,110 @@
         task.cancel()
         self.waits = source.waits
         return source.calls, taken, failures
+
+
+class ProbeTest(unittest.IsolatedAsyncioTestCase):
+    """Calls beside a feed that may be dead."""
+
+    async def asyncSetUp(self) -> None:
+        """Follow a table whose feed answers nothing more."""
+        self.feed = ListedSource(_page(3, is_whole=True), _page(3))
+        self.taken: list[int] = []
+
+    async def test_change_is_found_beside_a_dead_feed(self) -> None:
+        """A probe asks from what is held and its answer is taken."""
+        watch = await self._start(_page(6, 'a'))
+        self.assertTrue(await watch.probe())
+        self.assertEqual(self.probes.calls, ['since 3'])
+        self.assertEqual(self.probes.waits, [0])
+        self.assertEqual(self.taken, [3, 3, 6])
+
+    async def test_feed_is_opened_again_after_an_outage(self) -> None:
+        """A probe that failed and then none: the feed's call may hang."""
+        watch = await self._start(
+            PlatformError('is down', step='read'), _page(4)
+        )
+        self.assertFalse(await watch.probe())
+        self.assertTrue(await watch.probe())
+        self.feed.is_over.clear()
+        async with asyncio.timeout(5):
+            await self.feed.is_over.wait()
+        self.assertEqual(self.feed.calls[-1], 'since 4')
+
+    async def test_probe_waits_for_a_first_read(self) -> None:
+        """Nothing is asked before the table was read whole."""
+        watch = build_watch(ListedSource())
+        self.assertFalse(await watch.probe())
+
+    async def test_change_that_others_saw_is_asked_for(self) -> None:
+        """Long before a proof is too old."""
+        watch = await self._start(_page(9, 'a'))
+        self._keep(watch, 60_000)
+        watch.currency.take_proof(Proof(changed=8, store_ms=0))
+        async with asyncio.timeout(5):
+            while self.taken[-1] != 9:
+                await asyncio.sleep(0.01)
+
+    async def test_proof_of_others_saves_a_call(self) -> None:
+        """Nothing is asked while somebody else proves that we are current."""
+        clock = ManualClock(1000)
+        currency = build_currency(clock)
+        hold(currency, Page((), 5, 1000, 1000, 1000, False))
+        clock.advance(1400)
+        currency.take_proof(Proof(changed=5, store_ms=2300))
+        self.assertEqual(currency.due_ms(1500), 2300 + 1500)
+
+    async def _start(self, *probed: Page | Exception) -> Watch:
+        self.probes = ListedSource(*probed)
+        watch = build_watch(
+            self.feed,
+            self.probes,
+            take=lambda page: self.taken.append(page.version),
+        )
+        task = asyncio.create_task(watch.run())
+        self.addCleanup(task.cancel)
+        async with asyncio.timeout(5):
+            await self.feed.is_over.wait()
+        return watch
+
+    def _keep(self, watch: Watch, age_ms: int) -> None:
+        task = asyncio.create_task(
+            keep_current(watch, age_ms, int, watch.clock)
+        )
+        self.addCleanup(task.cancel)
+
+
+class CurrencyTest(unittest.TestCase):
+    """What proves that a belief is current, and what does not."""
+
+    def setUp(self) -> None:
+        """Hold a table up to version 5, proved at 1000."""
+        self.clock = ManualClock(1000)
+        self.currency = build_currency(self.clock)
+        hold(self.currency, Page((), 5, 1000, 1000, 1000, False))
+
+    def test_proof_of_a_change_that_we_lack_is_none(self) -> None:
+        """Somebody has seen more: we may be wrong since then."""
+        self.currency.take_proof(Proof(changed=6, store_ms=1900))
+        self.assertEqual(self.currency.proved_ms, 1000)
+        self.assertEqual(self.currency.due_ms(60_000), 1000 + 200)
+
+    def test_change_that_has_come_is_missing_no_more(self) -> None:
+        """Our own feed was only a little late."""
+        self.currency.take_proof(Proof(changed=6, store_ms=1900))
+        self.clock.advance(1000)
+        row = Row('a', b'', 6)
+        hold(self.currency, Page((row,), 6, 2000, 2000, 2000, False))
+        self.assertEqual(self.currency.due_ms(60_000), 2000 + 60_000)
+        self.assertEqual(self.currency.proof, Proof(6, 2000))
+
+    def test_whole_read_proves_nothing(self) -> None:
+        """It may be some seconds behind."""
+        hold(self.currency, Page((), 9, 1900, 1900, 1900, True))
+        self.assertEqual(self.currency.proved_ms, 1000)
+
+    def test_overtaken_proof_changes_nothing(self) -> None:
+        """Datagrams may overtake one another."""
+        self.currency.take_proof(Proof(changed=5, store_ms=1800))
+        self.currency.take_proof(Proof(changed=5, store_ms=1200))
+        self.assertEqual(self.currency.proved_ms, 1800)
--- a/seampond/watches/watch.py
+++ b/seampond/watches/watch.py
@@ -1,13 +1,14 @@
 """Follow one table for as long as the process lives."""
 
+import asyncio
 import logging
-import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from seampond.clock import Clock
 from seampond.errors import PlatformError
+from seampond.watches.currency import Currency
 from seampond.watches.rows import HistoryGoneError, Page, TableSource
 
 _FIRST_PAUSE_MS = 100
@@ -15,72 +16,36 @@
 _logger = logging.getLogger(__name__)
 
 
-class StoreTime:
-    """Sets the store's steady clock against ours.
-
-    Explanation
-    -----------
-    An answer was given after its call was sent and before it came, so the
-    difference of the clocks lies between two bounds that each answer makes
-    narrower.  An answer outside them belongs to another call.
-
-    Examples
-    --------
-    >>> time = StoreTime()
-    >>> time.local_ms(Page((), 1, 5010, 10, 14, False))
-    10
-    >>> time.local_ms(Page((), 1, 7000, 500, 2003, False))
-    2000
-
-    """
-
-    def __init__(self) -> None:
-        """Start with no answer seen."""
-        self._most_ms = math.inf
-        self._least_ms = -math.inf
-
-    def local_ms(self, page: Page) -> int:
-        """Give a moment of our clock that is not after the answer's.
-
-        Raises
-        ------
-        PlatformError
-            If the answer is older than the call.
-
-        """
-        most_ms = page.store_ms - page.sent_ms
-        least_ms = page.store_ms - page.received_ms
-        if most_ms < self._least_ms:
-            raise PlatformError('answer older than the call', step='read')
-        self._most_ms = min(self._most_ms, most_ms)
-        self._least_ms = max(self._least_ms, least_ms)
-        return page.store_ms - round(self._most_ms)
-
-
 @dataclass
 class Watch:
     """Keeps what we believe of one table near to what it holds.
 
     Parameters
     ----------
+    probe_source : TableSource
+        The same table, on connections of its own.
     take : Callable[[Page], None]
         Takes each answer in order; versions never go back.
     wait_ms : int
         How long the store holds a call while nothing changes.
     count_failure : Callable[[str], None]
         Counts a failed call by its step.
+    currency : Currency
+        What is held, and since when that is proved.
 
     """
 
     source: TableSource
+    probe_source: TableSource
     take: Callable[[Page], None]
     wait_ms: int
     clock: Clock
     count_failure: Callable[[str], None]
-    store_time: StoreTime
-    version: int = 0
+    currency: Currency
     is_current: bool = False
     is_new: bool = False
+    _call: asyncio.Timeout | None = None
+    _is_suspect: bool = False
 
     async def run(self) -> None:
         """Follow the table; never ends by itself."""
@@ -103,22 +68,59 @@
             await self.clock.sleep(pause_ms * random.uniform(0.5, 1))
             pause_ms = min(_LONGEST_PAUSE_MS, pause_ms * 2)
 
+    async def probe(self) -> bool:
+        """Make one call beside the feed; tell whether its answer was taken."""
+        if not self.is_current:
+            return False
+        try:
+            page = await self.probe_source.read_changes(
+                self.currency.version, 0
+            )
+            is_fresh = self._accept(page)
+        except PlatformError as error:
+            self.count_failure(error.step)
+            # The feed's own call may hang as well, and longer.
+            self._is_suspect = True
+            return False
+        if self._is_suspect:
+            self._is_suspect = False
+            self._give_call_up()
+        return is_fresh
+
     async def _step(self) -> bool:
         """Make one call; tell whether its answer was fresh."""
-        if self.is_current:
-            # A read may be behind; what follows it is asked for at once.
-            wait_ms = 0 if self.is_new else self.wait_ms
-            page = await self.source.read_changes(self.version, wait_ms)
-        else:
-            page = await self.source.read_all()
-        # Refuses an answer that was meant for an earlier call.
-        self.store_time.local_ms(page)
-        if page.version < self.version:
+        self._call = asyncio.timeout(None)
+        try:
+            async with self._call:
+                page = await self._read()
+        except TimeoutError as error:
+            raise PlatformError('given up', step='read-changes') from error
+        finally:
+            self._call = None
+        return self._accept(page)
+
+    async def _read(self) -> Page:
+        if not self.is_current:
+            return await self.source.read_all()
+        # A read may be behind; what follows it is asked for at once.
+        wait_ms = 0 if self.is_new else self.wait_ms
+        return await self.source.read_changes(self.currency.version, wait_ms)
+
+    def _give_call_up(self) -> None:
+        """End the call that is under way, if there is any."""
+        if self._call is not None:
+            self._call.reschedule(asyncio.get_running_loop().time())
+
+    def _accept(self, page: Page) -> bool:
+        """Take an answer unless it is old; tell whether it was fresh."""
+        self.currency.check(page)
+        if page.version < self.currency.version:
             self._tell('stale answer', str(page.version))
             return False
-        self.version = page.version
         self.is_new = page.is_whole
         self.is_current = self._is_taken(page)
+        if self.is_current:
+            self.currency.take(page)
         return self.is_current
 
     def _is_taken(self, page: Page) -> bool:
@@ -138,7 +140,7 @@
             event,
             extra={
                 'table': self.source.name,
-                'version': self.version,
+                'version': self.currency.version,
                 'detail': detail,
             },
         )
