Tell heartbeats in half the bytes

Ruled out: fewer heartbeats (loads and quotas grow older), relays by zone (a dead relay silences a zone), only what has changed (a lost one is missed). Change: servers, tenants and tables are told by keys of 40 bits, units as whole numbers (never too little), a proof only for 1 s.

--- a/seampond/forwarding/backends.py
+++ b/seampond/forwarding/backends.py
@@ -212,11 +212,14 @@
         """Give one of them."""
         return self._by_id.get(server_id)
 
-    def take_others(self, loads: Mapping[str, OthersLoad]) -> None:
-        """Take what the other gateways have on each server."""
+    def take_others(
+        self, loads: Mapping[int, OthersLoad], key_of: Callable[[str], int]
+    ) -> None:
+        """Take what the other gateways have, by key of the server's id."""
         now_ms = self._clock.now()
         for server_id, backend in self._by_id.items():
-            backend.others = loads.get(server_id) or OthersLoad(0, 0, now_ms)
+            told = loads.get(key_of(server_id))
+            backend.others = told or OthersLoad(0, 0, now_ms)
 
     def speed_of(self, pool: str) -> PoolSpeed:
         """Give what is known of the speed of a pool."""
--- a/seampond/gateway/parts.py
+++ b/seampond/gateway/parts.py
@@ -25,10 +25,18 @@
 )
 from seampond.promises import Promises
 from seampond.settings.gateway import GatewaySettings
-from seampond.sharing import Heartbeat, Load, Margin, Peers, Quotas
+from seampond.sharing import (
+    Heartbeat,
+    Load,
+    Margin,
+    Peers,
+    Quotas,
+    key_of,
+)
 from seampond.watches import Currency, Proof, StoreTime
 
-_INCARNATION_BITS = 63
+_INCARNATION_BITS = 48
+_PROOF_TOLD_MS = 1000
 _GRACE_PART = 0.7
 
 
@@ -82,16 +90,17 @@
     def take_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Take what another gateway has told."""
         self.quotas.take_heartbeat(heartbeat)
-        for table, proof in heartbeat.proofs.items():
-            currency = self.currencies.get(table)
-            if currency is not None:
+        for table, currency in self.currencies.items():
+            proof = heartbeat.proofs.get(key_of(table))
+            if proof is not None:
                 currency.take_proof(proof)
         now_ms = self.clock.now()
         self.backends.take_others(
             {
                 server: OthersLoad(load.running, load.unread, now_ms)
                 for server, load in self.peers.loads().items()
-            }
+            },
+            key_of,
         )
 
     def make_heartbeat(self, sequence: int) -> Heartbeat:
@@ -139,16 +148,20 @@
             'servers': servers,
         }
 
-    def _proofs(self) -> dict[str, Proof]:
+    def _proofs(self) -> dict[int, Proof]:
+        """Give what is young; each heartbeat after a proof may be lost."""
+        oldest_ms = self.clock.now() - _PROOF_TOLD_MS
         return {
-            table: currency.proof
+            key_of(table): currency.proof
             for table, currency in self.currencies.items()
-            if currency.proof is not None
+            if currency.proof is not None and currency.proved_ms > oldest_ms
         }
 
-    def _loads(self) -> dict[str, Load]:
+    def _loads(self) -> dict[int, Load]:
         return {
-            backend.server.id: Load(backend.in_flight, backend.own_unread)
+            key_of(backend.server.id): Load(
+                backend.in_flight, backend.own_unread
+            )
             for backend in self.backends
             if backend.in_flight
         }
--- a/seampond/gateway/tests/test_gateway.py
+++ b/seampond/gateway/tests/test_gateway.py
@@ -18,7 +18,7 @@
     GatewaySettings,
     StoreSettings,
 )
-from seampond.sharing import Heartbeat
+from seampond.sharing import Heartbeat, key_of
 from seampond.testing.gateways import until_true
 from seampond.testing.scripted import (
     Received,
@@ -311,7 +311,10 @@
             before_ms = admission.proof_age_ms
             proof = Proof(changed + newer, clock.now() + _STORE_AHEAD_MS)
             heartbeat = Heartbeat(
-                'g2', 1, sequence, proofs={'op': proof, 'other': proof}
+                'g2',
+                1,
+                sequence,
+                proofs={key_of('op'): proof, key_of('other'): proof},
             )
             self.assertTrue(parts.peers.take_heartbeat(heartbeat))
             parts.take_heartbeat(heartbeat)
--- a/seampond/sharing/heartbeats.py
+++ b/seampond/sharing/heartbeats.py
@@ -1,6 +1,7 @@
 """The message between gateways, to bytes and back by Cap'n Proto."""
 
 import functools
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -48,12 +49,12 @@
         How long this life has lasted.
     is_gone : bool
         Whether this is the last word of this life, after a planned stop.
-    loads : Mapping[str, Load]
-        What it has on each server where it has anything.
-    spent : Mapping[str, float]
-        What it has given each tenant in this life, in units.
-    proofs : Mapping[str, Proof]
-        By table of the store, what it knows of its newest change.
+    loads : Mapping[int, Load]
+        By key of the server, what it has where it has anything.
+    spent : Mapping[int, float]
+        By key of the tenant, what it has given in this life, in units.
+    proofs : Mapping[int, Proof]
+        By key of a table of the store, what it knows of its newest change.
 
     """
 
@@ -61,12 +62,12 @@
     incarnation: int
     sequence: int
     version: int = 0
-    spent: Mapping[str, float] = field(default_factory=dict)
+    spent: Mapping[int, float] = field(default_factory=dict)
     is_stopping: bool = False
     uptime_ms: int = 0
-    loads: Mapping[str, Load] = field(default_factory=dict)
+    loads: Mapping[int, Load] = field(default_factory=dict)
     is_gone: bool = False
-    proofs: Mapping[str, Proof] = field(default_factory=dict)
+    proofs: Mapping[int, Proof] = field(default_factory=dict)
 
 
 @functools.cache
@@ -74,14 +75,15 @@
     return capnp.load(str(Path(__file__).with_name(_SCHEMA_FILE)))
 
 
-def _write_spent(message: Any, spent: Mapping[str, float]) -> None:
+def _write_spent(message: Any, spent: Mapping[int, float]) -> None:
     rows = message.init('spent', len(spent))
     for row, (tenant, units) in zip(rows, spent.items(), strict=True):
         row.tenant = tenant
-        row.units = units
+        # Told whole: a part of a unit more is on the safe side.
+        row.units = math.ceil(max(0, units))
 
 
-def _write_loads(message: Any, loads: Mapping[str, Load]) -> None:
+def _write_loads(message: Any, loads: Mapping[int, Load]) -> None:
     rows = message.init('loads', len(loads))
     for row, (server, load) in zip(rows, loads.items(), strict=True):
         row.server = server
@@ -89,7 +91,7 @@
         row.unread = min(load.unread, _MAX_UNREAD)
 
 
-def _write_proofs(message: Any, proofs: Mapping[str, Proof]) -> None:
+def _write_proofs(message: Any, proofs: Mapping[int, Proof]) -> None:
     rows = message.init('proofs', len(proofs))
     for row, (table, proof) in zip(rows, proofs.items(), strict=True):
         row.table = table
--- a/seampond/sharing/peers.py
+++ b/seampond/sharing/peers.py
@@ -109,9 +109,9 @@
             _logger.info('gateway heard', extra={'peer': peer.name})
         return True
 
-    def loads(self) -> dict[str, Load]:
-        """Sum what the others have on each server, by the newest word."""
-        sums: dict[str, Load] = {}
+    def loads(self) -> dict[int, Load]:
+        """Sum what the others have, by key of the server."""
+        sums: dict[int, Load] = {}
         for peer in self._alive():
             if peer.heartbeat is None or self._is_silent(peer):
                 continue
--- a/seampond/sharing/quotas.py
+++ b/seampond/sharing/quotas.py
@@ -8,6 +8,7 @@
 from seampond.forwarding.models import Tenant
 from seampond.sharing.fairness import Fairness
 from seampond.sharing.heartbeats import Heartbeat
+from seampond.sharing.keys import key_of
 from seampond.sharing.peers import Peers
 
 _SHARE_PART = 0.6
@@ -96,11 +97,12 @@
         self._note_urgent = note_urgent
         self._rng = rng
         self._started_ms = clock.now()
-        # By tenant: what others gave before we had a bucket for it.
-        self._given: dict[str, float] = {}
-        self._buckets: dict[str, Bucket] = {}
+        # By key of the tenant, as in the heartbeats.
+        self._buckets: dict[int, Bucket] = {}
+        # What others gave before we had a bucket for it.
+        self._given: dict[int, float] = {}
         # By gateway and tenant: its incarnation and what it has given.
-        self._heard: dict[tuple[str, str], tuple[int, float]] = {}
+        self._heard: dict[tuple[str, int], tuple[int, float]] = {}
 
     @property
     def uptime_ms(self) -> int:
@@ -142,32 +144,32 @@
 
     def refund(self, tenant: Tenant, units: float) -> None:
         """Give units back for a request that was not run."""
-        bucket = self._buckets.get(tenant.name)
+        bucket = self._buckets.get(key_of(tenant.name))
         if bucket is not None:
             self._spend(bucket, -units)
 
-    def tell(self) -> Mapping[str, float]:
-        """Give what we have spent, for the others."""
+    def tell(self) -> Mapping[int, float]:
+        """Give what we have spent, by key of the tenant."""
         for bucket in self._buckets.values():
             bucket.told = bucket.spent
-        return {name: known.spent for name, known in self._buckets.items()}
+        return {key: known.spent for key, known in self._buckets.items()}
 
     def take_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Take what another gateway says it has given."""
-        for name, units in heartbeat.spent.items():
-            given = self._note_heard(heartbeat, name, units)
-            bucket = self._buckets.get(name)
+        for tenant, units in heartbeat.spent.items():
+            given = self._note_heard(heartbeat, tenant, units)
+            bucket = self._buckets.get(tenant)
             if bucket is None:
-                self._given[name] = self._given.get(name, 0) + given
+                self._given[tenant] = self._given.get(tenant, 0) + given
             else:
                 self._fill(bucket)
                 bucket.level -= given
 
     def _note_heard(
-        self, heartbeat: Heartbeat, name: str, units: float
+        self, heartbeat: Heartbeat, tenant: int, units: float
     ) -> float:
         """Give what the other has given since we heard it last."""
-        key = (heartbeat.name, name)
+        key = (heartbeat.name, tenant)
         known = self._heard.get(key)
         self._heard[key] = (heartbeat.incarnation, units)
         if known is None:
@@ -209,10 +211,11 @@
         return max(below, debt)
 
     def _filled(self, tenant: Tenant) -> Bucket:
-        bucket = self._buckets.get(tenant.name)
+        bucket = self._buckets.get(key_of(tenant.name))
         if bucket is None:
             owed = -self.margin.units * _OWED_PART
-            given = self._given.pop(tenant.name, 0)
+            key = key_of(tenant.name)
+            given = self._given.pop(key, 0)
             bucket = Bucket(
                 tenant,
                 self._started_ms,
@@ -220,7 +223,7 @@
                 owed - given,
                 owed,
             )
-            self._buckets[tenant.name] = bucket
+            self._buckets[key] = bucket
         bucket.tenant = tenant
         self._fill(bucket)
         return bucket
--- /dev/null
+++ b/seampond/sharing/tests/test_heartbeats.py
@@ -0,0 +1,52 @@
+"""Heartbeats to bytes and back, and how many bytes."""
+
+import unittest
+
+from seampond.errors import ForeignMessageError
+from seampond.sharing import Heartbeat, Load, key_of
+from seampond.sharing.heartbeats import decode, encode
+from seampond.watches import Proof
+
+_BYTES_MAX = 450
+
+
+def build_heartbeat(servers: int, tenants: int) -> Heartbeat:
+    """Give the heartbeat of a busy gateway."""
+    return Heartbeat(
+        'front-1',
+        2**47 + 12345,
+        777,
+        12,
+        {key_of(f't{number}'): 900_000 + number for number in range(tenants)},
+        uptime_ms=45_000,
+        loads={
+            key_of(f'i-{number}'): Load(number % 5 + 1, number * 997)
+            for number in range(servers)
+        },
+        proofs={key_of('op'): Proof(1_234_567, 99_999_999)},
+    )
+
+
+class HeartbeatTest(unittest.TestCase):
+    """The message between gateways."""
+
+    def test_round_trip(self) -> None:
+        """What is decoded is what was encoded."""
+        heartbeat = build_heartbeat(15, 16)
+        self.assertEqual(decode(encode(heartbeat)), heartbeat)
+
+    def test_parts_of_units_are_told_as_whole(self) -> None:
+        """Too much, never too little; a refund beyond all is nothing."""
+        heartbeat = Heartbeat('g', 1, 1, spent={1: 2.5, 2: -1.0})
+        self.assertEqual(decode(encode(heartbeat)).spent, {1: 3, 2: 0})
+
+    def test_busy_gateway_is_told_in_few_bytes(self) -> None:
+        """Gateways in other zones are told each time; bytes are priced."""
+        packet = encode(build_heartbeat(15, 16))
+        self.assertLess(len(packet), _BYTES_MAX)
+
+    def test_other_bytes_are_refused(self) -> None:
+        """A datagram that is no heartbeat is an error with its sender."""
+        with self.assertRaises(ForeignMessageError) as caught:
+            decode(b'no heartbeat at all', peer='10.0.0.1')
+        self.assertEqual(caught.exception.peer, '10.0.0.1')
