Leave places free for more urgent work on each server

The places beyond the slots count only where a gateway's part is none (before, a gateway below its part of the pool also went beyond on small fleets).

--- a/seampond/forwarding/scheduler.py
+++ b/seampond/forwarding/scheduler.py
@@ -7,6 +7,7 @@
 
 from seampond.clock import MS_PER_SECOND, Clock
 from seampond.forwarding.backends import Backend, Backends
+from seampond.forwarding.headroom import Headroom
 from seampond.forwarding.job import Job
 from seampond.forwarding.refusals import Cause, Refusal
 from seampond.forwarding.selection import (
@@ -40,6 +41,7 @@
 class Queue:
     """Those that wait for one pool, the most urgent first."""
 
+    headroom: Headroom = field(default_factory=Headroom)
     waiters: list[Waiter] = field(default_factory=list)
 
 
@@ -107,6 +109,7 @@
 
         """
         queue = self._queues.setdefault(job.pool, Queue())
+        queue.headroom.note(job)
         if not queue.waiters:
             backend = self._find(job, avoid)
             if backend is not None:
@@ -171,7 +174,7 @@
             for backend in known
             if backend.server.id not in avoid
             and backend.is_usable(now_ms)
-            and self._has_room(backend, now_ms, extra)
+            and self._has_room(backend, job, now_ms, extra)
             and self._is_in_time(backend, job, now_ms)
         ]
         listed = [backend for backend in usable if backend.takes_work]
@@ -205,7 +208,9 @@
         own = sum(backend.in_flight for backend in backends)
         return own < places // max(1, self._count_gateways())
 
-    def _has_room(self, backend: Backend, now_ms: int, extra: int) -> bool:
+    def _has_room(
+        self, backend: Backend, job: Job, now_ms: int, extra: int
+    ) -> bool:
         """Whether a server has a place for one more of ours.
 
         Explanation
@@ -213,16 +218,20 @@
         A gateway may fill its equal part of each server's slots.  Where
         there are more gateways than slots that part is nothing, so one that
         is below its part of the whole pool may go a little beyond the slots;
-        all of them together would have a server queue many.
+        all of them together would have a server queue many.  Less urgent
+        work counts fewer slots.
         """
         bound = self._backends.bound_connections(backend.server.pool)
         if backend.in_flight >= bound:
             return False
+        headroom = self._queues[job.pool].headroom
         slots = backend.server.slots
+        slots -= headroom.count_free(job, slots)
         share = slots // max(1, self._count_gateways())
         if backend.in_flight < share:
             return True
-        return backend.load(now_ms) < slots + extra
+        beyond = 0 if share else extra
+        return backend.load(now_ms) < slots + beyond
 
     def _enter(self, queue: Queue, job: Job, avoid: set[str]) -> Waiter:
         waiter = Waiter(
--- a/seampond/forwarding/tests/test_scheduler.py
+++ b/seampond/forwarding/tests/test_scheduler.py
@@ -146,6 +146,19 @@
                 build_job(route=build_route(target_ms=50)), set()
             )
 
+    async def test_less_urgent_work_leaves_places_free(self) -> None:
+        """A server's last places are for urgent work of any gateway."""
+        scheduler, _ = build_scheduler(10)
+        urgent = build_route(priority=0)
+        other = build_route(priority=2, target_ms=50)
+        await scheduler.place(build_job(route=urgent), set())
+        placed = 0
+        with self.assertRaises(Refusal):
+            for placed in range(20):
+                await scheduler.place(build_job(route=other, priority=0), set())
+        self.assertEqual(placed, 8)
+        await scheduler.place(build_job(route=urgent), set())
+
     async def test_long_prompts_are_kept_apart(self) -> None:
         """What waits to be read on a server makes it the slower one."""
         scheduler, backends = build_scheduler(8, 8)
