--- a/seampond/forwarding/admission.py
+++ b/seampond/forwarding/admission.py
@@ -19,6 +19,7 @@
 _NOT_READY_MS = 500
 _STALE_MS = 1000
 _DEFAULT_PATIENCE_MS = 60_000
+_REPEAT_PART = 0.97
 
 
 @dataclass(slots=True)
@@ -94,6 +95,8 @@
         self._charge = charge
         self._refund = refund
         self._rng = random.Random()
+        # By route, the longest that a caller was ready to wait.
+        self._longest: dict[str, int] = {}
 
     @property
     def limits(self) -> Limits:
@@ -225,8 +228,22 @@
             end_ms=arrival.arrived_ms + held_ms,
             prompt=prompt,
             last_event=arrival.get(names.last_event),
+            is_repeat=self._is_repeat(route, patience_ms),
         )
 
+    def _is_repeat(self, route: Route, patience_ms: int) -> bool:
+        """Tell whether a caller has used up a part of its time already.
+
+        Explanation
+        -----------
+        Each try has an id of its own.  But callers of one kind of work are
+        about equally patient, and one that was turned away and comes back
+        says that it waits no longer than what is left.
+        """
+        longest_ms = max(self._longest.get(route.name, 0), patience_ms)
+        self._longest[route.name] = longest_ms
+        return patience_ms < longest_ms * _REPEAT_PART
+
     def _check_quota(self, job: Job) -> None:
         tenant = job.tenant
         if tenant is None or not tenant.rate:
--- a/seampond/forwarding/job.py
+++ b/seampond/forwarding/job.py
@@ -74,6 +74,8 @@
         How long the caller said that it waits, from `arrived_ms`.
     end_ms : int
         When the final answer is due.
+    is_repeat : bool
+        Whether the caller seems to have been turned away before.
 
     """
 
@@ -94,6 +96,7 @@
     charged: float = 0
     attempts: int = 0
     maybe_run: bool = False
+    is_repeat: bool = False
 
     @property
     def session(self) -> str:
