Split what a gateway believes of one server, and its queues

Change: backend.py holds one server, backends.py the list of them, queues.py those that wait; no behaviour changes. Before and after: the 41 tests of forwarder, scheduler and admission pass; linter and types clean.

--- a/seampond/forwarding/attempt.py
+++ b/seampond/forwarding/attempt.py
@@ -5,7 +5,8 @@
 from http import HTTPStatus
 
 from seampond.clock import Clock
-from seampond.forwarding.backends import Backend, Backends, LoadReport
+from seampond.forwarding.backend import Backend, LoadReport
+from seampond.forwarding.backends import Backends
 from seampond.forwarding.exchange import Connection
 from seampond.forwarding.heads import ExchangeError, Head, parse_idle_ms
 from seampond.forwarding.job import make_packet
--- /dev/null
+++ b/seampond/forwarding/backend.py
@@ -0,0 +1,159 @@
+"""What a gateway believes of one server."""
+
+from dataclasses import dataclass, field
+
+from seampond.forwarding.exchange import Connection
+from seampond.forwarding.speeds import Speed
+
+_FIRST_PAUSE_MS = 250
+_LONGEST_PAUSE_MS = 4000
+_REPLACED_PAUSE_MS = 4000
+_REPORT_AGE_MS = 1500
+
+
+@dataclass(frozen=True, slots=True)
+class Server:
+    """One server as the list names it."""
+
+    id: str
+    pool: str
+    address: str
+    zone: str
+    slots: int
+    is_leaving: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """A server's word on its load, and when it came."""
+
+    running: int
+    waiting: int
+    own: int
+    at_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class OthersLoad:
+    """What the other gateways together have on a server.
+
+    Parameters
+    ----------
+    running, unread : int
+        Their requests, and the tokens to be read for those that wait for
+        their first byte.
+
+    """
+
+    running: int
+    unread: int
+    at_ms: int
+
+
+@dataclass(slots=True)
+class Backend:
+    """One server: the list's word, our own experience, our connections.
+
+    Parameters
+    ----------
+    fallback_until_ms : int
+        Until when it is a fallback, its row having gone without a word
+        of its leave: rows also go while the store is down.
+    others : OthersLoad or None
+        What the other gateways have there, as they told us.
+    unanswered : dict[bytes, tuple[int, int]]
+        By request, those of ours that wait for the first byte: since when,
+        and how many tokens are to be read for them.
+
+    """
+
+    server: Server
+    in_flight: int = 0
+    others: OthersLoad | None = None
+    speed: Speed = field(default_factory=Speed)
+    unanswered: dict[bytes, tuple[int, int]] = field(default_factory=dict)
+    failures: int = 0
+    paused_until_ms: int = 0
+    is_listed: bool = True
+    fallback_until_ms: int = 0
+    report: LoadReport | None = None
+    idle: list[Connection] = field(default_factory=list)
+    open_count: int = 0
+    kept_parts: dict[str, int] = field(default_factory=dict)
+
+    @property
+    def own_unread(self) -> int:
+        """The tokens to be read for ours that wait for the first byte."""
+        return sum(tokens for _, tokens in self.unanswered.values())
+
+    @property
+    def takes_work(self) -> bool:
+        """Whether the list lets us send to it."""
+        return self.is_listed and not self.server.is_leaving
+
+    def may_send(self, now_ms: int) -> bool:
+        """Whether it may be sent to, if only as a fallback."""
+        return self.takes_work or now_ms < self.fallback_until_ms
+
+    def is_usable(self, now_ms: int) -> bool:
+        """Whether to send to it now."""
+        return self.may_send(now_ms) and now_ms >= self.paused_until_ms
+
+    def load(self, now_ms: int) -> int:
+        """Estimate the requests that it holds, ours and others'."""
+        others, report = self.others, self.report
+        told = others.running if others else 0
+        told_ms = others.at_ms if others else 0
+        is_recent = report and now_ms - report.at_ms < _REPORT_AGE_MS
+        if report and is_recent and report.at_ms > told_ms:
+            told = report.running + report.waiting - report.own
+        return self.in_flight + max(0, told)
+
+    def unread(self, now_ms: int) -> int:
+        """Estimate the tokens that wait there to be read."""
+        own = self.own_unread
+        others = self.others
+        if others and now_ms - others.at_ms < _REPORT_AGE_MS:
+            return own + others.unread
+        return own
+
+    def longest_wait_ms(self, now_ms: int) -> int:
+        """Give how long one of ours has waited there for its first byte."""
+        if not self.unanswered:
+            return 0
+        # They are kept in the order of their sends.
+        since_ms, _ = next(iter(self.unanswered.values()))
+        return now_ms - since_ms
+
+    def note_success(self) -> None:
+        """Note a sound answer."""
+        self.failures = 0
+        self.paused_until_ms = 0
+
+    def note_failure(self, now_ms: int, least: int = 1) -> None:
+        """Note a failure; after `least` in a row, pause, longer each time."""
+        self.failures += 1
+        if self.failures < least:
+            return
+        exponent = min(self.failures - least, 4)
+        pause_ms = min(_LONGEST_PAUSE_MS, _FIRST_PAUSE_MS << exponent)
+        self.paused_until_ms = now_ms + pause_ms
+
+    def note_replaced(self, now_ms: int) -> None:
+        """Note that another server answers at its address.
+
+        Explanation
+        -----------
+        A server that starts again has a new id, and the row of the old one
+        stays until it lapses.  The pause ends by itself, should the answer
+        have been wrong.
+        """
+        self.failures += 1
+        self.paused_until_ms = now_ms + _REPLACED_PAUSE_MS
+
+    def drop_idle(self) -> None:
+        """Close the connections that rest."""
+        for connection in self.idle:
+            connection.close()
+            self.open_count -= 1
+        self.idle.clear()
--- a/seampond/forwarding/forwarder.py
+++ b/seampond/forwarding/forwarder.py
@@ -6,7 +6,8 @@
 
 from seampond.clock import MS_PER_SECOND, Clock
 from seampond.forwarding.attempt import Attempt
-from seampond.forwarding.backends import Backend, Backends
+from seampond.forwarding.backend import Backend
+from seampond.forwarding.backends import Backends
 from seampond.forwarding.job import Job
 from seampond.forwarding.models import HeaderNames
 from seampond.forwarding.progress import Outcome, Progress
--- /dev/null
+++ b/seampond/forwarding/queues.py
@@ -0,0 +1,63 @@
+"""Those that wait for a place on the servers of one pool."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from seampond.forwarding.backend import Backend
+from seampond.forwarding.headroom import Headroom
+from seampond.forwarding.job import Job
+
+
+@dataclass(slots=True)
+class Waiter:
+    """A request that waits for a place.
+
+    Parameters
+    ----------
+    avoid : set[str]
+        Servers that it was already sent to.
+    due_ms : float
+        When its answer should begin.
+
+    """
+
+    job: Job
+    avoid: set[str]
+    due_ms: float
+    place: 'asyncio.Future[Backend]'
+
+
+@dataclass(slots=True)
+class Queue:
+    """Those that wait for one pool, the most urgent first."""
+
+    headroom: Headroom = field(default_factory=Headroom)
+    waiters: list[Waiter] = field(default_factory=list)
+
+    @property
+    def lowest_tier(self) -> int:
+        """The lowest rank of a tenant that waits, 0 if nobody does."""
+        return max((known.job.priority for known in self.waiters), default=0)
+
+    def enter(self, job: Job, avoid: set[str]) -> Waiter:
+        """Let a request wait in its order."""
+        waiter = Waiter(
+            job,
+            avoid,
+            job.arrived_ms + job.route.target_ms,
+            asyncio.get_running_loop().create_future(),
+        )
+        self.waiters.append(waiter)
+        self.waiters.sort(key=_order)
+        return waiter
+
+    def leave(self, waiter: Waiter) -> None:
+        """Let a request wait no longer, if it still does."""
+        if waiter in self.waiters:
+            self.waiters.remove(waiter)
+
+
+def _order(waiter: Waiter) -> tuple[int, int, bool, float]:
+    job = waiter.job
+    is_first = not job.is_repeat
+    return job.priority, job.route.priority, is_first, waiter.due_ms
--- a/seampond/forwarding/scheduler.py
+++ b/seampond/forwarding/scheduler.py
@@ -3,12 +3,12 @@
 import asyncio
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 from seampond.clock import MS_PER_SECOND, Clock
-from seampond.forwarding.backends import Backend, Backends
-from seampond.forwarding.headroom import Headroom
+from seampond.forwarding.backend import Backend
+from seampond.forwarding.backends import Backends
 from seampond.forwarding.job import Job
+from seampond.forwarding.queues import Queue, Waiter
 from seampond.forwarding.refusals import Cause, Refusal
 from seampond.forwarding.selection import (
     expect_first_ms,
@@ -29,30 +29,6 @@
 _STEP = 'place'
 
 
-@dataclass(slots=True)
-class Waiter:
-    """A request that waits for a place."""
-
-    job: Job
-    avoid: set[str]
-    due_ms: float
-    place: 'asyncio.Future[Backend]'
-
-
-@dataclass(slots=True)
-class Queue:
-    """Those that wait for one pool, the most urgent first."""
-
-    headroom: Headroom = field(default_factory=Headroom)
-    waiters: list[Waiter] = field(default_factory=list)
-
-
-def _order(waiter: Waiter) -> tuple[int, int, bool, float]:
-    job = waiter.job
-    is_first = not job.is_repeat
-    return job.priority, job.route.priority, is_first, waiter.due_ms
-
-
 class Scheduler:
     """Gives each request a place on a server, the most urgent first.
 
@@ -118,7 +94,8 @@
             backend = self._find(job, avoid)
             if backend is not None:
                 return self._occupy(backend)
-        waiter = self._enter(queue, job, avoid)
+        waiter = queue.enter(job, avoid)
+        self._shed_last(queue)
         try:
             return await self._wait(waiter)
         except asyncio.CancelledError:
@@ -127,8 +104,7 @@
                     self.release(waiter.place.result())
             raise
         finally:
-            if waiter in queue.waiters:
-                queue.waiters.remove(waiter)
+            queue.leave(waiter)
 
     def release(self, backend: Backend) -> None:
         """Give a place back and hand it on."""
@@ -237,18 +213,6 @@
         beyond = 0 if share else extra
         return backend.load(now_ms) < slots + beyond
 
-    def _enter(self, queue: Queue, job: Job, avoid: set[str]) -> Waiter:
-        waiter = Waiter(
-            job,
-            avoid,
-            job.arrived_ms + job.route.target_ms,
-            asyncio.get_running_loop().create_future(),
-        )
-        queue.waiters.append(waiter)
-        queue.waiters.sort(key=_order)
-        self._shed_last(queue)
-        return waiter
-
     def _shed_last(self, queue: Queue) -> None:
         if len(queue.waiters) > _QUEUE_MAX:
             last = queue.waiters[-1]
@@ -284,8 +248,8 @@
         """End the wait of a request; who ranks below it waits no longer."""
         queue = self._queues[job.pool]
         self._shed(queue, lambda known: known.job.priority > job.priority)
-        kept = max((known.job.priority for known in queue.waiters), default=0)
-        self._promises.check(Rule.shed_order, kept <= job.priority, step=_STEP)
+        is_in_order = queue.lowest_tier <= job.priority
+        self._promises.check(Rule.shed_order, is_in_order, step=_STEP)
         has_server = any(
             backend.takes_work for backend in self._backends.of_pool(job.pool)
         )
--- a/seampond/forwarding/selection.py
+++ b/seampond/forwarding/selection.py
@@ -1,6 +1,6 @@
 """Which server suits a request best."""
 
-from seampond.forwarding.backends import Backend
+from seampond.forwarding.backend import Backend
 from seampond.forwarding.job import Job
 from seampond.forwarding.speeds import PoolSpeed
 
--- a/seampond/forwarding/tests/test_forwarder.py
+++ b/seampond/forwarding/tests/test_forwarder.py
@@ -11,7 +11,7 @@
 from seampond.clock import Clock
 from seampond.errors import PromiseError
 from seampond.forwarding.attempt import Attempt
-from seampond.forwarding.backends import Backend
+from seampond.forwarding.backend import Backend
 from seampond.forwarding.exchange import Connection
 from seampond.forwarding.forwarder import CutError
 from seampond.forwarding.models import Kind
--- a/seampond/forwarding/tests/test_scheduler.py
+++ b/seampond/forwarding/tests/test_scheduler.py
@@ -5,7 +5,8 @@
 from typing import Any
 
 from seampond.clock import Clock, ManualClock
-from seampond.forwarding.backends import Backend, Backends, OthersLoad
+from seampond.forwarding.backend import Backend, OthersLoad
+from seampond.forwarding.backends import Backends
 from seampond.forwarding.job import Prompt
 from seampond.forwarding.models import Kind
 from seampond.forwarding.refusals import Cause, Refusal
--- a/seampond/gateway/beliefs.py
+++ b/seampond/gateway/beliefs.py
@@ -5,7 +5,8 @@
 from seampond.clock import Clock
 from seampond.errors import PlatformError
 from seampond.forwarding.admission import Belief
-from seampond.forwarding.backends import Backends, Server
+from seampond.forwarding.backend import Server
+from seampond.forwarding.backends import Backends
 from seampond.forwarding.scheduler import Scheduler
 from seampond.metrics.gateway import GatewayMetrics
 from seampond.platform import read_configuration, read_server
--- a/seampond/gateway/parts.py
+++ b/seampond/gateway/parts.py
@@ -11,7 +11,8 @@
 from seampond.clock import MS_PER_SECOND, Clock
 from seampond.forwarding.admission import Admission, Belief
 from seampond.forwarding.app import GatewayWeb
-from seampond.forwarding.backends import Backends, OthersLoad
+from seampond.forwarding.backend import OthersLoad
+from seampond.forwarding.backends import Backends
 from seampond.forwarding.forwarder import Forwarder, ForwarderParts
 from seampond.forwarding.retries import RetryBudget
 from seampond.forwarding.scheduler import Scheduler
--- a/seampond/platform/servers.py
+++ b/seampond/platform/servers.py
@@ -3,7 +3,7 @@
 import json
 
 from seampond.errors import PlatformError
-from seampond.forwarding.backends import Server
+from seampond.forwarding.backend import Server
 from seampond.platform import names
 
 _NOT_A_SERVER = (ValueError, KeyError, TypeError, AttributeError)
--- a/seampond/testing/gateways.py
+++ b/seampond/testing/gateways.py
@@ -5,7 +5,8 @@
 from typing import Any
 
 from seampond.clock import Clock
-from seampond.forwarding.backends import Backend, Backends, Server
+from seampond.forwarding.backend import Backend, Server
+from seampond.forwarding.backends import Backends
 from seampond.forwarding.forwarder import Forwarder, ForwarderParts
 from seampond.forwarding.heads import Head
 from seampond.forwarding.job import Job, Prompt
