Let nobody wait past a quarter of the target; leave fewer places free

Ruled out: going first among equals (it costs nothing that is priced). A step of rank leaves 0.1 of the slots free, 0.25 at the most.

--- a/seampond/forwarding/headroom.py
+++ b/seampond/forwarding/headroom.py
@@ -5,8 +5,8 @@
 
 from seampond.forwarding.job import Job
 
-_PART_A_STEP = 0.14
-_PART_MAX = 0.3
+_PART_A_STEP = 0.1
+_PART_MAX = 0.25
 _FREE_IN = 5
 
 
--- a/seampond/forwarding/scheduler.py
+++ b/seampond/forwarding/scheduler.py
@@ -19,8 +19,6 @@
 
 # A refusal within a quarter of the target leaves time for another try.
 _PATIENCE = 0.21
-# Who was turned away before would be lost: it waits for longer.
-_REPEAT_PATIENCE = 0.5
 _RETRY_LEAST = 0.08
 _RETRY_MOST = 0.3
 _LOOK_AGAIN_MS = 100
@@ -36,9 +34,8 @@
     -----------
     Who ranks higher goes first, then the more urgent kind of work, then who
     was turned away before, then who is due first.  Nobody waits longer than a
-    quarter of the target, or half of it the second time; with one that has to
-    give up, all that rank below it are turned away, and so is the last of a
-    queue that is full.
+    quarter of the target; with one that has to give up, all that rank below
+    it are turned away, and so is the last of a queue that is full.
 
     Parameters
     ----------
@@ -230,8 +227,7 @@
 
     async def _wait(self, waiter: Waiter) -> Backend:
         job = waiter.job
-        part = _REPEAT_PATIENCE if job.is_repeat else _PATIENCE
-        patience_ms = part * job.route.target_ms
+        patience_ms = _PATIENCE * job.route.target_ms
         until_ms = min(job.end_ms, self._clock.now() + patience_ms)
         while True:
             left_ms = until_ms - self._clock.now()
