--- a/seampond/gateway/daemon.py
+++ b/seampond/gateway/daemon.py
@@ -100,7 +100,7 @@
             source,
             probe_source,
             take_and_tell,
-            store.wait_ms,
+            store.call_ms,
             clock,
             count,
             parts.currencies[table],
--- a/seampond/settings/gateway.py
+++ b/seampond/settings/gateway.py
@@ -10,6 +10,8 @@
     Section,
 )
 
+_HISTORY_PART = 0.75
+
 
 class StoreSettings(Section):
     """The store that a gateway's beliefs come from.
@@ -17,13 +19,27 @@
     Parameters
     ----------
     wait_ms : int
-        How long the store holds a call while nothing changes; less than its
-        history lasts.
+        How long the store holds a call while nothing changes.
+    history_ms : int
+        How long the store knows what has changed.
 
     """
 
     address: Address
     wait_ms: Milliseconds = 15_000
+    history_ms: Milliseconds = 20_000
+
+    @property
+    def call_ms(self) -> int:
+        """How long a call waits, so that the history outlasts it.
+
+        Examples
+        --------
+        >>> StoreSettings(address='10.0.0.1:80', history_ms=4000).call_ms
+        3000
+
+        """
+        return min(self.wait_ms, round(self.history_ms * _HISTORY_PART))
 
 
 class BoundSettings(Section):
