Owe less of a quota at a start

Every gateway starts with half of the margin owed (70,000 units) and lets nobody in above a debt of 14,000, 1.5 s of a small tenant's rate. Ruled out: not being ready (22 requests in the first second); kept levels in the store (what is spent after the write is not known). Change: 0.25 is owed. A level sinks to -0.1 of the margin and one request, so no life leaves a bucket lower, and a start gives nothing twice; what was not told at the kill (some 30 ms of spending) lies within the rest of the margin. Before: test_all_serve_soon_after_a_restart fails; after: it and test_restarts_under_pressure_stay_inside pass, 18 tests.

--- a/seampond/sharing/quotas.py
+++ b/seampond/sharing/quotas.py
@@ -16,8 +16,9 @@
 _BELOW_PART = 0.1
 _DEBT_PART = 0.55
 _LOW_PART = 0.25
-# What an earlier life may owe: a debt, and what nobody had told yet.
-_OWED_PART = 0.5
+# What an earlier life may owe: a debt, and what nobody had told yet.  No level
+# is lower in the long run, so a restart gives nothing that was given before.
+_OWED_PART = 0.25
 _URGENT_PART = 0.04
 _LONGEST_WAIT_MS = 10_000
 
--- a/seampond/sharing/tests/test_quotas.py
+++ b/seampond/sharing/tests/test_quotas.py
@@ -130,6 +130,22 @@
                 fleet.restart(name)
         self._assert_bound(fleet)
 
+    def test_all_serve_soon_after_a_restart(self) -> None:
+        """What is owed at a start keeps nobody out for long."""
+        fleet = Fleet(4, slack=4000)
+        for _ in range(4):
+            fleet.beat()
+        self.assertTrue(fleet.ask('g0', 20))
+
+    def test_restarts_under_pressure_stay_inside(self) -> None:
+        """Also where each life gives as much as it may, with a debt."""
+        fleet = Fleet(4, slack=4000)
+        for _ in range(6):
+            self._press(fleet, 8, _MOSTLY_ONE)
+            for name in fleet.names:
+                fleet.restart(name)
+        self._assert_bound(fleet)
+
     def test_large_request_inside_the_quota_is_given(self) -> None:
         """No part of a bucket is too small for what the whole holds."""
         fleet = Fleet(4)
