--- a/seampond/forwarding/selection.py
+++ b/seampond/forwarding/selection.py
@@ -8,7 +8,8 @@
 _TOKENS_PER_MS = 50.0
 _RUNNING_MS = 2.0
 _QUEUED_MS = 150.0
-_OTHER_ZONE_MS = 5.0
+# What a server in another zone costs, as a part of the target.
+_OTHER_ZONE_PART = 0.02
 _TOO_SLOW_MS = 1500.0
 _LONG_TOKENS = 4000
 _STALL_MS = 60.0
@@ -77,7 +78,7 @@
     cost_ms = expect_first_ms(backend, job, pool, now_ms)
     cost_ms += _RUNNING_MS * backend.load(now_ms)
     if backend.server.zone != zone:
-        cost_ms += _OTHER_ZONE_MS
+        cost_ms += _OTHER_ZONE_PART * job.route.target_ms
     if job.is_stream:
         made_ms = job.prompt.answer_tokens * pool.token_ms(backend.speed)
         if now_ms + cost_ms + made_ms > job.end_ms:
--- a/seampond/forwarding/tests/test_scheduler.py
+++ b/seampond/forwarding/tests/test_scheduler.py
@@ -194,6 +194,24 @@
         ]
         self.assertNotIn(first, others)
 
+    async def test_own_zone_is_worth_a_little_delay(self) -> None:
+        """Bytes between zones are priced; a full server is not preferred."""
+        servers = [
+            build_server('near', slots=8),
+            build_server('far', slots=8, zone='b'),
+        ]
+        backends = build_backends(servers)
+        scheduler = Scheduler(
+            backends, ZONE, Clock(), lambda: 1, build_promises()
+        )
+        placed = [
+            await scheduler.place(build_job(route=_STREAM), set())
+            for _ in range(12)
+        ]
+        names = [backend.server.id for backend in placed]
+        self.assertEqual(set(names[:4]), {'near'})
+        self.assertIn('far', names[:10])
+
     async def test_kept_prompt_draws_its_session(self) -> None:
         """A prompt goes where most of it has been read already."""
         scheduler, (_, keeper) = build_scheduler(8, 8)
