Let a broken stream wait for another server, before all others

A stream that may be resumed waited for its next place like a new request: behind the queue, 0.21 of the target, and not where the answer would begin late; then it was cut, with half its credit on top. Change: it goes first in its rank, leaves nothing free, takes any server with room, and waits up to 1.5 s; a caller gives a stream up after 2 s at the least.

--- a/seampond/forwarding/attempt.py
+++ b/seampond/forwarding/attempt.py
@@ -166,6 +166,7 @@
             if events:
                 if not sink.has_started:
                     await sink.start(head, None)
+                progress.job.has_begun = True
                 await sink.send(events)
         if progress.splitter.rest:
             raise self._error('ended inside an event')
--- a/seampond/forwarding/headroom.py
+++ b/seampond/forwarding/headroom.py
@@ -40,7 +40,7 @@
 
     def count_free(self, job: Job, slots: int) -> int:
         """Give how many of a server's slots a request leaves free."""
-        if not zlib.crc32(job.request_id) % _FREE_IN:
+        if job.has_begun or not zlib.crc32(job.request_id) % _FREE_IN:
             return 0
         part = min(_PART_MAX, self._steps(job) * _PART_A_STEP)
         return round(part * slots)
--- a/seampond/forwarding/job.py
+++ b/seampond/forwarding/job.py
@@ -76,6 +76,8 @@
         When the final answer is due.
     is_repeat : bool
         Whether the caller seems to have been turned away before.
+    has_begun : bool
+        Whether the caller has a part of its stream.
 
     """
 
@@ -97,6 +99,7 @@
     attempts: int = 0
     maybe_run: bool = False
     is_repeat: bool = False
+    has_begun: bool = False
 
     @property
     def session(self) -> str:
--- a/seampond/forwarding/queues.py
+++ b/seampond/forwarding/queues.py
@@ -57,7 +57,12 @@
             self.waiters.remove(waiter)
 
 
-def _order(waiter: Waiter) -> tuple[int, int, bool, float]:
+def _order(waiter: Waiter) -> tuple[int, int, bool, bool, float]:
     job = waiter.job
-    is_first = not job.is_repeat
-    return job.priority, job.route.priority, is_first, waiter.due_ms
+    return (
+        job.priority,
+        job.route.priority,
+        not job.has_begun,
+        not job.is_repeat,
+        waiter.due_ms,
+    )
--- a/seampond/forwarding/scheduler.py
+++ b/seampond/forwarding/scheduler.py
@@ -19,6 +19,8 @@
 
 # A refusal within a quarter of the target leaves time for another try.
 _PATIENCE = 0.21
+# A caller bears a gap of two seconds in its stream.
+_RESUME_PATIENCE_MS = 1500
 _RETRY_LEAST = 0.08
 _RETRY_MOST = 0.3
 _LOOK_AGAIN_MS = 100
@@ -32,10 +34,11 @@
 
     Explanation
     -----------
-    Who ranks higher goes first, then the more urgent kind of work, then who
-    was turned away before, then who is due first.  Nobody waits longer than a
-    quarter of the target; with one that has to give up, all that rank below
-    it are turned away, and so is the last of a queue that is full.
+    Who ranks higher goes first, then the more urgent kind of work, then
+    streams that were broken off, then who was turned away before, then who is
+    due first.  Nobody waits longer than a quarter of the target, but for
+    those streams; with one that has to give up, all that rank below it are
+    turned away, and so is the last of a queue that is full.
 
     Parameters
     ----------
@@ -171,9 +174,10 @@
         Explanation
         -----------
         A server that holds nothing is always tried: what is believed of its
-        speed may be wrong, and only an answer tells.
+        speed may be wrong, and only an answer tells.  A stream that was
+        broken off is lost if it is not taken up.
         """
-        if not backend.load(now_ms):
+        if job.has_begun or not backend.load(now_ms):
             return True
         pool = self._backends.speed_of(job.pool)
         first_ms = expect_first_ms(backend, job, pool, now_ms)
@@ -228,6 +232,8 @@
     async def _wait(self, waiter: Waiter) -> Backend:
         job = waiter.job
         patience_ms = _PATIENCE * job.route.target_ms
+        if job.has_begun:
+            patience_ms = _RESUME_PATIENCE_MS
         until_ms = min(job.end_ms, self._clock.now() + patience_ms)
         while True:
             left_ms = until_ms - self._clock.now()
--- a/seampond/forwarding/tests/test_scheduler.py
+++ b/seampond/forwarding/tests/test_scheduler.py
@@ -96,6 +96,29 @@
         scheduler.release(backend)
         self.assertIs(await tasks[0], backend)
 
+    async def test_broken_stream_goes_first_and_waits_longer(self) -> None:
+        """Its caller has a part already, and the rest would be lost."""
+        clock = ManualClock(10_000)
+        backends = build_backends([build_server('i-0', slots=1)], clock)
+        scheduler = Scheduler(
+            backends, ZONE, clock, lambda: 1, build_promises()
+        )
+        backend = await scheduler.place(build_job(route=_STREAM), set())
+        tasks = [
+            asyncio.create_task(
+                scheduler.place(
+                    build_job(name, route=_STREAM, has_begun=has_begun), set()
+                )
+            )
+            for name, has_begun in (('fresh', False), ('begun', True))
+        ]
+        await until_true(lambda: scheduler.waiting == len(tasks))
+        clock.advance(1000)
+        await until_true(tasks[0].done)
+        self.assertIsInstance(tasks[0].exception(), Refusal)
+        scheduler.release(backend)
+        self.assertIs(await tasks[1], backend)
+
     async def test_higher_rank_is_not_shed_while_lower_waits(self) -> None:
         """With one that gives up, all that rank below it are turned away."""
         scheduler, _ = build_scheduler(1)
