--- a/seampond/sharing/heartbeats.py
+++ b/seampond/sharing/heartbeats.py
@@ -104,8 +104,8 @@
 
     Examples
     --------
-    >>> decode(encode(Heartbeat('g1', 1, 2, 3, {'t': 4.0}))).spent
-    {'t': 4.0}
+    >>> decode(encode(Heartbeat('g1', 1, 2, 3, {7: 4.0}))).spent
+    {7: 4}
 
     """
     message = _schema().Heartbeat.new_message(
