Ask a store that fails less often

Ruled out: the configuration's feed (its proof is what keyed requests need). Change: no probe while the feed itself fails and asks again; servers and gateways are asked for every 1.5 s at the most while calls fail. The first call after a failure does not wait, so that its answer proves at once.

--- a/seampond/gateway/daemon.py
+++ b/seampond/gateway/daemon.py
@@ -34,10 +34,34 @@
 _STOP_MARGIN_MS = 500
 _PROOF_MS = 1500
 _GATEWAYS_PROOF_MS = 8000
-_PACE_MS = 250
+_URGENT_PAUSE_MS = 600
+_CALM_PAUSE_MS = 1500
+_GATHER_MS = 250
 _logger = logging.getLogger(__name__)
 
 
+@dataclass(frozen=True, slots=True)
+class Pace:
+    """How fast a table is followed.
+
+    Parameters
+    ----------
+    pause_ms : int
+        The longest pause between two calls that fail.
+    gather_ms : int
+        How long changes may be gathered for one answer.
+
+    """
+
+    pause_ms: int
+    gather_ms: int
+
+
+# An older configuration may hold a key that was taken away since.
+_URGENT = Pace(_URGENT_PAUSE_MS, 0)
+_CALM = Pace(_CALM_PAUSE_MS, _GATHER_MS)
+
+
 @dataclass
 class RunningGateway:
     """A running gateway."""
@@ -69,7 +93,7 @@
     table: str,
     take: Callable[[Page], None],
     age_ms: int,
-    pace_ms: int,
+    pace: Pace,
 ) -> AsyncIterator[None]:
     """Follow one table until the end of the `with`.
 
@@ -77,9 +101,6 @@
     ----------
     age_ms : int
         How old a proof may be that we hold all changes of the table.
-    pace_ms : int
-        How long changes may be gathered for one answer.
-
     """
 
     def count(step: str) -> None:
@@ -104,7 +125,8 @@
             clock,
             count,
             parts.currencies[table],
-            pace_ms,
+            pace.pause_ms,
+            pace.gather_ms,
         )
         async with run_tasks(
             watch.run(),
@@ -171,18 +193,18 @@
     bounds = settings.bounds
     drain_ms = bounds.stop_ms - settings.linger_ms - _STOP_MARGIN_MS
     async with AsyncExitStack() as stack:
-        for table, take, age_ms, pace_ms in (
-            (CONFIGURATION_TABLE, parts.configuration.take, _PROOF_MS, 0),
-            (SERVERS_TABLE, parts.servers.take, _PROOF_MS, _PACE_MS),
+        for table, take, age_ms, pace in (
+            (CONFIGURATION_TABLE, parts.configuration.take, _PROOF_MS, _URGENT),
+            (SERVERS_TABLE, parts.servers.take, _PROOF_MS, _CALM),
             (
                 GATEWAYS_TABLE,
                 functools.partial(take_gateways, parts.peers),
                 _GATEWAYS_PROOF_MS,
-                _PACE_MS,
+                _CALM,
             ),
         ):
             await stack.enter_async_context(
-                _watch(parts, table, take, age_ms, pace_ms)
+                _watch(parts, table, take, age_ms, pace)
             )
         await stack.enter_async_context(_share(parts))
         server = await stack.enter_async_context(
--- a/seampond/watches/tests/test_watch.py
+++ b/seampond/watches/tests/test_watch.py
@@ -97,6 +97,20 @@
         await asyncio.sleep(0)
 
 
+class HeldClock(Clock):
+    """A clock on which a sleep never ends."""
+
+    def __init__(self) -> None:
+        """Start with nobody asleep."""
+        super().__init__()
+        self.__dict__['held'] = asyncio.Event()
+
+    async def sleep(self, duration_ms: float) -> None:
+        """Tell of the sleep, and sleep for ever."""
+        self.__dict__['held'].set()
+        await asyncio.Event().wait()
+
+
 class WatchTest(unittest.IsolatedAsyncioTestCase):
     """What a watch asks, and what it takes."""
 
@@ -125,6 +139,16 @@
             await source.is_over.wait()
         self.assertEqual(clock.__dict__['sleeps'], [250, 250])
 
+    async def test_first_call_after_a_failure_does_not_wait(self) -> None:
+        """Its answer proves at once what was in doubt."""
+        await self._follow(
+            _page(3, is_whole=True),
+            _page(3),
+            PlatformError('is down', step='read'),
+            _page(4),
+        )
+        self.assertEqual(self.waits, [0, 1000, 0, 1000])
+
     async def test_lost_history_is_read_again(self) -> None:
         """A compacted history costs one whole read."""
         gone = HistoryGoneError('gone', step='read')
@@ -233,6 +257,20 @@
             await self.feed.is_over.wait()
         self.assertEqual(self.feed.calls[-1], 'since 4')
 
+    async def test_no_probe_while_the_feed_asks_again(self) -> None:
+        """A store that refuses calls is asked by the feed alone."""
+        refused = PlatformError('busy', step='read')
+        feed = ListedSource(_page(3, is_whole=True), refused)
+        probes = ListedSource(_page(4))
+        clock = HeldClock()
+        watch = build_watch(feed, probes, clock=clock)
+        task = asyncio.create_task(watch.run())
+        self.addCleanup(task.cancel)
+        async with asyncio.timeout(5):
+            await clock.__dict__['held'].wait()
+        self.assertFalse(await watch.probe())
+        self.assertEqual(probes.calls, [])
+
     async def test_probe_waits_for_a_first_read(self) -> None:
         """Nothing is asked before the table was read whole."""
         watch = build_watch(ListedSource())
--- a/seampond/watches/watch.py
+++ b/seampond/watches/watch.py
@@ -12,7 +12,6 @@
 from seampond.watches.rows import HistoryGoneError, Page, TableSource
 
 _FIRST_PAUSE_MS = 100
-_LONGEST_PAUSE_MS = 600
 _logger = logging.getLogger(__name__)
 
 
@@ -32,6 +31,8 @@
         Counts a failed call by its step.
     currency : Currency
         What is held, and since when that is proved.
+    pause_ms : int
+        The longest pause between two calls that fail.
     pace_ms : int
         How long to wait after a change before the next are asked for, so
         that many at once come in one answer.
@@ -45,11 +46,13 @@
     clock: Clock
     count_failure: Callable[[str], None]
     currency: Currency
+    pause_ms: int = 600
     pace_ms: int = 0
     is_current: bool = False
     is_new: bool = False
     _call: asyncio.Timeout | None = None
     _is_suspect: bool = False
+    _is_failing: bool = False
 
     async def run(self) -> None:
         """Follow the table; never ends by itself."""
@@ -57,12 +60,14 @@
         while True:
             try:
                 is_fresh = await self._step()
+                self._is_failing = False
             except HistoryGoneError:
                 self._tell('history gone', 'read-changes')
                 self.is_current = False
                 continue
             except PlatformError as error:
                 self.count_failure(error.step)
+                self._is_failing = True
                 if pause_ms == _FIRST_PAUSE_MS:
                     self._tell('store call failed', error.message)
                 is_fresh = False
@@ -70,11 +75,16 @@
                 pause_ms = _FIRST_PAUSE_MS
                 continue
             await self.clock.sleep(pause_ms * random.uniform(0.5, 1))
-            pause_ms = min(_LONGEST_PAUSE_MS, pause_ms * 2)
+            pause_ms = min(self.pause_ms, pause_ms * 2)
 
     async def probe(self) -> bool:
-        """Make one call beside the feed; tell whether its answer was taken."""
-        if not self.is_current:
+        """Make one call beside the feed; tell whether its answer was taken.
+
+        Explanation
+        -----------
+        Not while the feed fails and asks again by itself: each call is priced.
+        """
+        if self._is_failing or not self.is_current:
             return False
         try:
             page = await self.probe_source.read_changes(
@@ -109,8 +119,10 @@
     async def _read(self) -> Page:
         if not self.is_current:
             return await self.source.read_all()
-        # A read may be behind; what follows it is asked for at once.
-        wait_ms = 0 if self.is_new else self.wait_ms
+        # A read may be behind, and after an outage nothing is proved: what
+        # follows is asked for at once.
+        is_hurried = self.is_new or self._is_failing
+        wait_ms = 0 if is_hurried else self.wait_ms
         return await self.source.read_changes(self.currency.version, wait_ms)
 
     def _give_call_up(self) -> None:
