The store's rates are those of the site files

The gateway needs no figure of them: it reads some 6 times a second with all gateways together and writes a row at a start and a stop.

--- a/seampond/slopes/capacity.py
+++ b/seampond/slopes/capacity.py
@@ -188,7 +188,7 @@
 _PLATFORM_LABELS = (
     ('configuration polls', 'entries x 1 a second', 'reads/s', '2000'),
     ('VM list polls', 'entries x 1 a second', 'requests/s', ''),
-    ('claims', '2 x 1/40 of requests', 'writes/s', 'some hundred'),
+    ('claims', '2 x 1/40 of requests', 'writes/s', '400'),
     ('kept answers', '1/40 of requests', 'objects/s', ''),
     ('workspaces', 'workspaces x row', 'MB', ''),
     ('change log', 'changes x row', 'MB/day', ''),
