--- a/bin/rounds.py
+++ b/bin/rounds.py
@@ -12,6 +12,7 @@
 JOURNAL = Path(__file__).resolve().parent.parent / 'journal'
 DAYS = ('quiet-1', 'trouble-1', 'scale-1', 'trouble-2', 'scale-2', 'trouble-3')
 QUIET = 'quiet'
+SITE = 'site'
 HEADS = ('entry', 'site', 'score', *DAYS, 'rules broken', 'what was tried')
 WORTH_HEADS = ('entry', 'site', 'mean of trouble', *DAYS, 'what was tried')
 
@@ -26,10 +27,14 @@
     ]
 
 
+def _tell(day: dict[str, Any] | None, figure: str, digits: int) -> str:
+    """Give a figure of a day, a dash where the day was not played."""
+    return '-' if day is None else str(round(day[figure], digits))
+
+
 def make_row(entry: dict[str, Any]) -> list[str]:
     """Give the cells of one entry."""
     days = {day['name']: day for day in entry['days']}
-    marks = [days[name]['score'] for name in DAYS if name in days]
     broken = sorted(
         f'{name}: {rule}'
         for name, day in days.items()
@@ -37,9 +42,9 @@
     )
     return [
         entry['id'],
-        entry['site'],
+        entry[SITE],
         f'{entry["score"]:.3f}',
-        *(f'{mark:.2f}' for mark in marks),
+        *(_tell(days.get(name), 'score', 2) for name in DAYS),
         ', '.join(broken) or 'none',
         entry['why'],
     ]
@@ -47,18 +52,16 @@
 
 def make_worth_row(entry: dict[str, Any]) -> list[str]:
     """Give the cells of one entry with the worth of its days."""
-    worths = {
-        day['name']: day['G'] for day in entry['days'] if day['name'] in DAYS
-    }
+    days = {day['name']: day for day in entry['days'] if day['name'] in DAYS}
     troubled = [
-        worth for name, worth in worths.items() if not name.startswith(QUIET)
+        day['G'] for name, day in days.items() if not name.startswith(QUIET)
     ]
     mean = sum(troubled) / max(1, len(troubled))
     return [
         entry['id'],
-        entry['site'],
+        entry[SITE],
         f'{mean:.3f}',
-        *(f'{worths[name]:.3f}' for name in DAYS if name in worths),
+        *(_tell(days.get(name), 'G', 3) for name in DAYS),
         entry['why'],
     ]
 
@@ -67,14 +70,19 @@
     """Print the table in Markdown."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--worth', action='store_true')
-    parser.add_argument('--site', default='', help='a part of its name')
+    parser.add_argument('--site', default='', help='its name or a part of it')
     options = parser.parse_args()
     heads = WORTH_HEADS if options.worth else HEADS
     make = make_worth_row if options.worth else make_row
     print('|', ' | '.join(heads), '|')
     print('|', ' | '.join('---' for _ in heads), '|')
-    for entry in read_scores():
-        if options.site in entry['site']:
+    scores = read_scores()
+    known = {entry[SITE] for entry in scores}
+    sites = {name for name in known if options.site in name}
+    if options.site in known:
+        sites = {options.site}
+    for entry in scores:
+        if entry[SITE] in sites:
             print('|', ' | '.join(make(entry)), '|')
 
 
