Callers set no commands for servers

Change: of the platform's reserved prefixes only the headers that describe a request are taken from a caller; one rule in forwarding/packets.py, the names in platform/names.py. Fields behind a chunked body had been taken for headers of the request; they no longer are.

--- a/seampond/forwarding/attempt.py
+++ b/seampond/forwarding/attempt.py
@@ -9,8 +9,8 @@
 from seampond.forwarding.backends import Backends
 from seampond.forwarding.exchange import Connection
 from seampond.forwarding.heads import ExchangeError, Head, parse_idle_ms
-from seampond.forwarding.job import make_packet
 from seampond.forwarding.models import HeaderNames
+from seampond.forwarding.packets import make_packet
 from seampond.forwarding.progress import Answer, Outcome, Progress, Try
 from seampond.forwarding.selection import (
     count_unread,
--- a/seampond/forwarding/job.py
+++ b/seampond/forwarding/job.py
@@ -2,23 +2,7 @@
 
 from dataclasses import dataclass
 
-from seampond.forwarding.models import HeaderNames, Kind, Route, Tenant
-
-_HOP_HEADERS = frozenset(
-    (
-        b'connection',
-        b'keep-alive',
-        b'proxy-authorization',
-        b'proxy-connection',
-        b'te',
-        b'trailer',
-        b'transfer-encoding',
-        b'upgrade',
-        b'content-length',
-        b'expect',
-        b'authorization',
-    )
-)
+from seampond.forwarding.models import Kind, Route, Tenant
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -110,35 +94,3 @@
     def is_stream(self) -> bool:
         """Whether the answer is a series of events."""
         return self.route.kind is Kind.stream
-
-
-def make_packet(
-    job: Job, names: HeaderNames, instance: str, now_ms: int
-) -> bytes:
-    """Give the bytes of the request for one server.
-
-    Explanation
-    -----------
-    All end-to-end headers are passed on; the caller's key is not.  The
-    server gets the time that is left.
-    """
-    own = {names.tenant, names.deadline, names.expect_instance}
-    if job.last_event:
-        own.add(names.last_event)
-    left_ms = max(1, job.patience_ms - (now_ms - job.arrived_ms))
-    lines = [b'%b %b HTTP/1.1' % (job.method, job.target)]
-    lines.extend(
-        b'%b: %b' % (name, text)
-        for name, text in job.headers
-        if name not in _HOP_HEADERS and name not in own
-    )
-    lines.append(b'%b: %b' % (names.expect_instance, instance.encode()))
-    lines.append(b'%b: %d' % (names.deadline, left_ms))
-    if job.last_event:
-        lines.append(b'%b: %b' % (names.last_event, job.last_event))
-    if job.tenant is not None:
-        lines.append(b'%b: %b' % (names.tenant, job.tenant.name.encode()))
-    if job.body or job.method != b'GET':
-        lines.append(b'content-length: %d' % len(job.body))
-    lines.extend((b'', job.body))
-    return b'\r\n'.join(lines)
--- a/seampond/forwarding/models.py
+++ b/seampond/forwarding/models.py
@@ -156,7 +156,16 @@
 
 @dataclass(frozen=True, slots=True)
 class HeaderNames:
-    """How headers are spelled at the border, in lower case."""
+    """How headers are spelled at the border, in lower case.
+
+    Parameters
+    ----------
+    reserved : tuple[bytes, ...]
+        How the names of headers begin that only a gateway may set.
+    from_callers : frozenset[bytes]
+        The reserved headers that a caller may set all the same.
+
+    """
 
     request_id: bytes
     deadline: bytes
@@ -170,3 +179,5 @@
     prompt: bytes
     last_event: bytes
     scheme: str
+    reserved: tuple[bytes, ...] = ()
+    from_callers: frozenset[bytes] = frozenset()
--- a/seampond/forwarding/web.py
+++ b/seampond/forwarding/web.py
@@ -73,6 +73,8 @@
             TARGET_KEY: self.url,  # type: ignore[dict-item]
             WATCH_KEY: self._watch,  # type: ignore[dict-item]
         }
+        # Fields behind a chunked body are no headers of the request.
+        self.scope['headers'] = list(self.headers)
         super().on_headers_complete()
 
     def on_response_complete(self) -> None:
--- a/seampond/gateway/tests/test_gateway.py
+++ b/seampond/gateway/tests/test_gateway.py
@@ -189,6 +189,27 @@
         self.assertEqual(sent.body, b'abcde')
         writer.close()
 
+    async def test_fields_behind_a_body_are_no_headers(self) -> None:
+        """A chunked body may end with fields; no server is told of them."""
+        gateway = await self.start_ready()
+        host, _, port = gateway.parts.settings.listen.rpartition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        lines = (
+            'POST /x/y HTTP/1.1',
+            f'Host: {_HOST}',
+            f'{_ID}: r1',
+            f'Authorization: token {_KEY}',
+            'Transfer-Encoding: chunked',
+        )
+        head = '\r\n'.join(lines)
+        writer.write(f'{head}\r\n\r\n'.encode())
+        writer.write(b'3\r\nabc\r\n0\r\nX-Late: 1\r\n\r\n')
+        await reader.readuntil(b'whole')
+        sent = self.server.received[0]
+        self.assertEqual(sent.body, b'abc')
+        self.assertEqual(sent.get('x-late'), '')
+        writer.close()
+
     async def test_answer_to_head_has_no_body(self) -> None:
         """Its length is that of the answer to GET; nothing waits for it."""
 
--- a/seampond/platform/names.py
+++ b/seampond/platform/names.py
@@ -2,8 +2,12 @@
 
 from seampond.forwarding.models import HeaderNames
 
+_REQUEST_ID = b'x-seampond-request-id'
+_TOKENS = b'x-seampond-token-usage'
+_PROMPT = b'x-seampond-prompt-prefix'
+
 HEADERS = HeaderNames(
-    request_id=b'x-seampond-request-id',
+    request_id=_REQUEST_ID,
     deadline=b'x-seampond-deadline-ms',
     tenant=b'x-seampond-tenant',
     instance=b'x-seampond-instance-id',
@@ -11,10 +15,22 @@
     stamp=b'x-seampond-server-stamp',
     load=b'x-seampond-server-load',
     not_run=b'x-seampond-not-executed',
-    tokens=b'x-seampond-token-usage',
-    prompt=b'x-seampond-prompt-prefix',
+    tokens=_TOKENS,
+    prompt=_PROMPT,
     last_event=b'last-event-id',
     scheme='token',
+    # Holds, pins, copies and moves of a server's memory, the server and the
+    # version that are expected, the workspace, the time left.
+    reserved=(b'x-seampond-', b'kv-'),
+    from_callers=frozenset(
+        (
+            _REQUEST_ID,
+            _TOKENS,
+            _PROMPT,
+            b'x-seampond-model',
+            b'x-seampond-length-hint',
+        )
+    ),
 )
 
 READY_PATH = '/ready'
--- a/seampond/testing/gateways.py
+++ b/seampond/testing/gateways.py
@@ -41,6 +41,10 @@
     prompt=b'x-test-prompt',
     last_event=b'last-event-id',
     scheme='token',
+    reserved=(b'x-test-',),
+    from_callers=frozenset(
+        (ID_HEADER.encode(), b'x-test-tokens', b'x-test-prompt')
+    ),
 )
 
 
