--- a/seampond/callers/app.py
+++ b/seampond/callers/app.py
@@ -17,7 +17,8 @@
     read_body,
 )
 from seampond.callers.works import make_chat_work, make_service_work
-from seampond.pages import Pages, page_routes
+from seampond.page_routes import make_page_routes
+from seampond.pages import Pages
 from seampond.requests import Reason, RefusedError, Run, Work
 
 _METHODS = ('GET', 'POST', 'PUT', 'PATCH', 'DELETE')
@@ -83,5 +84,5 @@
 
 def caller_app(front: Front, doors: Doors, pages: Pages) -> Starlette:
     """Give the web application that callers and operators reach."""
-    routes = [*_request_routes(front, doors), *page_routes(pages)]
+    routes = [*_request_routes(front, doors), *make_page_routes(pages)]
     return Starlette(routes=routes)
--- a/seampond/daemons/agent.py
+++ b/seampond/daemons/agent.py
@@ -18,7 +18,8 @@
 from seampond.engines.runner import Runner
 from seampond.links.messages import Hello
 from seampond.metrics import AgentMetrics
-from seampond.pages import Pages, page_routes
+from seampond.page_routes import make_page_routes
+from seampond.pages import Pages
 from seampond.promises import Promises, Rule
 from seampond.settings.models import AgentSettings
 from seampond.web import WebServer, serve_http
@@ -84,7 +85,7 @@
         lambda: not running.agent.is_leaving,
         running.show_status,
     )
-    return Starlette(routes=page_routes(pages))
+    return Starlette(routes=make_page_routes(pages))
 
 
 @asynccontextmanager
--- a/seampond/demo/fleet.py
+++ b/seampond/demo/fleet.py
@@ -13,7 +13,7 @@
 from seampond.daemons.agent import RunningAgent
 from seampond.daemons.entry import RunningEntry
 from seampond.daemons.standins import RunningEngine, RunningPlatform
-from seampond.settings import load_settings
+from seampond.settings.load import load_settings
 from seampond.settings.models import (
     AgentSettings,
     EngineStandInSettings,
--- a/seampond/forwarding/attempt.py
+++ b/seampond/forwarding/attempt.py
@@ -129,7 +129,7 @@
         self._note_load(head)
         if self._is_rejection(head):
             job.maybe_run = had_run
-            await self._read_whole(connection)
+            await connection.read_whole(_WHOLE_MAX_BYTES)
             self._note_rejection(head)
             return Outcome.rejected
         self._check_stamp(head)
@@ -139,7 +139,7 @@
         return await self._relay_whole(connection, head)
 
     async def _relay_whole(self, connection: Connection, head: Head) -> Outcome:
-        body = await self._read_whole(connection)
+        body = await connection.read_whole(_WHOLE_MAX_BYTES)
         if head.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
             self.backend.note_failure(self.clock.now(), _ERRORS_IN_A_ROW)
             self.progress.kept = Answer(head, body)
@@ -175,18 +175,6 @@
         await sink.finish()
         self._note_stream(parts)
 
-    async def _read_whole(self, connection: Connection) -> bytes:
-        parts: list[bytes] = []
-        size = 0
-        while True:
-            part = await connection.read_part()
-            if part is None:
-                return b''.join(parts)
-            parts.append(part)
-            size += len(part)
-            if size > _WHOLE_MAX_BYTES:
-                raise self._error('answer too large')
-
     def _note_first(self) -> None:
         """Learn from the first byte of a sound answer."""
         job, backend = self.progress.job, self.backend
--- a/seampond/forwarding/exchange.py
+++ b/seampond/forwarding/exchange.py
@@ -30,7 +30,8 @@
     Parameters
     ----------
     id_header : bytes
-        The header that every answer carries back, in lower case.
+        The header that every answer carries back, in lower case; empty where
+        answers carry none.
 
     """
 
@@ -127,6 +128,28 @@
         self._buffered = 0
         return parts
 
+    async def read_whole(self, most_bytes: int) -> bytes:
+        """Wait for the whole body.
+
+        Raises
+        ------
+        ExchangeError
+            If the answer was cut short, or is longer than `most_bytes`.
+
+        """
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            part = await self.read_part()
+            if part is None:
+                return b''.join(parts)
+            parts.append(part)
+            size += len(part)
+            if size > most_bytes:
+                raise ExchangeError(
+                    'answer too large', step='body', peer=self.peer
+                )
+
     def close(self) -> None:
         """Drop the connection at once; the server hears a cancel."""
         self._is_broken = True
@@ -200,13 +223,7 @@
         head.status = self._parser.get_status_code()
         if head.status < _FIRST_FINAL or self._has_head:
             return
-        answered = head.get(self._id_header)
-        if not answered:
-            self._fail('an answer without a request id')
-            return
-        if answered != self._request_id:
-            # A late answer to somebody else: skip it, trust nothing after.
-            self._is_broken = True
+        if self._id_header and not self._is_answer_to_ours(head):
             return
         self._head = head
         self._has_head = True
@@ -242,6 +259,17 @@
             and self._next is self._head
         )
 
+    def _is_answer_to_ours(self, head: Head) -> bool:
+        answered = head.get(self._id_header)
+        if not answered:
+            self._fail('an answer without a request id')
+            return False
+        if answered != self._request_id:
+            # A late answer to somebody else: skip it, trust nothing after.
+            self._is_broken = True
+            return False
+        return True
+
     def _reset(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
         self._head = Head()
--- a/seampond/gateway/__main__.py
+++ b/seampond/gateway/__main__.py
@@ -14,8 +14,7 @@
 from seampond.gateway.daemon import run_gateway
 from seampond.logs import set_up_logs
 from seampond.run import run_daemon
-from seampond.settings.gateway import GatewaySettings
-from seampond.settings.load import load_settings
+from seampond.settings.gateway import load_gateway
 
 _EXIT_USAGE = 2
 
@@ -25,7 +24,7 @@
     if len(words) != 1:
         sys.stderr.write('usage: python -m seampond.gateway SETTINGS\n')
         return _EXIT_USAGE
-    read = partial(load_settings, Path(words[0]), GatewaySettings)
+    read = partial(load_gateway, Path(words[0]))
     try:
         settings = read()
     except SettingsError as error:
--- a/seampond/gateway/daemon.py
+++ b/seampond/gateway/daemon.py
@@ -6,13 +6,12 @@
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
 
-from starlette.applications import Starlette
 from starlette.types import ASGIApp, Receive, Scope, Send
 
 from seampond.clock import Clock
 from seampond.forwarding.web import CallerProtocol
 from seampond.gateway.parts import GatewayParts, make_gateway
-from seampond.pages import Pages, page_routes
+from seampond.pages import Pages, RenderedPage, render_page
 from seampond.platform import READY_PATH, open_table
 from seampond.platform.names import (
     CONFIGURATION_TABLE,
@@ -160,6 +159,21 @@
     return int(address.rpartition(':')[2])
 
 
+async def _send_page(page: RenderedPage, send: Send) -> None:
+    headers = [
+        (b'content-type', page.media_type.encode()),
+        (b'content-length', b'%d' % len(page.body)),
+    ]
+    await send(
+        {
+            'type': 'http.response.start',
+            'status': page.status,
+            'headers': headers,
+        }
+    )
+    await send({'type': 'http.response.body', 'body': page.body})
+
+
 def make_app(parts: GatewayParts) -> ASGIApp:
     """Give one application for callers, the balancer and operators.
 
@@ -169,17 +183,19 @@
     process ten times a second.
     """
     pages = Pages(
-        parts.metrics.registry, lambda: parts.is_ready, parts.show_status
+        parts.metrics.registry,
+        lambda: parts.is_ready,
+        parts.show_status,
+        READY_PATH,
     )
-    operators = Starlette(routes=page_routes(pages, ready_path=READY_PATH))
     settings = parts.settings
     other = {_port(settings.ready_listen), _port(settings.metrics_listen)}
 
     async def dispatch(scope: Scope, receive: Receive, send: Send) -> None:
-        app: ASGIApp = parts.web
         if scope['server'][1] in other:
-            app = operators
-        await app(scope, receive, send)
+            await _send_page(render_page(pages, scope['path']), send)
+        else:
+            await parts.web(scope, receive, send)
 
     return dispatch
 
--- a/seampond/gateway/parts.py
+++ b/seampond/gateway/parts.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass
 from typing import Any
 
+import msgspec
+
 from seampond.clock import MS_PER_SECOND, Clock
 from seampond.forwarding.admission import Admission, Belief
 from seampond.forwarding.app import GatewayWeb
@@ -78,8 +80,8 @@
         -----------
         Bounds count from now on.  Addresses, name and zone are this life's.
         """
-        before = _flatten(self.settings.model_dump())
-        after = _flatten(settings.model_dump())
+        before = _flatten(msgspec.to_builtins(self.settings))
+        after = _flatten(msgspec.to_builtins(settings))
         self.settings = settings
         bounds = settings.bounds
         self.web.admission.proof_ms = bounds.revoke_ms - bounds.proof_margin_ms
--- a/seampond/gateway/tests/test_gateway.py
+++ b/seampond/gateway/tests/test_gateway.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 import aiosonic
+import msgspec
 
 from seampond.backing.http import make_client
 from seampond.clock import Clock
@@ -383,8 +384,8 @@
         """What changed is told and counts from now on."""
         gateway = await self.start_ready()
         before = gateway.parts.settings
-        bounds = before.bounds.model_copy(update={'revoke_ms': 3000})
-        after = before.model_copy(update={'bounds': bounds})
+        bounds = msgspec.structs.replace(before.bounds, revoke_ms=3000)
+        after = msgspec.structs.replace(before, bounds=bounds)
         with self.assertLogs('seampond.gateway.daemon') as logs:
             gateway.reload(after)
         changed = getattr(logs.records[0], 'changed', None)
--- a/seampond/gateway/tests/test_process.py
+++ b/seampond/gateway/tests/test_process.py
@@ -9,6 +9,8 @@
 from contextlib import asynccontextmanager
 from pathlib import Path
 
+import msgspec
+
 from seampond.gateway.tests.test_gateway import build_settings
 from seampond.testing.store import run_store
 
@@ -67,8 +69,8 @@
     def _write(self, path: Path, revoke_ms: str) -> None:
         path.write_text(
             _TEMPLATE.format(
-                **self.settings.model_dump(exclude={'store'}),
-                store=self.settings.store.address,
+                **msgspec.to_builtins(self.settings)
+                | {'store': self.settings.store.address},
                 revoke_ms=revoke_ms,
             )
         )
--- a/seampond/operators/base.py
+++ b/seampond/operators/base.py
@@ -12,7 +12,7 @@
 
 from seampond.errors import SeampondError, SettingsError
 from seampond.operators.edits import Editor, open_editor
-from seampond.settings import load_settings
+from seampond.settings.load import load_settings
 from seampond.settings.models import OperatorSettings
 
 EXIT_OK = 0
--- a/seampond/operators/programs.py
+++ b/seampond/operators/programs.py
@@ -12,8 +12,8 @@
 from seampond.logs import set_up_logs
 from seampond.operators.base import EXIT_OK, BaseCommand, settings_option
 from seampond.run import Run, run_daemon
-from seampond.settings import load_settings
 from seampond.settings.gateway import GatewaySettings
+from seampond.settings.load import load_settings
 from seampond.settings.models import (
     AgentSettings,
     EngineStandInSettings,
--- a/seampond/operators/show.py
+++ b/seampond/operators/show.py
@@ -14,7 +14,7 @@
 )
 from seampond.operators.edits import Editor
 from seampond.operators.status import FleetStatus, read_status
-from seampond.settings import load_any
+from seampond.settings.load import load_any
 from seampond.settings.models import OperatorSettings
 
 
--- a/seampond/pages.py
+++ b/seampond/pages.py
@@ -1,5 +1,6 @@
 """The pages that every daemon serves to operators and the balancer."""
 
+import json
 from collections.abc import Callable
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -9,43 +10,57 @@
     CollectorRegistry,
     generate_latest,
 )
-from starlette.requests import Request
-from starlette.responses import JSONResponse, PlainTextResponse, Response
-from starlette.routing import Route
+
+READY_PATH = '/readyz'
+_TEXT = 'text/plain; charset=utf-8'
 
 
 @dataclass(frozen=True)
 class Pages:
-    """What the pages show."""
+    """What the pages show.
+
+    Parameters
+    ----------
+    ready_path : str
+        Where the balancer asks whether callers are to be sent here.
+
+    """
 
     registry: CollectorRegistry
     is_ready: Callable[[], bool]
     show_status: Callable[[], dict[str, object]]
+    ready_path: str = READY_PATH
+
+    @property
+    def paths(self) -> tuple[str, ...]:
+        """Where the pages lie."""
+        return ('/metrics', '/healthz', self.ready_path, '/status')
 
 
-def page_routes(pages: Pages, *, ready_path: str = '/readyz') -> list[Route]:
-    """Give ``/metrics``, ``/healthz``, ``/readyz`` and ``/status``."""
+@dataclass(frozen=True, slots=True)
+class RenderedPage:
+    """One page as it is answered."""
 
-    async def metrics(_request: Request) -> Response:
-        text = generate_latest(pages.registry)
-        return Response(text, media_type=CONTENT_TYPE_LATEST)
+    body: bytes
+    media_type: str = _TEXT
+    status: HTTPStatus = HTTPStatus.OK
 
-    async def healthz(_request: Request) -> Response:
-        return PlainTextResponse('ok\n')
 
-    async def readyz(_request: Request) -> Response:
+def render_page(pages: Pages, path: str) -> RenderedPage:
+    """Give the page at a path; any other path is not found."""
+    if path == pages.ready_path:
         if pages.is_ready():
-            return PlainTextResponse('ready\n')
-        return PlainTextResponse(
-            'not ready\n', status_code=HTTPStatus.SERVICE_UNAVAILABLE
+            return RenderedPage(b'ready\n')
+        return RenderedPage(
+            b'not ready\n', status=HTTPStatus.SERVICE_UNAVAILABLE
         )
-
-    async def status(_request: Request) -> Response:
-        return JSONResponse(pages.show_status())
-
-    return [
-        Route('/metrics', metrics),
-        Route('/healthz', healthz),
-        Route(ready_path, readyz),
-        Route('/status', status),
-    ]
+    if path == '/metrics':
+        return RenderedPage(
+            generate_latest(pages.registry), CONTENT_TYPE_LATEST
+        )
+    if path == '/status':
+        text = json.dumps(pages.show_status())
+        return RenderedPage(text.encode(), 'application/json')
+    if path == '/healthz':
+        return RenderedPage(b'ok\n')
+    return RenderedPage(b'not found\n', status=HTTPStatus.NOT_FOUND)
--- a/seampond/platform/configuration.py
+++ b/seampond/platform/configuration.py
@@ -4,7 +4,7 @@
 from types import MappingProxyType
 from typing import Any
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+import msgspec
 
 from seampond.errors import PlatformError
 from seampond.forwarding import models
@@ -22,15 +22,9 @@
 _LOWEST_PRIORITY = 9
 
 
-class _Part(BaseModel):
+class _Part(msgspec.Struct, frozen=True, kw_only=True, rename='kebab'):
     """A part of the configuration; unknown fields are passed over."""
 
-    model_config = ConfigDict(
-        extra='ignore',
-        frozen=True,
-        alias_generator=lambda name: name.replace('_', '-'),
-    )
-
 
 class _Split(_Part):
     service: str
@@ -80,7 +74,7 @@
     version: int
     routes: tuple[_Route, ...] = ()
     services: tuple[_Service, ...] = ()
-    limits: _Limits = Field(default_factory=_Limits)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
     tenants: tuple[_Tenant, ...] = ()
 
 
@@ -142,13 +136,9 @@
 
     """
     try:
-        whole = _Whole.model_validate_json(content)
-    except ValidationError as error:
-        problem = error.errors()[0]
-        where = '.'.join(str(part) for part in problem['loc'])
-        raise PlatformError(
-            f'{where}: {problem["msg"]}', step='configuration'
-        ) from error
+        whole = msgspec.json.decode(content, type=_Whole, strict=False)
+    except msgspec.MsgspecError as error:
+        raise PlatformError(str(error), step='configuration') from error
     routes = [_read_route(route) for route in whole.routes]
     pools = [
         models.Pool(
--- a/seampond/platform/store.py
+++ b/seampond/platform/store.py
@@ -10,26 +10,21 @@
 from typing import Any
 from urllib.parse import urlencode
 
-import aiosonic
-from aiosonic.exceptions import AiosonicError, HttpParsingError
-from aiosonic.timeout import Timeouts
-
-from seampond.backing.http import make_client
 from seampond.clock import MS_PER_SECOND, Clock
 from seampond.errors import ConflictError, PlatformError, UnknownOutcomeError
+from seampond.forwarding.exchange import Connection, open_connection
+from seampond.forwarding.heads import ExchangeError, parse_idle_ms
 from seampond.platform import names
 from seampond.watches import HistoryGoneError, Page, Row
 
+# Some hundred times what the store needs for an answer on a good day, and
+# less than the age at which what is believed of it counts as old.
 _ANSWER_MS = 900
-_FAILURES = (
-    AiosonicError,
-    HttpParsingError,
-    OSError,
-    EOFError,
-    ValueError,
-    KeyError,
-    TypeError,
-)
+# The pages bound an answer at 1 MB; its values are half as long again.
+_ANSWER_MAX_BYTES = 4_194_304
+_CALL_ID = b'call'
+_NOT_AN_ANSWER = (ValueError, KeyError, TypeError)
+_FAILURES = (ExchangeError, TimeoutError, *_NOT_AN_ANSWER)
 
 
 class Store:
@@ -37,23 +32,22 @@
 
     Explanation
     -----------
-    The HTTP client library uses a connection again after a call on it has
-    timed out, and then takes the late answer for the next call's.  So each
-    caller of ours has its own client, which is dropped at the first failure.
+    The calls go over the same exchange as requests do, one after another on
+    one connection.  It is dropped at the first failure: an answer that comes
+    late must not be taken for the next call's.
     """
 
     def __init__(self, address: str, clock: Clock) -> None:
         """Keep the address."""
-        self._url = f'http://{address}'
+        self._address = address
         self._clock = clock
-        self._client: aiosonic.HTTPClient | None = None
+        self._connection: Connection | None = None
 
-    async def close(self) -> None:
-        """Drop the connections."""
-        if self._client is not None:
-            client = self._client
-            self._client = None
-            await client.aclose()
+    def close(self) -> None:
+        """Drop the connection."""
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
 
     async def read(self, table: str) -> Page:
         """Read all rows of a table, as of one moment or later."""
@@ -136,7 +130,7 @@
                 self._clock.now(),
                 is_whole=False,
             )
-        except _FAILURES as error:
+        except _NOT_AN_ANSWER as error:
             raise self._failure(path, error) from error
         return page, bool(content.get('more'))
 
@@ -144,46 +138,59 @@
         self, target: str, wait_ms: int, body: bytes | None = None
     ) -> tuple[int, Any]:
         step = target.partition('?')[0]
+        seconds = (wait_ms + _ANSWER_MS) / MS_PER_SECOND
         try:
-            status, content = await self._exchange(target, wait_ms, body)
+            async with asyncio.timeout(seconds):
+                status, text = await self._exchange(target, body)
+            content = json.loads(text) if status == HTTPStatus.OK else None
         except _FAILURES as error:
-            await self.close()
+            self.close()
             raise self._failure(step, error) from error
         except asyncio.CancelledError:
-            self._client = None
+            self.close()
             raise
         if status == HTTPStatus.GONE:
-            raise HistoryGoneError('history gone', step=step, peer=self._url)
+            raise HistoryGoneError(
+                'history gone', step=step, peer=self._address
+            )
         if status not in (HTTPStatus.OK, HTTPStatus.PRECONDITION_FAILED):
-            raise PlatformError(f'answered {status}', step=step, peer=self._url)
+            raise PlatformError(
+                f'answered {status}', step=step, peer=self._address
+            )
         return status, content
 
     async def _exchange(
-        self, target: str, wait_ms: int, body: bytes | None
-    ) -> tuple[int, Any]:
-        seconds = (wait_ms + _ANSWER_MS) / MS_PER_SECOND
-        if self._client is None:
-            self._client = make_client(1)
-        response = await self._client.request(
-            f'{self._url}{target}',
-            method='GET' if body is None else 'POST',
-            headers={'Content-Type': 'application/json'},
-            data=body,
-            timeouts=Timeouts(
-                sock_connect=_ANSWER_MS / MS_PER_SECOND,
-                sock_read=seconds,
-                request_timeout=seconds,
-            ),
-        )
-        text = await response.content()
-        status = response.status_code
-        return status, json.loads(text) if status == HTTPStatus.OK else None
+        self, target: str, body: bytes | None
+    ) -> tuple[int, bytes]:
+        """Make one call; give the status and the body of its answer."""
+        connection = self._connection
+        if connection is None or not connection.is_usable:
+            self.close()
+            connection = await open_connection(
+                self._address, self._clock, b'', _ANSWER_MS
+            )
+            self._connection = connection
+        connection.send(_CALL_ID, self._make_packet(target, body))
+        head = await connection.read_head()
+        text = await connection.read_whole(_ANSWER_MAX_BYTES)
+        if not connection.finish(parse_idle_ms(head)):
+            self._connection = None
+        return head.status, text
+
+    def _make_packet(self, target: str, body: bytes | None) -> bytes:
+        method = 'GET' if body is None else 'POST'
+        lines = [f'{method} {target} HTTP/1.1', f'host: {self._address}']
+        if body is not None:
+            lines.append('content-type: application/json')
+            lines.append(f'content-length: {len(body)}')
+        head = '\r\n'.join(lines)
+        return b'%b\r\n\r\n%b' % (head.encode(), body or b'')
 
     def _failure(self, step: str, error: Exception) -> PlatformError:
         return UnknownOutcomeError(
             f'{type(error).__name__} {error}'.strip(),
             step=step,
-            peer=self._url,
+            peer=self._address,
         )
 
 
@@ -230,4 +237,4 @@
     try:
         yield StoreTable(store, table)
     finally:
-        await store.close()
+        store.close()
--- a/seampond/platform/tests/test_platform.py
+++ b/seampond/platform/tests/test_platform.py
@@ -1,5 +1,6 @@
 """The users' platform: its formats read, its store called."""
 
+import asyncio
 import json
 import re
 import unittest
@@ -11,6 +12,7 @@
 from seampond.errors import ConflictError, PlatformError
 from seampond.forwarding.models import Kind
 from seampond.platform import names, open_table, read_configuration, read_server
+from seampond.testing.scripted import Received, run_scripted, write_answer
 from seampond.testing.store import run_store
 from seampond.watches import HistoryGoneError
 
@@ -171,6 +173,35 @@
                 page = await table.read_all()
                 self.assertEqual([row.content for row in page.rows], [b'new'])
 
+    async def test_connection_that_was_closed_meanwhile(self) -> None:
+        """The call after it goes over a new one."""
+        async with run_store() as store:
+            store.put('t', 'a', b'one')
+            async with open_table(store.address, 't', Clock()) as table:
+                await table.read_all()
+                store.late_ms = 5000
+                with self.assertRaises(PlatformError):
+                    await table.read_changes(store.version, 10)
+                page = await table.read_all()
+                self.assertEqual(len(page.rows), 1)
+
+    async def test_what_is_no_answer_is_a_failure(self) -> None:
+        """Text that is not JSON, or JSON without its fields."""
+
+        async def serve_text(
+            request: Received, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.write(write_answer(200, {}, texts.pop()))
+
+        texts = [b'[]', b'{"rows": [{}], "ver": 1, "now_ms": 1}', b'what']
+        async with (
+            run_scripted(serve_text) as server,
+            open_table(server.address, 't', Clock()) as table,
+        ):
+            while texts:
+                with self.assertRaises(PlatformError):
+                    await table.read_all()
+
     async def test_store_that_is_down(self) -> None:
         """503 is a failure of the platform, with step and peer."""
         async with run_store() as store:
--- a/seampond/settings/gateway.py
+++ b/seampond/settings/gateway.py
@@ -1,16 +1,44 @@
-"""The settings of a gateway."""
+"""The settings of a gateway.
 
-from pydantic import Field
+The models are msgspec's: a gateway has to be back a moment after a power
+loss, and the library of the other roles' models costs a third of its start.
+"""
 
-from seampond.settings.models import (
-    Address,
-    LogSettings,
-    Milliseconds,
-    Name,
-    Section,
-)
+import re
+from pathlib import Path
+from typing import Annotated, Any
 
+import msgspec
+
+from seampond.errors import SettingsError
+from seampond.settings.files import pick_role, read_toml
+
+ROLE = 'gateway'
+_ADDRESS = '^.+:[0-9]{1,5}$'
+_NAME = '^[a-z0-9][a-z0-9.-]{0,62}$'
+_LEVEL = '^(DEBUG|INFO|WARNING|ERROR)$'
 _HISTORY_PART = 0.75
+_FIELD = re.compile('`([^`]+)`')
+
+Address = Annotated[str, msgspec.Meta(pattern=_ADDRESS)]
+Name = Annotated[str, msgspec.Meta(pattern=_NAME)]
+Level = Annotated[str, msgspec.Meta(pattern=_LEVEL)]
+Milliseconds = Annotated[int, msgspec.Meta(gt=0)]
+MillisecondsOrNone = Annotated[int, msgspec.Meta(ge=0)]
+Amount = Annotated[float, msgspec.Meta(ge=0)]
+Seconds = Annotated[float, msgspec.Meta(gt=0)]
+
+
+class Section(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
+):
+    """Base of all sections: unknown keys are errors."""
+
+
+class LogSettings(Section):
+    """What is logged."""
+
+    level: Level = 'INFO'
 
 
 class StoreSettings(Section):
@@ -62,13 +90,13 @@
     """
 
     revoke_ms: Milliseconds = 5000
-    proof_margin_ms: int = Field(default=400, ge=0)
-    drain_ms: int = Field(default=2000, ge=0)
-    retry_ratio: float = Field(default=0.2, ge=0)
-    retry_allowance: float = Field(default=20, ge=0)
-    retry_window_s: float = Field(default=10, gt=0)
-    quota_overrun: float = Field(default=0.1, ge=0)
-    quota_slack: float = Field(default=0, ge=0)
+    proof_margin_ms: MillisecondsOrNone = 400
+    drain_ms: MillisecondsOrNone = 2000
+    retry_ratio: Amount = 0.2
+    retry_allowance: Amount = 20
+    retry_window_s: Seconds = 10
+    quota_overrun: Amount = 0.1
+    quota_slack: Amount = 0
     stop_ms: Milliseconds = 8000
 
 
@@ -82,6 +110,52 @@
     metrics_listen: Address
     peer_listen: Address
     store: StoreSettings
-    bounds: BoundSettings = BoundSettings()
-    linger_ms: int = Field(default=2600, ge=0)
-    logs: LogSettings = LogSettings()
+    bounds: BoundSettings = msgspec.field(default_factory=BoundSettings)
+    linger_ms: MillisecondsOrNone = 2600
+    logs: LogSettings = msgspec.field(default_factory=LogSettings)
+
+
+def _cure(error: msgspec.ValidationError) -> str:
+    """Say which key is wrong, and what to do about it."""
+    message, _, where = str(error).partition(' - at `$')
+    path = where.rstrip('`').lstrip('.')
+    named = _FIELD.search(message)
+    if named and 'unknown field' in message:
+        key = f'{path}.{named.group(1)}'.lstrip('.')
+        return f'{key}: unknown key; remove it'
+    if named and 'missing required' in message:
+        key = f'{path}.{named.group(1)}'.lstrip('.')
+        return f'{key}: missing; add it'
+    if _ADDRESS in message:
+        return f'{path}: write it as IP:PORT, for example 127.0.0.1:7001'
+    return f'{path}: {message}'
+
+
+def convert_gateway(path: Path, content: Any) -> GatewaySettings:
+    """Validate the table of a gateway's file.
+
+    Raises
+    ------
+    SettingsError
+        With the file, the first bad key, and what to do.
+
+    """
+    try:
+        return msgspec.convert(content, GatewaySettings, strict=False)
+    except msgspec.ValidationError as error:
+        raise SettingsError(
+            f'{path}: [{ROLE}] {_cure(error)}', step='settings'
+        ) from error
+
+
+def load_gateway(path: Path) -> GatewaySettings:
+    """Read the settings file of a gateway.
+
+    Raises
+    ------
+    SettingsError
+        Also if the file is another role's.
+
+    """
+    tree = read_toml(path)
+    return convert_gateway(path, tree[pick_role(path, tree, (ROLE,))])
--- a/seampond/settings/load.py
+++ b/seampond/settings/load.py
@@ -1,6 +1,5 @@
 """Settings files: read, validated, and refused with file, key and cure."""
 
-import tomllib
 from collections.abc import Mapping
 from pathlib import Path
 from types import MappingProxyType
@@ -9,7 +8,9 @@
 from pydantic import BaseModel, ValidationError
 
 from seampond.errors import SettingsError
-from seampond.settings.gateway import GatewaySettings
+from seampond.settings.files import pick_role, read_toml
+from seampond.settings.gateway import ROLE as GATEWAY
+from seampond.settings.gateway import GatewaySettings, convert_gateway
 from seampond.settings.models import (
     AgentSettings,
     EngineStandInSettings,
@@ -19,13 +20,14 @@
 )
 
 _SEED_KEY = 'seed_file'
-_Model = TypeVar('_Model', bound=BaseModel)
+AnySettings = BaseModel | GatewaySettings
+_Model = TypeVar('_Model', bound=AnySettings)
 
-ROLES: Mapping[str, type[BaseModel]] = MappingProxyType(
+ROLES: Mapping[str, type[AnySettings]] = MappingProxyType(
     {
         'entry': EntrySettings,
         'agent': AgentSettings,
-        'gateway': GatewaySettings,
+        GATEWAY: GatewaySettings,
         'platform': PlatformStandInSettings,
         'engine': EngineStandInSettings,
         'operator': OperatorSettings,
@@ -44,32 +46,7 @@
     return f'{key}: {problem["msg"]} (it is {given!r})'
 
 
-def _parse(path: Path) -> dict[str, Any]:
-    try:
-        return tomllib.loads(path.read_text(encoding='utf-8'))
-    except (OSError, UnicodeDecodeError) as error:
-        raise SettingsError(
-            f'{path}: cannot be read: {error}', step='settings'
-        ) from error
-    except tomllib.TOMLDecodeError as error:
-        raise SettingsError(
-            f'{path}: is not TOML: {error}', step='settings'
-        ) from error
-
-
-def _only_role(path: Path, tree: dict[str, Any]) -> str:
-    roles = sorted(set(tree) & set(ROLES))
-    if len(roles) != 1 or len(tree) != 1:
-        found = ', '.join(sorted(tree)) or 'nothing'
-        wanted = ', '.join(f'[{role}]' for role in ROLES)
-        raise SettingsError(
-            f'{path}: holds {found}; it must hold just one of {wanted}',
-            step='settings',
-        )
-    return roles[0]
-
-
-def load_any(path: Path) -> BaseModel:
+def load_any(path: Path) -> AnySettings:
     """Read the settings file of whichever role.
 
     Parameters
@@ -79,7 +56,7 @@
 
     Returns
     -------
-    BaseModel
+    BaseModel or GatewaySettings
         The validated settings.
 
     Raises
@@ -88,13 +65,15 @@
         With the file, each bad key, and what to do.
 
     """
-    tree = _parse(path)
-    role = _only_role(path, tree)
+    tree = read_toml(path)
+    role = pick_role(path, tree, ROLES)
     model = ROLES[role]
     content = tree[role]
     if content.get(_SEED_KEY):
         # A relative path is meant from the settings file.
         content[_SEED_KEY] = str(path.parent / content[_SEED_KEY])
+    if not issubclass(model, BaseModel):
+        return convert_gateway(path, content)
     try:
         return model.model_validate(content)
     except ValidationError as error:
--- a/seampond/settings/tests/test_load.py
+++ b/seampond/settings/tests/test_load.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 
 from seampond.errors import SettingsError
-from seampond.settings import load_any, load_settings
+from seampond.settings.load import load_any, load_settings
 from seampond.settings.models import AgentSettings, EntrySettings
 from seampond.testing.processes import EXAMPLES
 
--- a/seampond/testing/processes.py
+++ b/seampond/testing/processes.py
@@ -13,7 +13,7 @@
 from urllib import error, request
 
 from seampond.demo.fleet import copy_with_free_ports
-from seampond.settings import load_any
+from seampond.settings.load import load_any
 
 EXAMPLES = Path(__file__).resolve().parent.parent.parent / 'examples'
 _POLL_SECONDS = 0.05
--- a/seampond/tests/test_pages.py
+++ b/seampond/tests/test_pages.py
@@ -4,12 +4,14 @@
 from collections.abc import Iterator
 from pathlib import Path
 
+import msgspec
 from pydantic import BaseModel
 
 from seampond.forwarding.refusals import Cause
 from seampond.metrics import AgentMetrics, EntryMetrics
 from seampond.metrics.gateway import GatewayMetrics
 from seampond.requests import Reason
+from seampond.settings.gateway import GatewaySettings, Section
 from seampond.settings.load import ROLES
 
 PAGE = Path(__file__).resolve().parents[2] / 'docs' / 'OPERATORS.md'
@@ -24,6 +26,14 @@
             yield f'{start}{name}'
 
 
+def gateway_keys(model: type[Section], start: str = '') -> Iterator[str]:
+    for field in msgspec.structs.fields(model):
+        if isinstance(field.type, type) and issubclass(field.type, Section):
+            yield from gateway_keys(field.type, f'{start}{field.name}.')
+        else:
+            yield f'{start}{field.name}'
+
+
 class OperatorsPageTest(unittest.TestCase):
     def setUp(self) -> None:
         self.page = PAGE.read_text(encoding='utf-8')
@@ -33,7 +43,12 @@
 
     def test_every_setting_is_named(self) -> None:
         for model in ROLES.values():
-            for key in keys(model):
+            if issubclass(model, BaseModel):
+                names = list(keys(model))
+            else:
+                names = list(gateway_keys(GatewaySettings))
+            self.assertGreater(len(names), 1)
+            for key in names:
                 self.assert_named(key)
 
     def test_every_reason_is_named(self) -> None:
