--- a/seampond/operators/programs.py
+++ b/seampond/operators/programs.py
@@ -5,15 +5,13 @@
 from functools import partial
 from typing import Any, ClassVar
 
-from pydantic import BaseModel
-
 from seampond.daemons import run_agent, run_engine, run_entry, run_platform
 from seampond.gateway.daemon import run_gateway
 from seampond.logs import set_up_logs
 from seampond.operators.base import EXIT_OK, BaseCommand, settings_option
 from seampond.run import Run, run_daemon
 from seampond.settings.gateway import GatewaySettings
-from seampond.settings.load import load_settings
+from seampond.settings.load import AnySettings, load_settings
 from seampond.settings.models import (
     AgentSettings,
     EngineStandInSettings,
@@ -26,7 +24,7 @@
     """A command that runs one role."""
 
     options = [settings_option()]
-    model: type[BaseModel]
+    model: type[AnySettings]
     run_role: ClassVar[Run]
 
     def work(self) -> int:
--- a/seampond/platform/configuration.py
+++ b/seampond/platform/configuration.py
@@ -26,12 +26,12 @@
     """A part of the configuration; unknown fields are passed over."""
 
 
-class _Split(_Part):
+class _Split(_Part, frozen=True):
     service: str
     weight: float = 1
 
 
-class _Route(_Part):
+class _Route(_Part, frozen=True):
     name: str
     host: str
     path_prefix: str
@@ -47,20 +47,20 @@
     target_gap_ms: int = 0
 
 
-class _Service(_Part):
+class _Service(_Part, frozen=True):
     name: str
     max_conns: int = 0
     engine: dict[str, Any] | None = None
 
 
-class _Limits(_Part):
+class _Limits(_Part, frozen=True):
     max_header_bytes: int = 16_384
     max_body_bytes: int = 4_194_304
     header_timeout_ms: int = 10_000
     idle_timeout_ms: int = 15_000
 
 
-class _Tenant(_Part):
+class _Tenant(_Part, frozen=True):
     name: str
     api_keys: tuple[str, ...] = ()
     priority: int | None = None
@@ -70,7 +70,7 @@
     burst: float = 0
 
 
-class _Whole(_Part):
+class _Whole(_Part, frozen=True):
     version: int
     routes: tuple[_Route, ...] = ()
     services: tuple[_Service, ...] = ()
--- a/seampond/settings/gateway.py
+++ b/seampond/settings/gateway.py
@@ -35,13 +35,13 @@
     """Base of all sections: unknown keys are errors."""
 
 
-class LogSettings(Section):
+class LogSettings(Section, frozen=True):
     """What is logged."""
 
     level: Level = 'INFO'
 
 
-class StoreSettings(Section):
+class StoreSettings(Section, frozen=True):
     """The store that a gateway's beliefs come from.
 
     Parameters
@@ -70,7 +70,7 @@
         return min(self.wait_ms, round(self.history_ms * _HISTORY_PART))
 
 
-class BoundSettings(Section):
+class BoundSettings(Section, frozen=True):
     """The bounds that the gateways keep together.
 
     Parameters
@@ -100,7 +100,7 @@
     stop_ms: Milliseconds = 8000
 
 
-class GatewaySettings(Section):
+class GatewaySettings(Section, frozen=True):
     """`seampond gateway`."""
 
     name: Name
