Serve keys without news of the store where removals are not strict

Ruled out: a longer bound, since nothing there counts the time. Change: the setting strict_revoke, laid from the site's bounds; without it a gateway serves on with the configuration that it knows. Strict sites are as before. A configuration that was never proved has no age in logs, where it had one of many hours. Test: test_keys_need_a_proof_where_removals_are_strict (fails before).

--- a/seampond/forwarding/admission.py
+++ b/seampond/forwarding/admission.py
@@ -28,13 +28,17 @@
 
     Parameters
     ----------
-    proved_ms : int
-        The latest moment at which it was surely the newest.
+    proved_ms : int or None
+        The latest moment at which it was surely the newest, None for never.
 
     """
 
     configuration: Configuration | None = None
-    proved_ms: int = 0
+    proved_ms: int | None = None
+
+    def proof_age_ms(self, now_ms: int) -> int | None:
+        """Give how long ago it was proved the newest, None for never."""
+        return None if self.proved_ms is None else now_ms - self.proved_ms
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,9 +71,10 @@
 
     Parameters
     ----------
-    proof_ms : int
+    proof_ms : int or None
         How old the proof of the configuration may be for a request with a
-        key: a key may have been taken away since.
+        key, which may have been taken away since; None for any age, where a
+        removed key may be served while the store cannot be reached.
     charge : Callable[[Tenant, float, int], int]
         Charges a quota for work of an urgency; gives the wait in
         milliseconds where it is used up.
@@ -83,7 +88,7 @@
         belief: Belief,
         names: HeaderNames,
         clock: Clock,
-        proof_ms: int,
+        proof_ms: int | None,
         charge: Callable[[Tenant, float, int], int],
         refund: Callable[[Tenant, float], None],
     ) -> None:
@@ -116,9 +121,17 @@
         return configuration.version if configuration else 0
 
     @property
-    def proof_age_ms(self) -> int:
-        """How long ago the configuration was last proved the newest."""
-        return self._clock.now() - self._belief.proved_ms
+    def proof_age_ms(self) -> int | None:
+        """How long ago the configuration was proved newest, None for never."""
+        return self._belief.proof_age_ms(self._clock.now())
+
+    @property
+    def is_proved(self) -> bool:
+        """Whether requests with a key may be served by it."""
+        if self.proof_ms is None:
+            return True
+        age_ms = self.proof_age_ms
+        return age_ms is not None and age_ms <= self.proof_ms
 
     def check_proof(self, job: Job) -> None:
         """Refuse a request with a key once the proof is too old.
@@ -129,10 +142,7 @@
             If a key that was taken away might still be served.
 
         """
-        if job.tenant is None:
-            return
-        age_ms = self._clock.now() - self._belief.proved_ms
-        if age_ms > self.proof_ms:
+        if job.tenant is not None and not self.is_proved:
             raise Refusal(Cause.stale, step='proof', retry_after_ms=_STALE_MS)
 
     def admit(self, arrival: Arrival, body: bytes) -> Job:
--- a/seampond/gateway/beliefs.py
+++ b/seampond/gateway/beliefs.py
@@ -42,7 +42,8 @@
     def note_proof(self, proved_ms: int) -> None:
         """Note when the configuration in force was surely the newest."""
         if self._belief.configuration is not None:
-            self._belief.proved_ms = max(self._belief.proved_ms, proved_ms)
+            before_ms = self._belief.proved_ms or proved_ms
+            self._belief.proved_ms = max(before_ms, proved_ms)
 
     def _take_row(self, row: Row) -> None:
         try:
@@ -68,7 +69,7 @@
                 'before': version,
                 'routes': len(configuration.routes),
                 'keys': len(configuration.keys),
-                'proof_age_ms': self._clock.now() - self._belief.proved_ms,
+                'proof_age_ms': self._belief.proof_age_ms(self._clock.now()),
             },
         )
 
--- a/seampond/gateway/parts.py
+++ b/seampond/gateway/parts.py
@@ -84,7 +84,7 @@
         after = _flatten(msgspec.to_builtins(settings))
         self.settings = settings
         bounds = settings.bounds
-        self.web.admission.proof_ms = bounds.revoke_ms - bounds.proof_margin_ms
+        self.web.admission.proof_ms = bounds.proof_ms
         self.budget.set_bounds(bounds.retry_ratio, bounds.retry_allowance)
         self.quotas.margin = Margin(bounds.quota_overrun, bounds.quota_slack)
         self.backends.grace_ms = round(bounds.drain_ms * _GRACE_PART)
@@ -233,7 +233,7 @@
         belief,
         HEADERS,
         clock,
-        bounds.revoke_ms - bounds.proof_margin_ms,
+        bounds.proof_ms,
         quotas.charge,
         quotas.refund,
     )
--- a/seampond/settings/gateway.py
+++ b/seampond/settings/gateway.py
@@ -75,6 +75,9 @@
 
     Parameters
     ----------
+    strict_revoke : bool
+        Whether a key that was removed must not be served later than
+        `revoke_ms`, also by a gateway that is cut off from the store.
     revoke_ms : int
         How long after its removal a key may still be served.
     proof_margin_ms : int
@@ -89,6 +92,7 @@
 
     """
 
+    strict_revoke: bool = True
     revoke_ms: Milliseconds = 5000
     proof_margin_ms: MillisecondsOrNone = 400
     drain_ms: MillisecondsOrNone = 2000
@@ -99,6 +103,20 @@
     quota_slack: Amount = 0
     stop_ms: Milliseconds = 8000
 
+    @property
+    def proof_ms(self) -> int | None:
+        """How old the proof of a configuration may be, None for any age.
+
+        Examples
+        --------
+        >>> BoundSettings().proof_ms
+        4600
+
+        """
+        if not self.strict_revoke:
+            return None
+        return self.revoke_ms - self.proof_margin_ms
+
 
 class GatewaySettings(Section, frozen=True):
     """`seampond gateway`."""
