Take the quotas' levels of an older gateway at a start

One that came back among others never learned what they knew. Ruled out: servers (none was full), the configuration (in force 5 ms before the first request). Change: a gateway that has run for a window tells its levels while a new one is there, and answers a new one's first heartbeat at once; the new one goes on from them. Where all start at once, buckets start empty, not in debt, and with a debt of 0.3 of the margin at most for a window: the same units beyond the flow as before, given to who comes first.

--- a/seampond/gateway/parts.py
+++ b/seampond/gateway/parts.py
@@ -27,7 +27,7 @@
     SERVERS_TABLE,
 )
 from seampond.promises import Promises
-from seampond.settings.gateway import GatewaySettings
+from seampond.settings.gateway import BoundSettings, GatewaySettings
 from seampond.sharing import (
     Heartbeat,
     Load,
@@ -41,6 +41,8 @@
 _INCARNATION_BITS = 48
 _PROOF_TOLD_MS = 1000
 _GRACE_PART = 0.7
+# The first heartbeats of a gateway are answered at once.
+_NEWCOMER_MS = 400
 
 
 @dataclass
@@ -86,12 +88,15 @@
         bounds = settings.bounds
         self.web.admission.proof_ms = bounds.proof_ms
         self.budget.set_bounds(bounds.retry_ratio, bounds.retry_allowance)
-        self.quotas.margin = Margin(bounds.quota_overrun, bounds.quota_slack)
+        self.quotas.margin = make_margin(bounds)
         self.backends.grace_ms = round(bounds.drain_ms * _GRACE_PART)
         return sorted(key for key in after if before.get(key) != after[key])
 
     def take_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Take what another gateway has told."""
+        if heartbeat.uptime_ms < _NEWCOMER_MS:
+            # It waits for the levels of the quotas.
+            self.is_urgent.set()
         self.quotas.take_heartbeat(heartbeat)
         for table, currency in self.currencies.items():
             proof = heartbeat.proofs.get(key_of(table))
@@ -119,6 +124,7 @@
             self.quotas.uptime_ms,
             self._loads(),
             proofs=self._proofs(),
+            levels=self.quotas.tell_levels(),
         )
 
     def show_status(self) -> dict[str, object]:
@@ -196,6 +202,15 @@
     return max(1, known.connections_max // peers.count)
 
 
+def make_margin(bounds: BoundSettings) -> Margin:
+    """Give what may be given beyond a quota."""
+    return Margin(
+        bounds.quota_overrun,
+        bounds.quota_slack,
+        round(bounds.quota_window_s * MS_PER_SECOND),
+    )
+
+
 def make_gateway(settings: GatewaySettings, clock: Clock) -> GatewayParts:
     """Wire the state of a gateway together."""
     metrics = GatewayMetrics()
@@ -206,7 +221,7 @@
     is_urgent = asyncio.Event()
     quotas = Quotas(
         peers,
-        Margin(bounds.quota_overrun, bounds.quota_slack),
+        make_margin(bounds),
         clock,
         is_urgent.set,
         random.Random(),
--- a/seampond/settings/gateway.py
+++ b/seampond/settings/gateway.py
@@ -89,6 +89,8 @@
     quota_overrun, quota_slack : float
         In any window all gateways together may give a share of a quota and
         some units more than the quota.
+    quota_window_s : float
+        The length of that window.
 
     """
 
@@ -101,6 +103,7 @@
     retry_window_s: Seconds = 10
     quota_overrun: Amount = 0.1
     quota_slack: Amount = 0
+    quota_window_s: Seconds = 8
     stop_ms: Milliseconds = 8000
 
     @property
--- a/seampond/sharing/heartbeat.capnp
+++ b/seampond/sharing/heartbeat.capnp
@@ -13,6 +13,7 @@
   spent @7 :List(Spent);
   loads @8 :List(Load);
   proofs @9 :List(Proof);
+  levels @10 :List(Level);
 }
 
 struct Load {
@@ -26,6 +27,11 @@
   units @1 :UInt64;
 }
 
+struct Level {
+  tenant @0 :UInt64;
+  units @1 :Int64;
+}
+
 struct Proof {
   table @0 :UInt64;
   changed @1 :UInt64;
--- a/seampond/sharing/heartbeats.py
+++ b/seampond/sharing/heartbeats.py
@@ -55,6 +55,9 @@
         By key of the tenant, what it has given in this life, in units.
     proofs : Mapping[int, Proof]
         By key of a table of the store, what it knows of its newest change.
+    levels : Mapping[int, int]
+        By key of the tenant, the level of its bucket in units, below zero
+        for a debt; told while a gateway is there that has just started.
 
     """
 
@@ -68,6 +71,7 @@
     loads: Mapping[int, Load] = field(default_factory=dict)
     is_gone: bool = False
     proofs: Mapping[int, Proof] = field(default_factory=dict)
+    levels: Mapping[int, int] = field(default_factory=dict)
 
 
 @functools.cache
@@ -99,6 +103,13 @@
         row.storeMs = proof.store_ms
 
 
+def _write_levels(message: Any, levels: Mapping[int, int]) -> None:
+    rows = message.init('levels', len(levels))
+    for row, (tenant, units) in zip(rows, levels.items(), strict=True):
+        row.tenant = tenant
+        row.units = units
+
+
 def encode(heartbeat: Heartbeat) -> bytes:
     """Encode a heartbeat into one datagram.
 
@@ -120,6 +131,7 @@
     _write_spent(message, heartbeat.spent)
     _write_loads(message, heartbeat.loads)
     _write_proofs(message, heartbeat.proofs)
+    _write_levels(message, heartbeat.levels)
     packed: bytes = message.to_bytes_packed()
     return packed
 
@@ -149,6 +161,7 @@
                 told.table: Proof(told.changed, told.storeMs)
                 for told in reader.proofs
             },
+            {row.tenant: row.units for row in reader.levels},
         )
     except _FAILURES as error:
         raise ForeignMessageError(
--- a/seampond/sharing/peers.py
+++ b/seampond/sharing/peers.py
@@ -9,6 +9,8 @@
 
 _SILENT_MS = 900
 _FORGET_MS = 20_000
+# Some heartbeats of a gateway's life, of which some may be lost.
+_YOUNG_MS = 2000
 _logger = logging.getLogger(__name__)
 
 
@@ -80,6 +82,16 @@
             return False
         return not any(self._is_silent(peer) for peer in self._alive())
 
+    @property
+    def has_young(self) -> bool:
+        """Whether some other gateway has just started."""
+        return any(
+            peer.heartbeat is not None
+            and peer.heartbeat.uptime_ms < _YOUNG_MS
+            and not self._is_silent(peer)
+            for peer in self._peers.values()
+        )
+
     def take_rows(self, rows: Iterable[tuple[str, str]]) -> None:
         """Take names and addresses from the store; no address: it is gone."""
         self.is_listed = True
--- a/seampond/sharing/quotas.py
+++ b/seampond/sharing/quotas.py
@@ -1,5 +1,6 @@
 """Quotas over all gateways: one bucket for all, kept by what each spends."""
 
+import math
 import random
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
@@ -16,19 +17,33 @@
 _BELOW_PART = 0.1
 _DEBT_PART = 0.55
 _LOW_PART = 0.25
-# What an earlier life may owe: a debt, and what nobody had told yet.  No level
-# is lower in the long run, so a restart gives nothing that was given before.
-_OWED_PART = 0.25
+# Where all start at once nobody knows the levels, and an earlier life may have
+# left a whole debt.  What a start gives beyond the flow, from zero down to a
+# smaller debt, is less than what is left of the margin then; the whole debt
+# is allowed once a window has passed, or once the levels were told.
+_START_DEBT_PART = 0.3
 _URGENT_PART = 0.04
 _LONGEST_WAIT_MS = 10_000
 
 
 @dataclass(frozen=True, slots=True)
 class Margin:
-    """What may be given beyond a quota: a share of it, and some units."""
+    """What may be given beyond a quota, in any window of some seconds.
+
+    Parameters
+    ----------
+    share : float
+        A part of the quota.
+    units : float
+        Some units beside it.
+    window_ms : int
+        The length of the window.
+
+    """
 
     share: float
     units: float
+    window_ms: int = 8000
 
 
 @dataclass(slots=True)
@@ -71,8 +86,9 @@
     at once where it grows.  While somebody is silent, each gives an equal
     part at the most, since the silent one may still be giving its own.
     Of the margin, a part flows in with the rate, a part may be a debt, and the
-    rest is left for what is not told in time.  Buckets start with the whole
-    debt owed, so a gateway that comes back gives nothing twice.
+    rest is left for what is not told in time.  A gateway that starts takes the
+    levels of one that has run for a window; where there is none, its buckets
+    start empty and with a smaller debt, so that little is given twice.
 
     Parameters
     ----------
@@ -102,6 +118,9 @@
         self._buckets: dict[int, Bucket] = {}
         # What others gave before we had a bucket for it.
         self._given: dict[int, float] = {}
+        # The levels that an older gateway told us, and when.
+        self._taught: dict[int, int] = {}
+        self._taught_ms: int | None = None
         # By gateway and tenant: its incarnation and what it has given.
         self._heard: dict[tuple[str, int], tuple[int, float]] = {}
 
@@ -155,8 +174,20 @@
             bucket.told = bucket.spent
         return {key: known.spent for key, known in self._buckets.items()}
 
+    def tell_levels(self) -> Mapping[int, int]:
+        """Give the level of each bucket, where a new gateway needs them."""
+        if not self._knows_levels or not self._peers.has_young:
+            return {}
+        for bucket in self._buckets.values():
+            self._fill(bucket)
+        return {
+            key: math.floor(known.level) for key, known in self._buckets.items()
+        }
+
     def take_heartbeat(self, heartbeat: Heartbeat) -> None:
-        """Take what another gateway says it has given."""
+        """Take what another gateway says it has given, and its levels."""
+        if heartbeat.levels and not self._knows_levels:
+            self._take_levels(heartbeat.levels)
         for tenant, units in heartbeat.spent.items():
             given = self._note_heard(heartbeat, tenant, units)
             bucket = self._buckets.get(tenant)
@@ -166,6 +197,22 @@
                 self._fill(bucket)
                 bucket.level -= given
 
+    @property
+    def _knows_levels(self) -> bool:
+        """Whether our levels are those of all gateways."""
+        is_old = self.uptime_ms >= self.margin.window_ms
+        return is_old or self._taught_ms is not None
+
+    def _take_levels(self, levels: Mapping[int, int]) -> None:
+        """Go on from the levels of a gateway that knows them."""
+        self._taught = dict(levels)
+        self._taught_ms = self._clock.now()
+        self._given.clear()
+        for key, bucket in self._buckets.items():
+            self._fill(bucket)
+            # What we have given may be unknown there.
+            bucket.level = levels.get(key, bucket.level) - bucket.spent
+
     def _note_heard(
         self, heartbeat: Heartbeat, tenant: int, units: float
     ) -> float:
@@ -183,7 +230,7 @@
         """Give how long until there may be enough, 0 if there is now."""
         missing = self._missing(bucket.level, units, 1)
         kept = bucket.fairness.kept_from(rank)
-        most = bucket.tenant.burst + self.margin.units * _DEBT_PART
+        most = bucket.tenant.burst + self.margin.units * self._debt_part
         if 0 < kept <= most:
             missing = max(missing, self._missing(bucket.level - units, kept, 1))
         if rank and bucket.level < bucket.tenant.burst * _LOW_PART:
@@ -208,27 +255,37 @@
         margin = self.margin.units * part
         below = -margin * _BELOW_PART - level
         # What the bucket never holds is let in by its debt alone.
-        debt = units - level - margin * _DEBT_PART
+        debt = units - level - margin * self._debt_part
         return max(below, debt)
 
+    @property
+    def _debt_part(self) -> float:
+        """The part of the margin's units that may be a debt just now."""
+        return _DEBT_PART if self._knows_levels else _START_DEBT_PART
+
     def _filled(self, tenant: Tenant) -> Bucket:
-        bucket = self._buckets.get(key_of(tenant.name))
+        key = key_of(tenant.name)
+        bucket = self._buckets.get(key)
         if bucket is None:
-            owed = -self.margin.units * _OWED_PART
-            key = key_of(tenant.name)
-            given = self._given.pop(key, 0)
-            bucket = Bucket(
-                tenant,
-                self._started_ms,
-                Fairness(self._clock),
-                owed - given,
-                owed,
-            )
+            bucket = self._make_bucket(tenant)
             self._buckets[key] = bucket
         bucket.tenant = tenant
         self._fill(bucket)
         return bucket
 
+    def _make_bucket(self, tenant: Tenant) -> Bucket:
+        key = key_of(tenant.name)
+        level: float = 0
+        filled_ms = self._started_ms
+        if self._taught_ms is not None:
+            level = self._taught.get(key, level)
+            filled_ms = self._taught_ms
+        level -= self._given.pop(key, 0)
+        part_level = min(0, level) / self._peers.count
+        return Bucket(
+            tenant, filled_ms, Fairness(self._clock), level, part_level
+        )
+
     def _fill(self, bucket: Bucket) -> None:
         now_ms = self._clock.now()
         tenant = bucket.tenant
--- a/seampond/sharing/tests/test_heartbeats.py
+++ b/seampond/sharing/tests/test_heartbeats.py
@@ -1,6 +1,7 @@
 """Heartbeats to bytes and back, and how many bytes."""
 
 import unittest
+from dataclasses import replace
 
 from seampond.errors import ForeignMessageError
 from seampond.sharing import Heartbeat, Load, key_of
@@ -27,12 +28,17 @@
     )
 
 
+def build_levels() -> dict[int, int]:
+    """Give levels of a bucket and of a debt."""
+    return {key_of('t1'): 90_000, key_of('t2'): -77_000}
+
+
 class HeartbeatTest(unittest.TestCase):
     """The message between gateways."""
 
     def test_round_trip(self) -> None:
         """What is decoded is what was encoded."""
-        heartbeat = build_heartbeat(15, 16)
+        heartbeat = replace(build_heartbeat(15, 16), levels=build_levels())
         self.assertEqual(decode(encode(heartbeat)), heartbeat)
 
     def test_parts_of_units_are_told_as_whole(self) -> None:
--- a/seampond/sharing/tests/test_quotas.py
+++ b/seampond/sharing/tests/test_quotas.py
@@ -85,6 +85,7 @@
             1,
             dict(self.quotas[name].tell()),
             uptime_ms=self.quotas[name].uptime_ms,
+            levels=self.quotas[name].tell_levels(),
         )
         if self.peers[other].take_heartbeat(heartbeat):
             self.quotas[other].take_heartbeat(heartbeat)
@@ -137,6 +138,32 @@
             fleet.beat()
         self.assertTrue(fleet.ask('g0', 20))
 
+    def test_all_serve_at_once_after_a_restart_of_all(self) -> None:
+        """Nobody waits for a debt that perhaps was never made."""
+        fleet = Fleet(4, slack=4000)
+        fleet.beat()
+        self.assertTrue(all(fleet.ask(name, 60) for name in fleet.names))
+
+    def test_restart_among_others_takes_their_level(self) -> None:
+        """A gateway that comes back goes on where the others are."""
+        fleet = Fleet(4, slack=4000)
+        for _ in range(40):
+            fleet.beat()
+            fleet.ask('g1', 0)
+        fleet.restart('g0')
+        fleet.beat()
+        fleet.beat()
+        self.assertTrue(fleet.ask('g0', _BURST + 1900))
+
+    def test_restarts_of_one_in_a_row_stay_inside(self) -> None:
+        """Each life of it knows what all have given."""
+        fleet = Fleet(4, slack=4000)
+        self._press(fleet, 40, _EVEN)
+        for _ in range(20):
+            fleet.restart('g0')
+            self._press(fleet, 4, _MOSTLY_ONE)
+        self._assert_bound(fleet)
+
     def test_restarts_under_pressure_stay_inside(self) -> None:
         """Also where each life gives as much as it may, with a debt."""
         fleet = Fleet(4, slack=4000)
