Revert "Let more requests share what a start gives"

Cause that it gains nothing: the units that a start may give are used up in the first tenth of a second either way. Conclusion: reverted; more needs to be known of an earlier life's giving.

--- a/seampond/sharing/quotas.py
+++ b/seampond/sharing/quotas.py
@@ -22,7 +22,6 @@
 # smaller debt, is less than what is left of the margin then; the whole debt
 # is allowed once a window has passed, or once the levels were told.
 _START_DEBT_PART = 0.3
-_START_BELOW_PART = 0.25
 _URGENT_PART = 0.04
 _LONGEST_WAIT_MS = 10_000
 
@@ -254,7 +253,7 @@
     def _missing(self, level: float, units: float, part: float) -> float:
         """Give what a level lacks for a request, 0 or less for nothing."""
         margin = self.margin.units * part
-        below = -margin * self._below_part - level
+        below = -margin * _BELOW_PART - level
         # What the bucket never holds is let in by its debt alone.
         debt = units - level - margin * self._debt_part
         return max(below, debt)
@@ -264,11 +263,6 @@
         """The part of the margin's units that may be a debt just now."""
         return _DEBT_PART if self._knows_levels else _START_DEBT_PART
 
-    @property
-    def _below_part(self) -> float:
-        """How far below zero the level may be for a request to be let in."""
-        return _BELOW_PART if self._knows_levels else _START_BELOW_PART
-
     def _filled(self, tenant: Tenant) -> Bucket:
         key = key_of(tenant.name)
         bucket = self._buckets.get(key)
