--- a/seampond/sharing/quotas.py
+++ b/seampond/sharing/quotas.py
@@ -186,7 +186,7 @@
 
     def take_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Take what another gateway says it has given, and its levels."""
-        if heartbeat.levels and not self._knows_levels:
+        if heartbeat.levels and self.uptime_ms < self.margin.window_ms:
             self._take_levels(heartbeat.levels)
         for tenant, units in heartbeat.spent.items():
             given = self._note_heard(heartbeat, tenant, units)
@@ -204,7 +204,17 @@
         return is_old or self._taught_ms is not None
 
     def _take_levels(self, levels: Mapping[int, int]) -> None:
-        """Go on from the levels of a gateway that knows them."""
+        """Go on from the levels of a gateway that knows them.
+
+        Explanation
+        -----------
+        One that was frozen for a while has not heard what was given
+        meanwhile, so the lowest that is told of each bucket counts.
+        """
+        if self._taught_ms is not None:
+            for key, level in levels.items():
+                self._lower(key, level)
+            return
         self._taught = dict(levels)
         self._taught_ms = self._clock.now()
         self._given.clear()
@@ -213,6 +223,15 @@
             # What we have given may be unknown there.
             bucket.level = levels.get(key, bucket.level) - bucket.spent
 
+    def _lower(self, key: int, level: int) -> None:
+        """Take another word on one level, if it is a lower one."""
+        bucket = self._buckets.get(key)
+        if bucket is None:
+            self._taught[key] = min(self._taught.get(key, level), level)
+            return
+        self._fill(bucket)
+        bucket.level = min(bucket.level, level)
+
     def _note_heard(
         self, heartbeat: Heartbeat, tenant: int, units: float
     ) -> float:
--- a/seampond/sharing/tests/test_quotas.py
+++ b/seampond/sharing/tests/test_quotas.py
@@ -155,6 +155,24 @@
         fleet.beat()
         self.assertTrue(fleet.ask('g0', _BURST + 1900))
 
+    def test_lowest_level_that_is_told_counts(self) -> None:
+        """One that was frozen knows nothing of what was given meanwhile."""
+        fleet = Fleet(4, slack=4000)
+        self._press(fleet, 40, _EVEN)
+        fleet.cut = {'g3'}
+        self._press(fleet, 4, _MOSTLY_ONE)
+        fleet.restart('g0')
+        fleet.cut = {'g1', 'g2'}
+        fleet.beat()
+        fleet.cut = set()
+        fleet.beat()
+        low = fleet.quotas['g1'].tell_levels()
+        fleet.ask('g0', 0)
+        fleet.restart('g2')
+        fleet.beat()
+        told = fleet.quotas['g0'].tell_levels()
+        self.assertLessEqual(sum(told.values()), sum(low.values()) + 300)
+
     def test_restarts_of_one_in_a_row_stay_inside(self) -> None:
         """Each life of it knows what all have given."""
         fleet = Fleet(4, slack=4000)
