A bucket's flow in a module of its own

Change: sharing/bucket.py holds the margin, the bucket, and what flows in and out of it; quotas.py decides. No behaviour changes; its tests are untouched. Measured: nothing to measure.

--- a/seampond/sharing/quotas.py
+++ b/seampond/sharing/quotas.py
@@ -3,16 +3,15 @@
 import math
 import random
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
 
 from seampond.clock import MS_PER_SECOND, Clock
 from seampond.forwarding.models import Tenant
+from seampond.sharing.bucket import Bucket, Margin
 from seampond.sharing.fairness import Fairness
 from seampond.sharing.heartbeats import Heartbeat
 from seampond.sharing.keys import key_of
 from seampond.sharing.peers import Peers
 
-_SHARE_PART = 0.6
 # How far below zero the level may be for a request to be let in, and after.
 _BELOW_PART = 0.1
 _DEBT_PART = 0.55
@@ -26,54 +25,6 @@
 _LONGEST_WAIT_MS = 10_000
 
 
-@dataclass(frozen=True, slots=True)
-class Margin:
-    """What may be given beyond a quota, in any window of some seconds.
-
-    Parameters
-    ----------
-    share : float
-        A part of the quota.
-    units : float
-        Some units beside it.
-    window_ms : int
-        The length of the window.
-
-    """
-
-    share: float
-    units: float
-    window_ms: int = 8000
-
-
-@dataclass(slots=True)
-class Bucket:
-    """One tenant's bucket as this gateway sees it; below zero is a debt.
-
-    Parameters
-    ----------
-    level : float
-        What all gateways together may still give.
-    part_level : float
-        What we may give while some gateway is silent.
-    spent : float
-        What we have given in this life of the process.
-    told : float
-        How much of it the others have been told.
-    fairness : Fairness
-        What the ranks of work have asked here.
-
-    """
-
-    tenant: Tenant
-    filled_ms: int
-    fairness: Fairness
-    level: float = 0
-    part_level: float = 0
-    spent: float = 0
-    told: float = 0
-
-
 class Quotas:
     """The buckets of one gateway.
 
@@ -156,7 +107,7 @@
         bucket.fairness.note(rank, units, is_given=not wait_ms)
         if wait_ms:
             return wait_ms
-        self._spend(bucket, units)
+        bucket.spend(units)
         untold = bucket.spent - bucket.told
         if untold > self.margin.units * _URGENT_PART:
             self._note_urgent()
@@ -166,7 +117,7 @@
         """Give units back for a request that was not run."""
         bucket = self._buckets.get(key_of(tenant.name))
         if bucket is not None:
-            self._spend(bucket, -units)
+            bucket.spend(-units)
 
     def tell(self) -> Mapping[int, float]:
         """Give what we have spent, by key of the tenant."""
@@ -306,20 +257,7 @@
         )
 
     def _fill(self, bucket: Bucket) -> None:
-        now_ms = self._clock.now()
-        tenant = bucket.tenant
-        factor = 1 + self.margin.share * _SHARE_PART
-        rate, burst = tenant.rate * factor, tenant.burst * factor
-        flowed = rate * (now_ms - bucket.filled_ms) / MS_PER_SECOND
-        bucket.filled_ms = now_ms
-        bucket.level = min(burst, bucket.level + flowed)
-        part = 1 / self._peers.count
-        bucket.part_level = min(burst * part, bucket.part_level + flowed * part)
+        bucket.fill(self._clock.now(), self.margin, self._peers.count)
         if self._peers.all_heard:
             # Should somebody fall silent, we go on from our part of this.
-            bucket.part_level = bucket.level * part
-
-    def _spend(self, bucket: Bucket, units: float) -> None:
-        bucket.level -= units
-        bucket.part_level -= units
-        bucket.spent += units
+            bucket.part_level = bucket.level / self._peers.count
