Ports of a gateway's settings are checked again

Cause: found in reading the change: the new models took any five digits for a port, where the ones before refused what is over 65535. Test: a case of test_what_is_wrong_is_named_with_a_cure. Conclusion: settings are refused as before.

--- a/seampond/gateway/tests/test_start.py
+++ b/seampond/gateway/tests/test_start.py
@@ -66,6 +66,7 @@
                 _GOOD.replace('10.0.0.1:80', 'here'),
                 'listen: write it as IP:PORT',
             ),
+            (_GOOD.replace('1:80"', '1:70000"'), 'a port of at most 65535'),
             (_GOOD.replace('"g1"', '"G 1"'), 'name: '),
             (f'{_GOOD}wait_ms = 0', 'store.wait_ms: '),
             (f'{_GOOD}wait_ms = "soon"', 'store.wait_ms: '),
--- a/seampond/settings/gateway.py
+++ b/seampond/settings/gateway.py
@@ -14,7 +14,11 @@
 from seampond.settings.files import pick_role, read_toml
 
 ROLE = 'gateway'
-_ADDRESS = '^.+:[0-9]{1,5}$'
+_PORT = (
+    '([0-9]{1,4}|[1-5][0-9]{4}|6[0-4][0-9]{3}|65[0-4][0-9]{2}'
+    '|655[0-2][0-9]|6553[0-5])'
+)
+_ADDRESS = f'^.+:{_PORT}$'
 _NAME = '^[a-z0-9][a-z0-9.-]{0,62}$'
 _LEVEL = '^(DEBUG|INFO|WARNING|ERROR)$'
 _HISTORY_PART = 0.75
@@ -148,7 +152,10 @@
         key = f'{path}.{named.group(1)}'.lstrip('.')
         return f'{key}: missing; add it'
     if _ADDRESS in message:
-        return f'{path}: write it as IP:PORT, for example 127.0.0.1:7001'
+        return (
+            f'{path}: write it as IP:PORT with a port of at most 65535, for '
+            'example 127.0.0.1:7001'
+        )
     return f'{path}: {message}'
 
 
