One way to send a body in chunks in the tests of gateways

Cause: two tests wrote the same twelve lines. Measured: nothing to measure. Conclusion: less to read.

--- a/seampond/gateway/tests/test_gateway.py
+++ b/seampond/gateway/tests/test_gateway.py
@@ -150,6 +150,26 @@
             data=b'ask',
         )
 
+    async def send_chunked(self, target: str, chunks: bytes) -> Received:
+        """Send a body in chunks; give what the server got of the request."""
+        gateway = await self.start_ready()
+        host, _, port = gateway.parts.settings.listen.rpartition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.addCleanup(writer.close)
+        lines = (
+            f'POST {target} HTTP/1.1',
+            f'Host: {HOST}:81',
+            f'{ID_HEADER}: r1',
+            f'Authorization: token {KEY}',
+            'Transfer-Encoding: chunked',
+        )
+        head = '\r\n'.join(lines)
+        writer.write(f'{head}\r\n\r\n'.encode())
+        writer.write(chunks)
+        answer = await reader.readuntil(b'whole')
+        self.assertTrue(answer.startswith(b'HTTP/1.1 200 '))
+        return self.server.received[0]
+
 
 class GatewayTest(GatewayCase):
     """Requests from end to end."""
@@ -170,46 +190,17 @@
 
     async def test_chunked_body_arrives_whole(self) -> None:
         """A body in chunks is sent on with its length."""
-        gateway = await self.start_ready()
-        host, _, port = gateway.parts.settings.listen.rpartition(':')
-        reader, writer = await asyncio.open_connection(host, int(port))
-        lines = (
-            'POST /x//~a/%2f?q=&r HTTP/1.1',
-            f'Host: {HOST}:81',
-            f'{ID_HEADER}: r1',
-            f'Authorization: token {KEY}',
-            'Transfer-Encoding: chunked',
-        )
-        head = '\r\n'.join(lines)
-        writer.write(f'{head}\r\n\r\n'.encode())
-        writer.write(b'3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n')
-        answer = await reader.readuntil(b'whole')
-        self.assertTrue(answer.startswith(b'HTTP/1.1 200 '))
-        sent = self.server.received[0]
+        chunks = b'3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n'
+        sent = await self.send_chunked('/x//~a/%2f?q=&r', chunks)
         self.assertEqual(sent.target, b'/x//~a/%2f?q=&r')
         self.assertEqual(sent.body, b'abcde')
-        writer.close()
 
     async def test_fields_behind_a_body_are_no_headers(self) -> None:
         """A chunked body may end with fields; no server is told of them."""
-        gateway = await self.start_ready()
-        host, _, port = gateway.parts.settings.listen.rpartition(':')
-        reader, writer = await asyncio.open_connection(host, int(port))
-        lines = (
-            'POST /x/y HTTP/1.1',
-            f'Host: {HOST}',
-            f'{ID_HEADER}: r1',
-            f'Authorization: token {KEY}',
-            'Transfer-Encoding: chunked',
-        )
-        head = '\r\n'.join(lines)
-        writer.write(f'{head}\r\n\r\n'.encode())
-        writer.write(b'3\r\nabc\r\n0\r\nX-Late: 1\r\n\r\n')
-        await reader.readuntil(b'whole')
-        sent = self.server.received[0]
+        chunks = b'3\r\nabc\r\n0\r\nX-Late: 1\r\n\r\n'
+        sent = await self.send_chunked('/x/y', chunks)
         self.assertEqual(sent.body, b'abc')
         self.assertEqual(sent.get('x-late'), '')
-        writer.close()
 
     async def test_answer_to_head_has_no_body(self) -> None:
         """Its length is that of the answer to GET; nothing waits for it."""
