Found: nobody listens while all gateways stop in turn

Cause: a gateway closes its listening socket 2.6 s after SIGTERM and lives on to 7.7 s for its streams; while fewer than half are ready the platform sends callers to all of them. Ruled out: the start (1 s after each end it is ready again), open requests being cut (0 open at each end).

--- a/seampond/gateway/tests/test_leaves.py
+++ b/seampond/gateway/tests/test_leaves.py
@@ -1,11 +1,14 @@
-"""Servers that leave: with a word, without one, while the store is away."""
+"""Leaves: of servers, with a word or without one, and of gateways."""
 
+import asyncio
+from contextlib import suppress
 from http import HTTPStatus
 
 from seampond.gateway.tests.test_gateway import GatewayCase
-from seampond.platform.tests.rows import drop_server
+from seampond.platform.tests.rows import ID_HEADER, drop_server
 from seampond.settings.gateway import BoundSettings
 from seampond.testing.gateways import until_true
+from seampond.testing.scripted import Received
 
 _DRAIN_MS = 600
 _LONG_DRAIN_MS = 60_000
@@ -63,3 +66,36 @@
         await until_true(lambda: any(one.takes_work for one in backends))
         response = await self.ask(gateway)
         self.assertEqual(response.status_code, HTTPStatus.OK)
+
+
+class StopTest(GatewayCase):
+    """A gateway whose planned stop lasts, since a request is at work."""
+
+    async def asyncSetUp(self) -> None:
+        """Hold the first request until it is released."""
+        await super().asyncSetUp()
+        self.release = asyncio.Event()
+
+    async def serve(
+        self, request: Received, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answer all but the first at once."""
+        if request.get(ID_HEADER) == 'r1':
+            await self.release.wait()
+        await super().serve(request, writer)
+
+    async def test_who_comes_meanwhile_is_answered(self) -> None:
+        """Where all gateways stop, callers are still sent to each of them."""
+        gateway = await self.start_ready()
+        asked = asyncio.create_task(self.ask(gateway))
+        await until_true(lambda: len(self.server.received) == 1)
+        stopped = asyncio.create_task(gateway.drain())
+        await gateway.parts.clock.sleep(3 * gateway.parts.settings.linger_ms)
+        status = 0
+        with suppress(OSError):
+            response = await self.ask(gateway, request_id='r2')
+            status = response.status_code
+        self.release.set()
+        self.assertEqual((await asked).status_code, HTTPStatus.OK)
+        await stopped
+        self.assertIn(status, (HTTPStatus.OK, HTTPStatus.SERVICE_UNAVAILABLE))
