Take callers until the last open request of a planned stop is over

Ruled out: idle connections of callers, which are closed at once; what keeps a stop is streams at work.

It now listens until what was open at the end of the linger time is over, takes what can be answered in time (by target and learned pace), refuses the rest as not run with a time to come back, and bounds each request by the stop.

--- /dev/null
+++ b/bin/ablate.py
@@ -0,0 +1,171 @@
+"""Switch off one mechanism after another and play the same days without it.
+
+Each mechanism is named with the lines that make it up and the lines that take
+their place while it is off.  The change is made in a clone that this script is
+run in, and taken back after the days were played; a mechanism whose lines are
+not found is an error, so that the list stays true to the code.
+"""
+
+import argparse
+import subprocess
+import sys
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from pathlib import Path
+
+PACKAGE = Path('seampond')
+
+
+@dataclass(frozen=True)
+class Mechanism:
+    """One mechanism that decides, and how it is switched off."""
+
+    name: str
+    module: str
+    lines: str
+    off: str
+
+    @property
+    def path(self) -> Path:
+        """The file that holds it."""
+        return PACKAGE / self.module
+
+
+MECHANISMS = (
+    Mechanism(
+        'headroom',
+        'forwarding/headroom.py',
+        '_PART_MAX = 0.25',
+        '_PART_MAX = 0.0',
+    ),
+    Mechanism(
+        'second turn first',
+        'forwarding/queues.py',
+        'not job.is_repeat,',
+        'False,',
+    ),
+    Mechanism(
+        'learned pace',
+        'forwarding/speeds.py',
+        'ratio = speed.gap_ms / self.gap_ms if speed.gap_ms else 1.0',
+        'ratio = 1.0',
+    ),
+    Mechanism(
+        'learned time to the first event',
+        'forwarding/speeds.py',
+        'self.first_factor = _blend(self.first_factor, bounded, _LEARN_POOL)',
+        'self.first_factor = 1.0',
+    ),
+    Mechanism(
+        'kept prompts',
+        'forwarding/selection.py',
+        'if part not in backend.kept_parts:',
+        'if part:',
+    ),
+    Mechanism(
+        'own hall first',
+        'forwarding/selection.py',
+        '_OTHER_ZONE_PART = 0.02',
+        '_OTHER_ZONE_PART = 0.0',
+    ),
+    Mechanism(
+        'time to make the answer',
+        'forwarding/selection.py',
+        '_MADE_PART = 0.1',
+        '_MADE_PART = 0.0',
+    ),
+    Mechanism(
+        'long prompts away from streams',
+        'forwarding/selection.py',
+        '_STALL_MS = 60.0',
+        '_STALL_MS = 0.0',
+    ),
+    Mechanism(
+        'patience',
+        'forwarding/scheduler.py',
+        '_PATIENCE = 0.21',
+        '_PATIENCE = 0.0',
+    ),
+    Mechanism(
+        'only where the answer begins in time',
+        'forwarding/scheduler.py',
+        'if job.has_begun or not backend.load(now_ms):',
+        'if job:',
+    ),
+    Mechanism(
+        'places beyond the slots',
+        'forwarding/scheduler.py',
+        '_EXTRA_PLACES = 2',
+        '_EXTRA_PLACES = 0',
+    ),
+    Mechanism(
+        'retries kept for broken streams',
+        'forwarding/retries.py',
+        '_FRESH_PART = 0.8',
+        '_FRESH_PART = 1.0',
+    ),
+    Mechanism(
+        'fairness of quotas',
+        'sharing/fairness.py',
+        'return max(kept, default=0)',
+        'return max(kept[:0], default=0)',
+    ),
+    Mechanism(
+        'low quota for urgent work',
+        'sharing/quotas.py',
+        '_LOW_PART = 0.25',
+        '_LOW_PART = -1000.0',
+    ),
+    Mechanism(
+        'levels of an older gateway',
+        'sharing/quotas.py',
+        'if not self._knows_levels or not self._peers.has_young:',
+        'if self:',
+    ),
+    Mechanism(
+        'fallback to lapsed servers',
+        'forwarding/backends.py',
+        'if not backend.server.is_leaving:',
+        'if backend is None:',
+    ),
+)
+
+
+@contextmanager
+def switch_off(mechanism: Mechanism) -> Iterator[None]:
+    """Change the lines for the time of the `with`."""
+    text = mechanism.path.read_text(encoding='utf-8')
+    if text.count(mechanism.lines) != 1:
+        sys.exit(f'{mechanism.name}: its lines are not in {mechanism.path}')
+    off = text.replace(mechanism.lines, mechanism.off)
+    mechanism.path.write_text(off, encoding='utf-8')
+    try:
+        yield
+    finally:
+        mechanism.path.write_text(text, encoding='utf-8')
+
+
+def play(why: str, words: list[str]) -> None:
+    """Play the days; the lines of `bin/play.py` are printed."""
+    script = str(Path(__file__).with_name('play.py'))
+    subprocess.run([sys.executable, script, *words, '--why', why], check=True)
+
+
+def main() -> None:
+    """Play the days with all mechanisms, then without each in turn."""
+    parser = argparse.ArgumentParser(
+        description=__doc__, epilog='Other words are passed to bin/play.py.'
+    )
+    parser.add_argument('--only', default='', help='one mechanism by its name')
+    options, words = parser.parse_known_args()
+    if not options.only:
+        play('ablation: all mechanisms', words)
+    for mechanism in MECHANISMS:
+        if options.only in ('', mechanism.name):
+            with switch_off(mechanism):
+                play(f'ablation: without {mechanism.name}', words)
+
+
+if __name__ == '__main__':
+    main()
--- a/seampond/forwarding/app.py
+++ b/seampond/forwarding/app.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 from contextlib import suppress
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import Any
 
@@ -13,6 +13,7 @@
 from seampond.forwarding.admission import Admission, Arrival
 from seampond.forwarding.forwarder import CutError, Forwarder
 from seampond.forwarding.heads import Head
+from seampond.forwarding.job import Job
 from seampond.forwarding.progress import Progress
 from seampond.forwarding.refusals import Cause, Refusal
 from seampond.forwarding.web import TARGET_KEY, WATCH_KEY
@@ -32,6 +33,9 @@
 _CLOSE = (b'connection', b'close')
 _DISCONNECT = 'http.disconnect'
 _BODIES_MAX_BYTES = 33_554_432
+# The platform's balancer takes a stopping gateway out within two seconds; a
+# caller that is turned away meanwhile may find another one at once.
+_STOPPING_MS = 300
 _logger = logging.getLogger(__name__)
 
 
@@ -45,8 +49,8 @@
 
     Parameters
     ----------
-    is_stopping : bool
-        Whether connections are to be closed after their answer.
+    closes_ms : int or None
+        When a planned stop ends what is still open, None for no stop.
 
     """
 
@@ -55,9 +59,19 @@
     metrics: GatewayMetrics
     clock: Clock
     promises: Promises
-    is_stopping: bool = False
-    open_requests: int = 0
+    closes_ms: int | None = None
     held_bytes: int = 0
+    _open: set['asyncio.Task[Any]'] = field(default_factory=set)
+
+    @property
+    def is_stopping(self) -> bool:
+        """Whether connections are to be closed after their answer."""
+        return self.closes_ms is not None
+
+    @property
+    def open_requests(self) -> int:
+        """How many requests are at work."""
+        return len(self._open)
 
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
@@ -65,8 +79,8 @@
         """Serve one request."""
         if scope['type'] != 'http':
             return
-        self.open_requests += 1
         serving = Serving(self, scope, send)
+        self._open.add(serving.task)
         try:
             with suppress(Gone, asyncio.CancelledError):
                 await serving.run(receive)
@@ -75,7 +89,15 @@
             _logger.exception('request failed')
             raise
         finally:
-            self.open_requests -= 1
+            self._open.discard(serving.task)
+
+    async def finish_open(self) -> None:
+        """Wait for the requests that are at work now, not for later ones."""
+        left_ms = 0
+        if self.closes_ms is not None:
+            left_ms = max(0, self.closes_ms - self.clock.now())
+        if self._open:
+            await asyncio.wait(set(self._open), timeout=left_ms / MS_PER_SECOND)
 
 
 class Serving:
@@ -99,6 +121,7 @@
         )
         task = asyncio.current_task()
         assert task is not None
+        self.task = task
         extensions[WATCH_KEY](task.cancel)
 
     async def run(self, receive: Receive) -> None:
@@ -156,9 +179,29 @@
         web.held_bytes += self._body_bytes
         job = web.admission.admit(self._arrival, body)
         self._progress = Progress(job, self)
+        self._check_stop(job)
         web.admission.check(job)
         await web.forwarder.forward(self._progress)
 
+    def _check_stop(self, job: Job) -> None:
+        """Refuse what a planned stop would break off.
+
+        Explanation
+        -----------
+        Callers are still sent here where no other gateway is ready, so what
+        can be answered in time is served.
+        """
+        closes_ms = self._web.closes_ms
+        if closes_ms is None:
+            return
+        whole_ms = self._web.forwarder.expect_whole_ms(job)
+        if self._web.clock.now() + whole_ms > closes_ms:
+            raise Refusal(
+                Cause.stopping, step='stop', retry_after_ms=_STOPPING_MS
+            )
+        # Its answer is given before the connection is closed.
+        job.end_ms = min(job.end_ms, closes_ms)
+
     async def _start(
         self, status: int, headers: list[tuple[bytes, bytes]]
     ) -> None:
--- a/seampond/gateway/daemon.py
+++ b/seampond/gateway/daemon.py
@@ -74,16 +74,21 @@
         _logger.info('settings reloaded', extra={'changed': changed})
 
     async def drain(self) -> None:
-        """Planned stop: not ready, linger, then finish what is open."""
-        self.parts.web.is_stopping = True
-        _logger.info(
-            'gateway stops', extra={'open': self.parts.web.open_requests}
-        )
-        await self.parts.clock.sleep(self.parts.settings.linger_ms)
-        await self.server.drain()
-        _logger.info(
-            'gateway stopped', extra={'open': self.parts.web.open_requests}
-        )
+        """Planned stop: not ready, linger, then finish what is open.
+
+        Explanation
+        -----------
+        Callers are taken until the last request of the linger time is over:
+        where all gateways stop in turn, nobody else would answer them.
+        """
+        web, clock = self.parts.web, self.parts.clock
+        settings = self.parts.settings
+        web.closes_ms = clock.now() + settings.bounds.stop_ms - _STOP_MARGIN_MS
+        _logger.info('gateway stops', extra={'open': web.open_requests})
+        await clock.sleep(settings.linger_ms)
+        await web.finish_open()
+        await self.server.drain(web.closes_ms - clock.now())
+        _logger.info('gateway stopped', extra={'open': web.open_requests})
 
 
 @asynccontextmanager
--- a/seampond/gateway/tests/test_leaves.py
+++ b/seampond/gateway/tests/test_leaves.py
@@ -12,6 +12,8 @@
 
 _DRAIN_MS = 600
 _LONG_DRAIN_MS = 60_000
+# Less than the target of the route and the margin of a stop.
+_SHORT_STOP_MS = 1200
 
 
 class LeaveTest(GatewayCase):
@@ -99,3 +101,19 @@
         self.assertEqual((await asked).status_code, HTTPStatus.OK)
         await stopped
         self.assertIn(status, (HTTPStatus.OK, HTTPStatus.SERVICE_UNAVAILABLE))
+
+    async def test_what_would_be_broken_off_is_refused(self) -> None:
+        """A stream that cannot end in time goes elsewhere; nothing has run."""
+        bounds = BoundSettings(stop_ms=_SHORT_STOP_MS)
+        gateway = await self.start_ready(bounds=bounds)
+        asked = asyncio.create_task(self.ask(gateway))
+        await until_true(lambda: len(self.server.received) == 1)
+        stopped = asyncio.create_task(gateway.drain())
+        await until_true(lambda: not gateway.parts.is_ready)
+        response = await self.ask(gateway, request_id='r2')
+        self.assertEqual(response.status_code, HTTPStatus.SERVICE_UNAVAILABLE)
+        self.assertGreater(float(response.headers['retry-after']), 0)
+        self.assertEqual(len(self.server.received), 1)
+        self.release.set()
+        self.assertEqual((await asked).status_code, HTTPStatus.OK)
+        await stopped
--- a/seampond/web.py
+++ b/seampond/web.py
@@ -6,7 +6,7 @@
 from collections.abc import AsyncIterator, Callable, Iterator
 from contextlib import asynccontextmanager, contextmanager
 from dataclasses import dataclass
-from typing import Literal
+from typing import Any, Literal
 
 import uvicorn
 from starlette.types import ASGIApp
@@ -36,8 +36,18 @@
     _server: _Server
     _task: 'asyncio.Task[None]'
 
-    async def drain(self) -> None:
-        """Take no new connection; return when what runs has finished."""
+    async def drain(self, within_ms: int | None = None) -> None:
+        """Take no new connection; return when what runs has finished.
+
+        Parameters
+        ----------
+        within_ms : int or None
+            How long that may take, None for what was set at the start.
+
+        """
+        if within_ms is not None:
+            seconds: Any = max(0, within_ms) / MS_PER_SECOND
+            self._server.config.timeout_graceful_shutdown = seconds
         self._server.should_exit = True
         await self._task
 
