--- a/seampond/forwarding/app.py
+++ b/seampond/forwarding/app.py
@@ -63,16 +63,6 @@
     held_bytes: int = 0
     _open: set['asyncio.Task[Any]'] = field(default_factory=set)
 
-    @property
-    def is_stopping(self) -> bool:
-        """Whether connections are to be closed after their answer."""
-        return self.closes_ms is not None
-
-    @property
-    def open_requests(self) -> int:
-        """How many requests are at work."""
-        return len(self._open)
-
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
     ) -> None:
@@ -91,6 +81,16 @@
         finally:
             self._open.discard(serving.task)
 
+    @property
+    def is_stopping(self) -> bool:
+        """Whether connections are to be closed after their answer."""
+        return self.closes_ms is not None
+
+    @property
+    def open_requests(self) -> int:
+        """How many requests are at work."""
+        return len(self._open)
+
     async def finish_open(self) -> None:
         """Wait for the requests that are at work now, not for later ones."""
         left_ms = 0
