A planned stop refuses streams once it has lingered

On the log 66 streams were cut at the end; of 1,274 half end within 0.8 s, 5 in 100 take over 4.5 s, so no estimate saves the rest. Answers of one piece are still taken while their target fits. A caller that is turned away while nobody else is ready is told the time at which the stop is over.

--- a/seampond/forwarding/app.py
+++ b/seampond/forwarding/app.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
 from http import HTTPStatus
@@ -43,14 +44,33 @@
     """The caller has left."""
 
 
+@dataclass(frozen=True, slots=True)
+class Stop:
+    """A planned stop.
+
+    Parameters
+    ----------
+    lingers_until_ms : int
+        Until when callers may still be sent here as a matter of course.
+    closes_ms : int
+        When what is still open is ended.
+
+    """
+
+    lingers_until_ms: int
+    closes_ms: int
+
+
 @dataclass
 class GatewayWeb:
     """What serving callers needs.
 
     Parameters
     ----------
-    closes_ms : int or None
-        When a planned stop ends what is still open, None for no stop.
+    has_ready_peer : Callable[[], bool]
+        Tells whether another gateway takes callers.
+    stop : Stop or None
+        The planned stop that has begun, None for no stop.
 
     """
 
@@ -59,7 +79,8 @@
     metrics: GatewayMetrics
     clock: Clock
     promises: Promises
-    closes_ms: int | None = None
+    has_ready_peer: Callable[[], bool]
+    stop: Stop | None = None
     held_bytes: int = 0
     _open: set['asyncio.Task[Any]'] = field(default_factory=set)
 
@@ -84,7 +105,7 @@
     @property
     def is_stopping(self) -> bool:
         """Whether connections are to be closed after their answer."""
-        return self.closes_ms is not None
+        return self.stop is not None
 
     @property
     def open_requests(self) -> int:
@@ -94,11 +115,17 @@
     async def finish_open(self) -> None:
         """Wait for the requests that are at work now, not for later ones."""
         left_ms = 0
-        if self.closes_ms is not None:
-            left_ms = max(0, self.closes_ms - self.clock.now())
+        if self.stop is not None:
+            left_ms = max(0, self.stop.closes_ms - self.clock.now())
         if self._open:
             await asyncio.wait(set(self._open), timeout=left_ms / MS_PER_SECOND)
 
+    def return_after_ms(self, stop: Stop) -> int:
+        """Give when a caller that a stop turns away should come back."""
+        if self.has_ready_peer():
+            return _STOPPING_MS
+        return max(_STOPPING_MS, stop.closes_ms - self.clock.now())
+
 
 class Serving:
     """One request of a caller, from its head to its final answer."""
@@ -188,19 +215,27 @@
 
         Explanation
         -----------
-        Callers are still sent here where no other gateway is ready, so what
-        can be answered in time is served.
+        Callers are still sent here where no other gateway is ready.  An
+        answer of one piece is made within its target or not at all; how long
+        a stream lasts nobody knows: of 1,274 on a day with planned stops half
+        ended within 0.8 s, one in twenty took over 4.5 s.
         """
-        closes_ms = self._web.closes_ms
-        if closes_ms is None:
+        web = self._web
+        stop = web.stop
+        if stop is None:
             return
-        whole_ms = self._web.forwarder.expect_whole_ms(job)
-        if self._web.clock.now() + whole_ms > closes_ms:
+        now_ms = web.clock.now()
+        is_late = now_ms + job.route.target_ms > stop.closes_ms
+        if job.is_stream:
+            is_late = now_ms > stop.lingers_until_ms
+        if is_late:
             raise Refusal(
-                Cause.stopping, step='stop', retry_after_ms=_STOPPING_MS
+                Cause.stopping,
+                step='stop',
+                retry_after_ms=web.return_after_ms(stop),
             )
         # Its answer is given before the connection is closed.
-        job.end_ms = min(job.end_ms, closes_ms)
+        job.end_ms = min(job.end_ms, stop.closes_ms)
 
     async def _start(
         self, status: int, headers: list[tuple[bytes, bytes]]
--- a/seampond/forwarding/forwarder.py
+++ b/seampond/forwarding/forwarder.py
@@ -14,7 +14,6 @@
 from seampond.forwarding.refusals import Cause, Refusal
 from seampond.forwarding.retries import RetryBudget
 from seampond.forwarding.scheduler import Scheduler
-from seampond.forwarding.selection import expect_whole_ms
 from seampond.metrics.gateway import GatewayMetrics
 from seampond.promises import Promises
 
@@ -63,10 +62,6 @@
         """How many requests wait for a place."""
         return self._parts.scheduler.waiting
 
-    def expect_whole_ms(self, job: Job) -> float:
-        """Give how long a whole answer takes, on a server like the others."""
-        return expect_whole_ms(job, self._parts.backends.speed_of(job.pool))
-
     async def forward(self, progress: Progress) -> None:
         """Carry one request through to its final answer.
 
--- a/seampond/forwarding/selection.py
+++ b/seampond/forwarding/selection.py
@@ -2,7 +2,7 @@
 
 from seampond.forwarding.backend import Backend
 from seampond.forwarding.job import Job
-from seampond.forwarding.speeds import PoolSpeed, Speed
+from seampond.forwarding.speeds import PoolSpeed
 
 _FIRST_MS = 20.0
 _TOKENS_PER_MS = 50.0
@@ -113,17 +113,3 @@
     if not job.is_stream:
         return 0
     return job.prompt.tokens / _TOKENS_PER_MS
-
-
-def expect_whole_ms(job: Job, pool: PoolSpeed) -> float:
-    """Give the time to the end of an answer on a server like the others.
-
-    Explanation
-    -----------
-    From the caller's view: the first byte as late as its target allows, then
-    as many tokens as were asked for at the most.
-    """
-    made_ms: float = 0
-    if job.is_stream:
-        made_ms = job.prompt.answer_tokens * pool.token_ms(Speed())
-    return job.route.target_ms + made_ms
--- a/seampond/gateway/daemon.py
+++ b/seampond/gateway/daemon.py
@@ -9,6 +9,7 @@
 from starlette.types import ASGIApp, Receive, Scope, Send
 
 from seampond.clock import Clock
+from seampond.forwarding.app import Stop
 from seampond.forwarding.web import CallerProtocol
 from seampond.gateway.parts import GatewayParts, make_gateway
 from seampond.pages import Pages, RenderedPage, render_page
@@ -83,11 +84,16 @@
         """
         web, clock = self.parts.web, self.parts.clock
         settings = self.parts.settings
-        web.closes_ms = clock.now() + settings.bounds.stop_ms - _STOP_MARGIN_MS
+        now_ms = clock.now()
+        stop = Stop(
+            now_ms + settings.linger_ms,
+            now_ms + settings.bounds.stop_ms - _STOP_MARGIN_MS,
+        )
+        web.stop = stop
         _logger.info('gateway stops', extra={'open': web.open_requests})
         await clock.sleep(settings.linger_ms)
         await web.finish_open()
-        await self.server.drain(web.closes_ms - clock.now())
+        await self.server.drain(stop.closes_ms - clock.now())
         _logger.info('gateway stopped', extra={'open': web.open_requests})
 
 
--- a/seampond/gateway/parts.py
+++ b/seampond/gateway/parts.py
@@ -264,7 +264,14 @@
             promises,
         )
     )
-    web = GatewayWeb(admission, forwarder, metrics, clock, promises)
+    web = GatewayWeb(
+        admission,
+        forwarder,
+        metrics,
+        clock,
+        promises,
+        lambda: peers.has_ready,
+    )
     configuration = ConfigurationFollower(belief, promises, metrics, clock)
     store_time = StoreTime()
     return GatewayParts(
--- a/seampond/gateway/tests/test_leaves.py
+++ b/seampond/gateway/tests/test_leaves.py
@@ -5,7 +5,12 @@
 from http import HTTPStatus
 
 from seampond.gateway.tests.test_gateway import GatewayCase
-from seampond.platform.tests.rows import ID_HEADER, drop_server
+from seampond.platform.tests.rows import (
+    ID_HEADER,
+    ConfigurationRow,
+    drop_server,
+    put_configuration,
+)
 from seampond.settings.gateway import BoundSettings
 from seampond.testing.gateways import until_true
 from seampond.testing.scripted import Received
@@ -117,3 +122,23 @@
         self.release.set()
         self.assertEqual((await asked).status_code, HTTPStatus.OK)
         await stopped
+
+    async def test_a_late_stream_is_refused(self) -> None:
+        """Nobody knows how long it lasts; where nobody is ready, it waits."""
+        gateway = await self.start_ready()
+        put_configuration(
+            self.store, ConfigurationRow(version=2, kind='streaming')
+        )
+        admission = gateway.parts.web.admission
+        await until_true(lambda: admission.version == 2)
+        asked = asyncio.create_task(self.ask(gateway))
+        await until_true(lambda: len(self.server.received) == 1)
+        stopped = asyncio.create_task(gateway.drain())
+        await gateway.parts.clock.sleep(2 * gateway.parts.settings.linger_ms)
+        response = await self.ask(gateway, request_id='r2')
+        self.assertEqual(response.status_code, HTTPStatus.SERVICE_UNAVAILABLE)
+        self.assertGreater(float(response.headers['retry-after']), 1)
+        self.assertEqual(len(self.server.received), 1)
+        self.release.set()
+        await asked
+        await stopped
--- a/seampond/platform/tests/rows.py
+++ b/seampond/platform/tests/rows.py
@@ -34,6 +34,7 @@
     """
 
     version: int = 1
+    kind: str = 'idempotent'
     keys: Sequence[str] = (KEY,)
     weights: Sequence[tuple[str, int]] = ()
     connections_max: int = 0
@@ -45,7 +46,7 @@
             'name': 'r1',
             'host': HOST,
             'path-prefix': '/x/',
-            'kind': 'idempotent',
+            'kind': self.kind,
             'timeout-ms': 5000,
             'target-latency-ms': 1000,
             'service': POOL,
--- a/seampond/sharing/peers.py
+++ b/seampond/sharing/peers.py
@@ -92,6 +92,16 @@
             for peer in self._peers.values()
         )
 
+    @property
+    def has_ready(self) -> bool:
+        """Whether some other gateway that is heard is not about to stop."""
+        return any(
+            peer.heartbeat is not None
+            and not peer.heartbeat.is_stopping
+            and not self._is_silent(peer)
+            for peer in self._alive()
+        )
+
     def take_rows(self, rows: Iterable[tuple[str, str]]) -> None:
         """Take names and addresses from the store; no address: it is gone."""
         self.is_listed = True
