A few gateways follow the store and pass its changes on

Cause: each change is one answer to each gateway. Ruled out: probes (one gateway asks for all already).

The first four by key of those that are heard and reach the store follow it, and send the rows they read with their next heartbeat; a gap is closed by a call, as a lost datagram is. A configuration is read by each, once a proof tells of it. Who is turned away while others prove that nothing has changed asks seldom. Sites with four gateways are as before.

--- a/bin/play.py
+++ b/bin/play.py
@@ -30,10 +30,13 @@
     day: str
     seed: str
     why: str
+    is_small: bool = False
 
     def run(self) -> None:
         """Play it; the bench leaves an entry in the journal."""
         words = [self.bench, 'run', self.site, self.day, '--seed', self.seed]
+        if self.is_small:
+            words.append('--small')
         done = subprocess.run(
             [*words, '--why', self.why], capture_output=True, text=True
         )
@@ -90,9 +93,12 @@
     parser.add_argument('--days', default=DAYS)
     parser.add_argument('--seeds', default=SEEDS)
     parser.add_argument('--jobs', type=int, default=4)
+    parser.add_argument(
+        '--small', action='store_true', help='small twins of large days'
+    )
     options = parser.parse_args()
     plays = [
-        Play(options.bench, options.site, day, seed, options.why)
+        Play(options.bench, options.site, day, seed, options.why, options.small)
         for day in options.days.split(',')
         for seed in options.seeds.split(',')
     ]
--- a/seampond/gateway/daemon.py
+++ b/seampond/gateway/daemon.py
@@ -2,7 +2,6 @@
 
 import functools
 import logging
-import random
 from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
@@ -51,16 +50,19 @@
         The longest pause between two calls that fail.
     gather_ms : int
         How long changes may be gathered for one answer.
+    proves_first : bool
+        Whether a start asks at once whether what it has read is the newest.
 
     """
 
     pause_ms: int
     gather_ms: int
+    proves_first: bool
 
 
 # An older configuration may hold a key that was taken away since.
-_URGENT = Pace(_URGENT_PAUSE_MS, 0)
-_CALM = Pace(_CALM_PAUSE_MS, _GATHER_MS)
+_URGENT = Pace(_URGENT_PAUSE_MS, 0, proves_first=True)
+_CALM = Pace(_CALM_PAUSE_MS, _GATHER_MS, proves_first=False)
 
 
 @dataclass
@@ -117,12 +119,6 @@
     def count(step: str) -> None:
         parts.metrics.store_failures.labels(step).inc()
 
-    def take_and_tell(page: Page) -> None:
-        take(page)
-        if not page.is_whole and random.random() < parts.peers.few_part:
-            # A proof saves the others a call; a few of us tell it at once.
-            parts.is_urgent.set()
-
     store, clock = parts.settings.store, parts.clock
     async with (
         open_table(store.address, table, clock) as source,
@@ -131,14 +127,18 @@
         watch = Watch(
             source,
             probe_source,
-            take_and_tell,
+            take,
             store.call_ms,
             clock,
             count,
             parts.currencies[table],
             pace.pause_ms,
             pace.gather_ms,
+            lambda: parts.peers.follows,
+            pace.proves_first,
+            functools.partial(parts.pass_on, table),
         )
+        parts.watches[table] = watch
         async with run_tasks(
             watch.run(),
             keep_current(watch, age_ms, lambda: parts.peers.rank, clock),
@@ -153,7 +153,7 @@
     sharing = Sharing(
         parts.peers,
         parts.make_heartbeat,
-        parts.quotas.note_told,
+        parts.note_told,
         parts.take_heartbeat,
         parts.is_urgent,
         clock,
--- a/seampond/gateway/parts.py
+++ b/seampond/gateway/parts.py
@@ -5,7 +5,7 @@
 import secrets
 import sys
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 import msgspec
@@ -34,13 +34,17 @@
     Margin,
     Peers,
     Quotas,
+    ToldPage,
     key_of,
 )
-from seampond.watches import Currency, Proof, StoreTime
+from seampond.watches import Currency, Page, Proof, StoreTime, Watch
 
 _INCARNATION_BITS = 48
 _PROOF_TOLD_MS = 1000
 _GRACE_PART = 0.7
+# With a heartbeat it has to fit into one datagram of 64 KB.
+_PAGE_MAX_BYTES = 8192
+_PAGES_MAX = 5
 
 
 @dataclass
@@ -63,6 +67,8 @@
     is_urgent: asyncio.Event
     incarnation: int
     servers: ServerFollower
+    watches: dict[str, Watch] = field(default_factory=dict)
+    _pages: list[ToldPage] = field(default_factory=list)
 
     @property
     def is_ready(self) -> bool:
@@ -73,6 +79,11 @@
             and self.servers.is_known
         )
 
+    @property
+    def is_cut(self) -> bool:
+        """Whether our calls to the store fail."""
+        return any(watch.is_failing for watch in self.watches.values())
+
     def apply(self, settings: GatewaySettings) -> list[str]:
         """Take changed settings; give the keys that changed.
 
@@ -93,6 +104,9 @@
     def take_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Take what another gateway has told."""
         self.quotas.take_heartbeat(heartbeat)
+        # Before the proofs, which ask for what is missing.
+        for told in heartbeat.pages:
+            self._take_page(told)
         for table, currency in self.currencies.items():
             proof = heartbeat.proofs.get(key_of(table))
             if proof is not None:
@@ -119,6 +133,33 @@
             self._loads(),
             proofs=self._proofs(),
             levels=self.quotas.tell_levels(),
+            is_cut=self.is_cut,
+            pages=tuple(self._pages),
+        )
+
+    def note_told(self) -> None:
+        """Note that all others were sent the heartbeat that was just made."""
+        self.quotas.note_told()
+        self._pages.clear()
+
+    def pass_on(self, table: str, since: int, page: Page) -> None:
+        """Tell the others at once what the store has told us.
+
+        Explanation
+        -----------
+        The answer proves what is newest, which saves the others a call, and
+        has the rows, which saves each of them one.  A configuration is too
+        large for a datagram; the others hear that there is one.
+        """
+        self.is_urgent.set()
+        if not page.rows or len(self._pages) >= _PAGES_MAX:
+            return
+        if sum(row.size for row in page.rows) > _PAGE_MAX_BYTES:
+            return
+        self._pages.append(
+            ToldPage(
+                key_of(table), since, page.version, page.store_ms, page.rows
+            )
         )
 
     def show_status(self) -> dict[str, object]:
@@ -151,6 +192,15 @@
             'servers': servers,
         }
 
+    def _take_page(self, told: ToldPage) -> None:
+        """Take what another gateway has read."""
+        page = Page(
+            told.rows, told.version, told.store_ms, 0, 0, is_whole=False
+        )
+        for table, watch in self.watches.items():
+            if key_of(table) == told.table:
+                watch.take_told(told.since, page)
+
     def _proofs(self) -> dict[int, Proof]:
         """Give what is young; each heartbeat after a proof may be lost."""
         oldest_ms = self.clock.now() - _PROOF_TOLD_MS
--- a/seampond/sharing/heartbeat.capnp
+++ b/seampond/sharing/heartbeat.capnp
@@ -22,4 +22,17 @@
   proofStoreMs @14 :List(UInt64);
   levelTenants @15 :List(UInt64);
   levelUnits @16 :List(Int64);
+  isCut @17 :Bool;
+  pages @18 :List(Page);
+}
+
+struct Page {
+  table @0 :UInt64;
+  since @1 :UInt64;
+  version @2 :UInt64;
+  storeMs @3 :UInt64;
+  rowKeys @4 :List(Text);
+  rowContents @5 :List(Data);
+  rowVersions @6 :List(UInt64);
+  rowsGone @7 :List(Bool);
 }
--- a/seampond/sharing/heartbeats.py
+++ b/seampond/sharing/heartbeats.py
@@ -10,7 +10,7 @@
 import capnp
 
 from seampond.errors import ForeignMessageError
-from seampond.watches import Proof
+from seampond.watches import Proof, Row
 
 _MAX_UNREAD = 4_294_967_295
 _SCHEMA_FILE = 'heartbeat.capnp'
@@ -34,6 +34,30 @@
     unread: int
 
 
+@dataclass(frozen=True, slots=True)
+class ToldPage:
+    """Changes of a table of the store, passed on as they were read.
+
+    Parameters
+    ----------
+    table : int
+        The key of the table.
+    since : int
+        The version after which these changes are all.
+    version : int
+        The version up to which they are all.
+    store_ms : int
+        The store's steady clock then.
+
+    """
+
+    table: int
+    since: int
+    version: int
+    store_ms: int
+    rows: tuple[Row, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
     """What one gateway tells the others, some times a second.
@@ -59,6 +83,10 @@
     levels : Mapping[int, int]
         By key of the tenant, the level of its bucket in units, below zero
         for a debt; told while a gateway is there that has just started.
+    is_cut : bool
+        Whether its calls to the store fail, so that it passes nothing on.
+    pages : tuple[ToldPage, ...]
+        What it has read of the store since its last heartbeat.
 
     """
 
@@ -73,6 +101,8 @@
     is_gone: bool = False
     proofs: Mapping[int, Proof] = field(default_factory=dict)
     levels: Mapping[int, int] = field(default_factory=dict)
+    is_cut: bool = False
+    pages: tuple[ToldPage, ...] = ()
 
 
 @functools.cache
@@ -92,6 +122,36 @@
     return dict(zip(keys, told, strict=True))
 
 
+def _describe(page: ToldPage) -> dict[str, Any]:
+    """Give the fields of a page as the schema names them."""
+    return {
+        'table': page.table,
+        'since': page.since,
+        'version': page.version,
+        'storeMs': page.store_ms,
+        'rowKeys': [row.key for row in page.rows],
+        'rowContents': [row.content for row in page.rows],
+        'rowVersions': [row.version for row in page.rows],
+        'rowsGone': [row.is_gone for row in page.rows],
+    }
+
+
+def _read_page(reader: Any) -> ToldPage:
+    columns = (
+        reader.rowKeys,
+        reader.rowContents,
+        reader.rowVersions,
+        reader.rowsGone,
+    )
+    rows = tuple(
+        Row(key, bytes(content), version, is_gone)
+        for key, content, version, is_gone in zip(*columns, strict=True)
+    )
+    return ToldPage(
+        reader.table, reader.since, reader.version, reader.storeMs, rows
+    )
+
+
 def encode(heartbeat: Heartbeat) -> bytes:
     """Encode a heartbeat into one datagram.
 
@@ -122,6 +182,8 @@
         proofStoreMs=[proof.store_ms for proof in proofs.values()],
         levelTenants=list(levels),
         levelUnits=list(levels.values()),
+        isCut=heartbeat.is_cut,
+        pages=[_describe(page) for page in heartbeat.pages],
     )
     packed: bytes = message.to_bytes_packed()
     return packed
@@ -156,6 +218,8 @@
                 map(Proof, reader.proofChanged, reader.proofStoreMs),
             ),
             _join(reader.levelTenants, reader.levelUnits),
+            reader.isCut,
+            tuple(_read_page(page) for page in reader.pages),
         )
     except _FAILURES as error:
         raise ForeignMessageError(
--- a/seampond/sharing/peers.py
+++ b/seampond/sharing/peers.py
@@ -6,6 +6,7 @@
 
 from seampond.clock import Clock
 from seampond.sharing.heartbeats import Heartbeat, Load
+from seampond.sharing.keys import key_of
 from seampond.sharing.loads import LoadSums
 
 _BEAT_MS = 300
@@ -16,6 +17,9 @@
 _FULL_PACE_GATEWAYS = 30
 _SILENT_BEATS = 3
 _FEW_GATEWAYS = 8
+# How many gateways follow the tables of the store and pass changes on: one may
+# freeze, one be cut off and one just end before the others notice.
+_FOLLOWERS = 4
 _FORGET_MS = 20_000
 # Some heartbeats of a gateway's life, of which some may be lost.
 _YOUNG_MS = 2000
@@ -65,6 +69,8 @@
         Whether one that is heard is not about to stop.
     has_young : bool
         Whether one that is heard has just started.
+    before : int
+        How many that are heard and reach the store come before us.
 
     """
 
@@ -73,6 +79,7 @@
     heard: int = 0
     has_ready: bool = False
     has_young: bool = False
+    before: int = 0
 
 
 def give_beat_ms(gateways: int) -> int:
@@ -169,6 +176,17 @@
         """
         return (self._census.heard + 1) / self.count
 
+    @property
+    def follows(self) -> bool:
+        """Whether we are one of the few that follow the store for all.
+
+        Explanation
+        -----------
+        All work it out alike from whom they hear, in an order by key, which
+        has nothing to do with halls: a hall may be lost as one.
+        """
+        return self._census.before < _FOLLOWERS
+
     @property
     def has_young(self) -> bool:
         """Whether some other gateway has just started."""
@@ -210,7 +228,8 @@
         peer.heartbeat = heartbeat
         peer.seen_ms = self._clock.now()
         self._count_loads(peer, {} if peer.is_gone else heartbeat.loads)
-        if not is_same_life or peer.is_silent or peer.is_gone:
+        is_other = last and last.is_cut != heartbeat.is_cut
+        if not is_same_life or is_other or peer.is_silent or peer.is_gone:
             self._counted = None
         if peer.is_silent:
             peer.is_silent = False
@@ -260,8 +279,14 @@
             len(heard),
             any(not told.is_stopping for told in heard),
             any(told.uptime_ms < _YOUNG_MS for told in heard),
+            sum(map(self._is_before, heard)),
         )
 
+    def _is_before(self, told: Heartbeat) -> bool:
+        if told.is_stopping or told.is_cut:
+            return False
+        return key_of(told.name) < key_of(self.name)
+
     def _count_loads(self, peer: Peer, loads: Mapping[int, Load]) -> None:
         self.loads.replace(peer.counted, loads)
         peer.counted = loads
--- a/seampond/sharing/tests/test_heartbeats.py
+++ b/seampond/sharing/tests/test_heartbeats.py
@@ -4,9 +4,9 @@
 from dataclasses import replace
 
 from seampond.errors import ForeignMessageError
-from seampond.sharing import Heartbeat, Load, key_of
+from seampond.sharing import Heartbeat, Load, ToldPage, key_of
 from seampond.sharing.heartbeats import _schema, decode, encode
-from seampond.watches import Proof
+from seampond.watches import Proof, Row
 
 _BYTES_MAX = 450
 
@@ -41,6 +41,13 @@
         heartbeat = replace(build_heartbeat(15, 16), levels=build_levels())
         self.assertEqual(decode(encode(heartbeat)), heartbeat)
 
+    def test_pages_of_the_store(self) -> None:
+        """Rows that changed, and one that went."""
+        rows = (Row('i-1', b'{"a": 1}', 41), Row('i-2', b'', 42, is_gone=True))
+        page = ToldPage(key_of('servers'), 40, 43, 123_456, rows)
+        heartbeat = Heartbeat('g', 1, 1, is_cut=True, pages=(page,))
+        self.assertEqual(decode(encode(heartbeat)), heartbeat)
+
     def test_parts_of_units_are_told_as_whole(self) -> None:
         """Too much, never too little; a refund beyond all is nothing."""
         heartbeat = Heartbeat('g', 1, 1, spent={1: 2.5, 2: -1.0})
--- a/seampond/sharing/tests/test_quotas.py
+++ b/seampond/sharing/tests/test_quotas.py
@@ -5,7 +5,7 @@
 
 from seampond.clock import ManualClock
 from seampond.forwarding.models import Tenant
-from seampond.sharing import Heartbeat, Margin, Peers, Quotas
+from seampond.sharing import Heartbeat, Margin, Peers, Quotas, key_of
 
 _RATE = 1000.0
 _BURST = 1000.0
@@ -357,3 +357,21 @@
         peers = Peers('g0', ManualClock())
         self.assertFalse(peers.take_heartbeat(Heartbeat('who', 1, 1)))
         self.assertEqual(peers.count, 1)
+
+    def test_a_few_follow_the_store(self) -> None:
+        """The first by key that reach it; who is cut is no reader."""
+        clock = ManualClock()
+        names = sorted((f'g{number}' for number in range(12)), key=key_of)
+        peers = Peers(names[5], clock)
+        peers.take_rows((name, 'x:1') for name in names)
+        self.assertTrue(peers.follows)
+        for name in names:
+            peers.take_heartbeat(Heartbeat(name, 1, 1))
+        self.assertFalse(peers.follows)
+        for name in names[:2]:
+            peers.take_heartbeat(Heartbeat(name, 1, 2, is_cut=True))
+        self.assertTrue(peers.follows)
+        clock.advance(100)
+        for name in names[:2]:
+            peers.take_heartbeat(Heartbeat(name, 1, 3))
+        self.assertFalse(peers.follows)
--- a/seampond/watches/currency.py
+++ b/seampond/watches/currency.py
@@ -9,9 +9,6 @@
 from seampond.watches.rows import Page
 from seampond.watches.store_time import StoreTime
 
-# Longer than a feed that gathers changes may be late.
-_BEHIND_MS = 400
-
 
 @dataclass(frozen=True, slots=True)
 class Proof:
@@ -79,6 +76,11 @@
         self._missing_ms = 0
         self._is_missing = asyncio.Event()
 
+    @property
+    def is_missing(self) -> bool:
+        """Whether we have heard of a change that we do not hold."""
+        return bool(self._missing)
+
     def check(self, page: Page) -> None:
         """Check that an answer belongs to its call; learn from its times.
 
@@ -114,10 +116,19 @@
         self._missing = max(self._missing, proof.changed)
         self._is_missing.set()
 
-    def due_ms(self, age_ms: int) -> int:
-        """Give when to ask the store, if a proof may be `age_ms` old."""
+    def due_ms(self, age_ms: int, behind_ms: int) -> int:
+        """Give when to ask the store.
+
+        Parameters
+        ----------
+        age_ms : int
+            How old a proof may be.
+        behind_ms : int
+            How long a change may be missing that we have heard of.
+
+        """
         if self._missing:
-            return self._missing_ms + _BEHIND_MS
+            return self._missing_ms + behind_ms
         return self.proved_ms + age_ms
 
     async def wait_missing(self, most_ms: int) -> None:
--- a/seampond/watches/probe.py
+++ b/seampond/watches/probe.py
@@ -9,6 +9,10 @@
 _STEP_MS = 100
 _MOST_STEPS = 8
 _AGAIN_MS = 300
+# Longer than a feed that gathers changes may be late.
+_BEHIND_MS = 400
+# Who does not follow has no feed to wait for; not all ask at one moment.
+_SPREAD_MS = 100
 
 
 async def keep_current(
@@ -34,7 +38,11 @@
     currency = watch.currency
     while True:
         steps = min(_MOST_STEPS, rank())
-        left_ms = currency.due_ms(age_ms + steps * _STEP_MS) - clock.now()
+        behind_ms = _BEHIND_MS
+        if not watch.follows():
+            behind_ms = random.randrange(_SPREAD_MS)
+        due_ms = currency.due_ms(age_ms + steps * _STEP_MS, behind_ms)
+        left_ms = due_ms - clock.now()
         if left_ms > 0:
             await currency.wait_missing(left_ms)
         elif not await watch.probe():
--- a/seampond/watches/rows.py
+++ b/seampond/watches/rows.py
@@ -19,6 +19,11 @@
     version: int
     is_gone: bool = False
 
+    @property
+    def size(self) -> int:
+        """How many bytes it takes."""
+        return len(self.key) + len(self.content)
+
 
 @dataclass(frozen=True, slots=True)
 class Page:
--- a/seampond/watches/tests/test_watch.py
+++ b/seampond/watches/tests/test_watch.py
@@ -23,6 +23,11 @@
     return Page(rows, version, 0, 0, 0, is_whole)
 
 
+def _never() -> bool:
+    """Leave the table to others."""
+    return False
+
+
 class ListedSource:
     """Gives listed answers in turn; then waits for ever."""
 
@@ -111,6 +116,20 @@
         await asyncio.Event().wait()
 
 
+class NotedCurrency(Currency):
+    """A currency that notes how long is waited for a change."""
+
+    def __init__(self, *words: Any) -> None:
+        """Start with no wait noted."""
+        super().__init__(*words)
+        self.pauses: list[int] = []
+
+    async def wait_missing(self, most_ms: int) -> None:
+        """Note the wait."""
+        self.pauses.append(most_ms)
+        await asyncio.sleep(0)
+
+
 class WatchTest(unittest.IsolatedAsyncioTestCase):
     """What a watch asks, and what it takes."""
 
@@ -149,6 +168,77 @@
         )
         self.assertEqual(self.waits, [0, 1000, 0, 1000])
 
+    async def test_who_need_not_follow_asks_nothing(self) -> None:
+        """After the read that starts it; others pass changes on."""
+        source = ListedSource(_page(3, is_whole=True), _page(3))
+        clock = HeldClock()
+        watch = build_watch(source, clock=clock, follows=_never)
+        task = asyncio.create_task(watch.run())
+        self.addCleanup(task.cancel)
+        async with asyncio.timeout(5):
+            await clock.__dict__['held'].wait()
+        self.assertEqual(source.calls, ['all', 'since 3'])
+
+    async def test_what_is_passed_on_is_taken_without_a_gap(self) -> None:
+        """From what we hold or before; else we have to ask."""
+        taken: list[int] = []
+        source = ListedSource(_page(3, is_whole=True), _page(3))
+        watch = build_watch(
+            source, take=lambda page: taken.append(page.version)
+        )
+        task = asyncio.create_task(watch.run())
+        self.addCleanup(task.cancel)
+        async with asyncio.timeout(5):
+            await source.is_over.wait()
+        watch.take_told(4, _page(6, 'x'))
+        self.assertEqual(taken, [3, 3])
+        watch.take_told(2, _page(5, 'a'))
+        watch.take_told(3, _page(4, 'old'))
+        watch.take_told(5, _page(7, 'b'))
+        self.assertEqual(taken, [3, 3, 5, 7])
+        self.assertEqual(watch.currency.version, 7)
+
+    async def test_only_news_is_passed_on(self) -> None:
+        """What others have told us of already need not be told again."""
+        told: list[tuple[int, int]] = []
+        source = ListedSource(_page(3, is_whole=True), _page(3), _page(5, 'a'))
+        probe_source = ListedSource(_page(8, 'b'))
+        watch = build_watch(
+            source,
+            probe_source,
+            pass_on=lambda since, page: told.append((since, page.version)),
+        )
+        task = asyncio.create_task(watch.run())
+        self.addCleanup(task.cancel)
+        async with asyncio.timeout(5):
+            await source.is_over.wait()
+        self.assertEqual(told, [(3, 3), (3, 5)])
+        watch.currency.take_proof(Proof(8, 1))
+        self.assertTrue(await watch.probe())
+        self.assertEqual(told, [(3, 3), (3, 5)])
+
+    async def test_who_does_not_follow_asks_on_after_a_failure(self) -> None:
+        """A probe that fails opens the feed again, at its pauses."""
+        whole, still = _page(3, is_whole=True), _page(3)
+        source = ListedSource(whole, still, _page(4))
+        probe_source = ListedSource(PlatformError('is down', step='read'))
+        clock = NotedClock()
+        watch = build_watch(source, probe_source, clock=clock, follows=_never)
+        task = asyncio.create_task(watch.run())
+        self.addCleanup(task.cancel)
+        async with asyncio.timeout(5):
+            while len(source.calls) < 2:
+                await asyncio.sleep(0)
+            self.assertFalse(await watch.probe())
+            while watch.currency.version < 4:
+                await asyncio.sleep(0)
+        self.assertFalse(watch.is_failing)
+
+    async def test_who_is_proved_by_others_asks_seldom(self) -> None:
+        """A store that turns one away is not asked on and on."""
+        self.assertGreater(max(await self._fail(proved_ms=10_000)), 600)
+        self.assertLessEqual(max(await self._fail(proved_ms=1000)), 200)
+
     async def test_lost_history_is_read_again(self) -> None:
         """A compacted history costs one whole read."""
         gone = HistoryGoneError('gone', step='read')
@@ -209,6 +299,25 @@
         with self.assertRaises(PlatformError):
             time.take(Page((), 1, 51_000, 9000, 9002, False))
 
+    async def _fail(self, proved_ms: int) -> list[float]:
+        """Let many calls fail; give the pauses after them."""
+        failures = [PlatformError('is down', step='read') for _ in range(9)]
+        source = ListedSource(_page(3, is_whole=True), _page(3), *failures)
+        clock = NotedClock()
+        clock.__dict__['now'] = lambda: 10_000
+        currency = NotedCurrency(clock, StoreTime(), lambda proved_ms: None)
+        watch = build_watch(
+            source, clock=clock, currency=currency, pause_ms=200
+        )
+        task = asyncio.create_task(watch.run())
+        self.addCleanup(task.cancel)
+        async with asyncio.timeout(5):
+            while len(source.calls) < 3:
+                await asyncio.sleep(0)
+            currency.proved_ms = proved_ms
+            await source.is_over.wait()
+        return [*clock.__dict__['sleeps'], *currency.pauses]
+
     async def _follow(
         self, *answers: Page | Exception
     ) -> tuple[list[str], list[int], list[str]]:
@@ -292,7 +401,7 @@
         hold(currency, Page((), 5, 1000, 1000, 1000, False))
         clock.advance(1400)
         currency.take_proof(Proof(changed=5, store_ms=2300))
-        self.assertEqual(currency.due_ms(1500), 2300 + 1500)
+        self.assertEqual(currency.due_ms(1500, 400), 2300 + 1500)
 
     async def _start(self, *probed: Page | Exception) -> Watch:
         self.probes = ListedSource(*probed)
@@ -327,7 +436,7 @@
         """Somebody has seen more: we may be wrong since then."""
         self.currency.take_proof(Proof(changed=6, store_ms=1900))
         self.assertEqual(self.currency.proved_ms, 1000)
-        self.assertEqual(self.currency.due_ms(60_000), 1000 + 400)
+        self.assertEqual(self.currency.due_ms(60_000, 400), 1000 + 400)
 
     def test_change_that_has_come_is_missing_no_more(self) -> None:
         """Our own feed was only a little late."""
@@ -335,7 +444,7 @@
         self.clock.advance(1000)
         row = Row('a', b'', 6)
         hold(self.currency, Page((row,), 6, 2000, 2000, 2000, False))
-        self.assertEqual(self.currency.due_ms(60_000), 2000 + 60_000)
+        self.assertEqual(self.currency.due_ms(60_000, 400), 2000 + 60_000)
         self.assertEqual(self.currency.proof, Proof(6, 2000))
 
     def test_whole_read_proves_nothing(self) -> None:
--- a/seampond/watches/watch.py
+++ b/seampond/watches/watch.py
@@ -12,9 +12,27 @@
 from seampond.watches.rows import HistoryGoneError, Page, TableSource
 
 _FIRST_PAUSE_MS = 100
+# How long who need not follow waits until it looks again, and how long after a
+# start nobody can know yet who follows.
+_IDLE_MS = 500
+_SETTLE_MS = 1000
+# A process that the store turns away, while others prove to it that nothing
+# has changed, has little to gain from asking: six such of 18 made half of all
+# calls of a day.
+_PROVED_MS = 2500
+_PROVED_PAUSE_MS = 3000
 _logger = logging.getLogger(__name__)
 
 
+def _always() -> bool:
+    """Follow the table whoever else does."""
+    return True
+
+
+def _tell_nobody(since: int, page: Page) -> None:
+    """Pass nothing on."""
+
+
 @dataclass
 class Watch:
     """Keeps what we believe of one table near to what it holds.
@@ -36,6 +54,14 @@
     pace_ms : int
         How long to wait after a change before the next are asked for, so
         that many at once come in one answer.
+    follows : Callable[[], bool]
+        Whether we have to follow the table; if not, others pass its changes
+        on, and we ask where something is missing or nothing was proved.
+    proves_first : bool
+        Whether a whole read is followed by a call that proves it at once.
+    pass_on : Callable[[int, Page], None]
+        Told what nobody else had told of: the version that was held, and the
+        answer with what came after it.
 
     """
 
@@ -48,16 +74,25 @@
     currency: Currency
     pause_ms: int = 600
     pace_ms: int = 0
+    follows: Callable[[], bool] = _always
+    proves_first: bool = True
+    pass_on: Callable[[int, Page], None] = _tell_nobody
     is_current: bool = False
     is_new: bool = False
     _call: asyncio.Timeout | None = None
     _is_suspect: bool = False
     _is_failing: bool = False
 
+    @property
+    def is_failing(self) -> bool:
+        """Whether our own calls to the store fail."""
+        return self._is_failing
+
     async def run(self) -> None:
         """Follow the table; never ends by itself."""
         pause_ms = _FIRST_PAUSE_MS
         while True:
+            await self._wait_for_turn()
             try:
                 is_fresh = await self._step()
                 self._is_failing = False
@@ -74,8 +109,11 @@
             if is_fresh:
                 pause_ms = _FIRST_PAUSE_MS
                 continue
-            await self.clock.sleep(pause_ms * random.uniform(0.5, 1))
-            pause_ms = min(self.pause_ms, pause_ms * 2)
+            await self._pause(pause_ms * random.uniform(0.5, 1))
+            longest_ms = self.pause_ms
+            if self._is_proved_by_others:
+                longest_ms = max(longest_ms, _PROVED_PAUSE_MS)
+            pause_ms = min(longest_ms, pause_ms * 2)
 
     async def probe(self) -> bool:
         """Make one call beside the feed; tell whether its answer was taken.
@@ -86,24 +124,62 @@
         """
         if self._is_failing or not self.is_current:
             return False
+        since = self.currency.version
         try:
-            page = await self.probe_source.read_changes(
-                self.currency.version, 0
-            )
-            is_fresh = self._accept(page)
+            page = await self.probe_source.read_changes(since, 0)
+            is_fresh = self._accept(page, since)
         except PlatformError as error:
             self.count_failure(error.step)
             # The feed's own call may hang as well, and longer.
             self._is_suspect = True
+            # Who does not follow asks on at the feed's growing pauses.
+            self._is_failing = not self.follows()
             return False
         if self._is_suspect:
             self._is_suspect = False
             self._give_call_up()
         return is_fresh
 
+    def take_told(self, since: int, page: Page) -> None:
+        """Take an answer that another process passes on.
+
+        Explanation
+        -----------
+        Only if it begins at what we hold or before; else a change between
+        may be missing, and what it proves makes us ask.
+        """
+        version = self.currency.version
+        if not self.is_current or not since <= version < page.version:
+            return
+        self.is_current = self._is_taken(page)
+        if self.is_current:
+            self.currency.take(page)
+
+    async def _wait_for_turn(self) -> None:
+        """Wait while there is nothing that we have to ask the feed.
+
+        Explanation
+        -----------
+        Each call to the store is priced and each change would be one answer
+        to each process: of 2,347 calls of 68 processes in 37 s four in five
+        told what the first few had been told already.
+        """
+        if self.is_new and not self.proves_first:
+            await self.clock.sleep(_SETTLE_MS)
+            self.is_new = False
+        while not self._has_to_ask:
+            await self.clock.sleep(_IDLE_MS)
+
+    @property
+    def _has_to_ask(self) -> bool:
+        if self.is_new or self._is_failing or not self.is_current:
+            return True
+        return self.follows()
+
     async def _step(self) -> bool:
         """Make one call; tell whether its answer was fresh."""
         self._call = asyncio.timeout(None)
+        since = self.currency.version
         try:
             async with self._call:
                 page = await self._read()
@@ -111,7 +187,7 @@
             raise PlatformError('given up', step='read-changes') from error
         finally:
             self._call = None
-        is_fresh = self._accept(page)
+        is_fresh = self._accept(page, since)
         if is_fresh and page.rows and not page.is_whole:
             await self.clock.sleep(self.pace_ms)
         return is_fresh
@@ -125,13 +201,27 @@
         wait_ms = 0 if is_hurried else self.wait_ms
         return await self.source.read_changes(self.currency.version, wait_ms)
 
+    @property
+    def _is_proved_by_others(self) -> bool:
+        """Whether others prove that nothing is missing while our calls fail."""
+        age_ms = self.clock.now() - self.currency.proved_ms
+        return not self.currency.is_missing and age_ms < _PROVED_MS
+
+    async def _pause(self, pause_ms: float) -> None:
+        """Wait after a failed call; no longer, should a change be missing."""
+        if self._is_proved_by_others:
+            await self.currency.wait_missing(round(pause_ms))
+        else:
+            await self.clock.sleep(min(pause_ms, self.pause_ms))
+
     def _give_call_up(self) -> None:
         """End the call that is under way, if there is any."""
         if self._call is not None:
             self._call.reschedule(asyncio.get_running_loop().time())
 
-    def _accept(self, page: Page) -> bool:
+    def _accept(self, page: Page, since: int) -> bool:
         """Take an answer unless it is old; tell whether it was fresh."""
+        is_news = not page.is_whole and not self.currency.is_missing
         self.currency.check(page)
         if page.version < self.currency.version:
             self._tell('stale answer', str(page.version))
@@ -140,6 +230,8 @@
         self.is_current = self._is_taken(page)
         if self.is_current:
             self.currency.take(page)
+            if is_news:
+                self.pass_on(since, page)
         return self.is_current
 
     def _is_taken(self, page: Page) -> bool:
