--- /dev/null
+++ b/seampond/slopes/gateway_fleet.py
@@ -0,0 +1,174 @@
+"""All that one gateway needs to run in a fleet of stand-ins."""
+
+import asyncio
+import random
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager, suppress
+from dataclasses import dataclass
+from http import HTTPStatus
+from itertools import islice
+from pathlib import Path
+
+import aiosonic
+
+from seampond.backing.http import make_client
+from seampond.clock import MS_PER_SECOND
+from seampond.demo.fleet import free_ports
+from seampond.platform.names import (
+    CONFIGURATION_KEY,
+    CONFIGURATION_TABLE,
+    GATEWAYS_TABLE,
+    SERVERS_TABLE,
+)
+from seampond.platform.tests.rows import (
+    HOST,
+    ID_HEADER,
+    KEY,
+    POOL,
+    STAMP_HEADER,
+    ConfigurationRow,
+)
+from seampond.sharing import Heartbeat, Load, give_beat_ms, key_of
+from seampond.sharing.heartbeats import encode
+from seampond.testing.scripted import Received, run_scripted, write_answer
+from seampond.testing.store import StandInStore, run_store
+
+_SLOTS = 8
+_REQUESTS_A_S = 6
+_SERVERS_TOLD = 6
+_UPTIME_MS = 60_000
+_UNREAD = 900
+_PORTS = 4
+
+
+@dataclass(frozen=True)
+class Sizes:
+    """How large the fleet is."""
+
+    gateways: int
+    servers: int
+    workspaces: int
+
+
+def build_heartbeat(
+    sizes: Sizes, name: str, incarnation: int, sequence: int
+) -> Heartbeat:
+    """Give what a busy gateway would tell."""
+    rng = random.Random(incarnation)
+    told = rng.sample(range(sizes.servers), min(_SERVERS_TOLD, sizes.servers))
+    return Heartbeat(
+        name,
+        incarnation,
+        sequence,
+        1,
+        {
+            key_of(f't{number}'): float(sequence * (number + 1))
+            for number in range(sizes.workspaces)
+        },
+        uptime_ms=_UPTIME_MS + sequence * give_beat_ms(sizes.gateways),
+        loads={key_of(f'i-{server}'): Load(2, _UNREAD) for server in told},
+    )
+
+
+async def _serve(request: Received, writer: asyncio.StreamWriter) -> None:
+    headers = {ID_HEADER: request.get(ID_HEADER), STAMP_HEADER: 's'}
+    writer.write(write_answer(HTTPStatus.OK, headers, b'whole'))
+
+
+def fill_store(
+    store: StandInStore, sizes: Sizes, server: str, peers: str
+) -> None:
+    """Write the rows of the whole fleet."""
+    row = ConfigurationRow().make()
+    row['tenants'] += [
+        {'name': f't{number}', 'api-keys': [f'other-{number}']}
+        for number in range(sizes.workspaces)
+    ]
+    store.put(CONFIGURATION_TABLE, CONFIGURATION_KEY, row)
+    for number in range(sizes.servers):
+        place = {'service': POOL, 'address': server, 'slots': _SLOTS}
+        store.put(SERVERS_TABLE, f'i-{number}', place)
+    for number in range(sizes.gateways - 1):
+        store.put(GATEWAYS_TABLE, f'peer-{number}', {'address': peers})
+
+
+async def play_peers(sizes: Sizes, port: int) -> None:
+    """Tell what all other gateways would, spread over their pace."""
+    loop = asyncio.get_running_loop()
+    transport, _ = await loop.create_datagram_endpoint(
+        asyncio.DatagramProtocol, remote_addr=('127.0.0.1', port)
+    )
+    beat_ms = give_beat_ms(sizes.gateways)
+    pause = beat_ms / MS_PER_SECOND / max(1, sizes.gateways - 1)
+    sequence = 0
+    try:
+        while True:
+            sequence += 1
+            for number in range(sizes.gateways - 1):
+                told = build_heartbeat(
+                    sizes, f'peer-{number}', number + 1, sequence
+                )
+                transport.sendto(encode(told))
+                await asyncio.sleep(pause)
+    finally:
+        transport.close()
+
+
+async def play_callers(client: aiosonic.HTTPClient, port: int) -> None:
+    """Ask some times a second."""
+    number = 0
+    while True:
+        number += 1
+        headers = {
+            'Host': HOST,
+            ID_HEADER: f'r{number}',
+            'Authorization': f'Token {KEY}',
+        }
+        with suppress(OSError):
+            answer = await client.request(
+                f'http://127.0.0.1:{port}/x/y',
+                method='POST',
+                headers=headers,
+                data=b'ask',
+            )
+            await answer.content()
+        await asyncio.sleep(1 / _REQUESTS_A_S)
+
+
+def write_settings(folder: Path, store: str, ports: Sequence[int]) -> Path:
+    """Write the settings file of the gateway."""
+    lines = ['[gateway]', 'name = "g1"', 'zone = "a"']
+    roles = ('listen', 'ready_listen', 'metrics_listen', 'peer_listen')
+    for role, port in zip(roles, ports, strict=True):
+        lines.append(f'{role} = "127.0.0.1:{port}"')
+    lines += ['[gateway.store]', f'address = "{store}"']
+    path = folder / 'gateway.toml'
+    path.write_text('\n'.join(lines), encoding='utf-8')
+    return path
+
+
+@asynccontextmanager
+async def run_fleet(sizes: Sizes, folder: Path) -> AsyncIterator[list[str]]:
+    """Run all but the gateway; give the words that start it."""
+    ports = tuple(islice(free_ports(), _PORTS))
+    sink, _ = await asyncio.get_running_loop().create_datagram_endpoint(
+        asyncio.DatagramProtocol, local_addr=('127.0.0.1', 0)
+    )
+    host, port = sink.get_extra_info('sockname')[:2]
+    async with (
+        run_store() as store,
+        run_scripted(_serve) as server,
+        asyncio.TaskGroup() as group,
+    ):
+        fill_store(store, sizes, server.address, f'{host}:{port}')
+        settings = write_settings(folder, store.address, ports)
+        tasks = [
+            group.create_task(play_peers(sizes, ports[3])),
+            group.create_task(play_callers(make_client(4), ports[0])),
+        ]
+        try:
+            yield [str(settings), str(folder / 'profile')]
+        finally:
+            for task in tasks:
+                task.cancel()
+            sink.close()
--- /dev/null
+++ b/seampond/slopes/gateway_profile.py
@@ -0,0 +1,136 @@
+"""Where the processor time of one gateway goes, by how many there are.
+
+A real gateway process is run beside a stand-in store, stand-in servers and
+the words of as many other gateways as are asked for, each at the pace that it
+would keep, with some requests a second.  Two plays for each number: one to
+measure the share of a core, one under the profiler to split it.
+"""
+
+import argparse
+import asyncio
+import cProfile
+import pstats
+import signal
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+from typing import Any
+
+from seampond.gateway.__main__ import main as run_gateway
+from seampond.slopes.gateway_fleet import Sizes, run_fleet
+
+# Linux counts the processor time of processes in hundredths of a second.
+_TICKS_A_S = 100
+_WARM_S = 3
+_SPAN_S = 10
+_SERVERS_A_GATEWAY = 1.24
+_WORKSPACES = 19
+_MODULE = 'seampond.slopes.gateway_profile'
+_GROUPS = (
+    ('take a heartbeat', 'datagram_received'),
+    ('of it: decode', 'heartbeats.py:decode'),
+    ('of it: quotas', 'quotas.py:take_heartbeat'),
+    ('of it: loads', 'take_others'),
+    ('of it: sum of loads', 'loads.py:replace'),
+    ('make a heartbeat', 'parts.py:make_heartbeat'),
+    ('encode it', 'heartbeats.py:encode'),
+    ('send datagrams', 'sendto'),
+    ('answers of the store', 'watch.py:_step'),
+    ('choose a server', 'scheduler.py:_find'),
+    ('serve requests', 'app.py:_serve'),
+    ('log lines', 'logging/__init__.py:_log'),
+)
+
+
+def read_seconds(pid: int) -> float:
+    """Give the processor time that a process has taken."""
+    text = Path(f'/proc/{pid}/stat').read_text(encoding='utf-8')
+    used, system = text.rpartition(')')[2].split()[11:13]
+    return (int(used) + int(system)) / _TICKS_A_S
+
+
+async def measure_share(pid: int) -> float:
+    """Give the share of a core that a process takes, once it is warm."""
+    await asyncio.sleep(_WARM_S)
+    before = read_seconds(pid)
+    await asyncio.sleep(_SPAN_S)
+    return (read_seconds(pid) - before) / _SPAN_S
+
+
+async def play(sizes: Sizes, *, is_profiled: bool) -> tuple[float, str]:
+    """Play one fleet; give the share of a core, and the profile's file."""
+    folder = Path(tempfile.mkdtemp())
+    async with run_fleet(sizes, folder) as words:
+        if not is_profiled:
+            words = words[:1]
+        child = subprocess.Popen(
+            [sys.executable, '-m', _MODULE, '--gateway', *words],
+            stdout=subprocess.DEVNULL,
+        )
+        try:
+            share = await measure_share(child.pid)
+        finally:
+            child.send_signal(signal.SIGTERM)
+            await asyncio.to_thread(child.wait)
+    return share, str(folder / 'profile')
+
+
+def run_child(words: list[str]) -> int:
+    """Run the gateway, under the profiler if a file is named for it."""
+    if len(words) == 1:
+        return run_gateway(words)
+    profile = cProfile.Profile()
+    profile.enable()
+    try:
+        return run_gateway(words[:1])
+    finally:
+        profile.disable()
+        profile.dump_stats(words[1])
+
+
+def sum_up(table: dict[Any, Any], wanted: str) -> tuple[int, float]:
+    """Give calls and seconds of the functions that a text names."""
+    module, _, function = wanted.rpartition(':')
+    calls, seconds = 0, 0
+    for (path, _, name), row in table.items():
+        if path.endswith(module) and function in name:
+            calls += row[1]
+            seconds += row[3]
+    return calls, seconds
+
+
+def split(path: str) -> list[str]:
+    """Give a line for each group of functions: calls, seconds."""
+    table = pstats.Stats(path).stats  # type: ignore[attr-defined]
+    lines = []
+    for title, wanted in _GROUPS:
+        calls, seconds = sum_up(table, wanted)
+        lines.append(f'  {title:<24}{calls:>8} calls {seconds:>8.3f} s')
+    return lines
+
+
+def main() -> None:
+    """Play each size twice and print a table for each."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--gateways', default='4,30,68,300')
+    parser.add_argument('--workspaces', type=int, default=_WORKSPACES)
+    parser.add_argument('--gateway', nargs='+', help=argparse.SUPPRESS)
+    options = parser.parse_args()
+    if options.gateway:
+        sys.exit(run_child(options.gateway))
+    for told in options.gateways.split(','):
+        count = int(told)
+        sizes = Sizes(
+            count, round(count * _SERVERS_A_GATEWAY), options.workspaces
+        )
+        share, _ = asyncio.run(play(sizes, is_profiled=False))
+        print(
+            f'{count} gateways, {sizes.servers} servers: {share:.3f} of a core'
+        )
+        _, path = asyncio.run(play(sizes, is_profiled=True))
+        print('\n'.join(split(path)))
+
+
+if __name__ == '__main__':
+    main()
