--- a/seampond/sharing/peers.py
+++ b/seampond/sharing/peers.py
@@ -16,6 +16,8 @@
 # each of them 1,130.
 _FULL_PACE_GATEWAYS = 30
 _SILENT_BEATS = 3
+# How many answer a gateway that has just started: one would do, and some of
+# the answers are lost or come from gateways that know no levels themselves.
 _FEW_GATEWAYS = 8
 # How many gateways follow the tables of the store and pass changes on: one may
 # freeze, one be cut off and one just end before the others notice.
@@ -136,8 +138,8 @@
 
         Explanation
         -----------
-        Where each of 68 gateways told all others at once of each change that
-        it had read, one change made 4,600 datagrams.
+        Where each of 68 gateways answers each other's start, one start of all
+        makes 4,600 datagrams.
         """
         return min(1.0, _FEW_GATEWAYS / self.count)
 
@@ -266,12 +268,11 @@
             for peer in self._peers.values()
             if peer.seen_ms >= oldest_ms and not peer.is_gone
         ]
-        # The time that counts as silence follows from how many there are.
-        self._counted = Census(now_ms, len(alive))
+        silent_ms = _SILENT_BEATS * give_beat_ms(len(alive) + 1)
         heard = [
             peer.heartbeat
             for peer in alive
-            if peer.heartbeat is not None and not self._is_silent(peer)
+            if peer.heartbeat is not None and peer.seen_ms >= now_ms - silent_ms
         ]
         return Census(
             now_ms,
