Ask a store that fails more seldom where many do

The first answer after an outage is passed on to all, so each asks the more seldom the more there are, once in 3 s at the most. Up to 30 gateways nothing changes.

--- a/seampond/gateway/daemon.py
+++ b/seampond/gateway/daemon.py
@@ -134,6 +134,7 @@
             parts.currencies[table],
             pace.pause_ms,
             pace.gather_ms,
+            lambda: parts.peers.stretch,
             lambda: parts.peers.follows,
             pace.proves_first,
             functools.partial(parts.pass_on, table),
--- a/seampond/sharing/peers.py
+++ b/seampond/sharing/peers.py
@@ -132,6 +132,11 @@
         """How long after one heartbeat the next is due, if none is urgent."""
         return give_beat_ms(self.count)
 
+    @property
+    def stretch(self) -> float:
+        """How much more seldom each does what grows with the gateways."""
+        return max(1, self.count / _FULL_PACE_GATEWAYS)
+
     @property
     def few_part(self) -> float:
         """The chance with which each does what a few of all should do.
--- a/seampond/watches/tests/test_watch.py
+++ b/seampond/watches/tests/test_watch.py
@@ -239,6 +239,12 @@
         self.assertGreater(max(await self._fail(proved_ms=10_000)), 600)
         self.assertLessEqual(max(await self._fail(proved_ms=1000)), 200)
 
+    async def test_of_many_each_asks_more_seldom(self) -> None:
+        """The first answer after an outage reaches all."""
+        pauses = await self._fail(proved_ms=1000, stretch=lambda: 4)
+        self.assertGreater(max(pauses), 300)
+        self.assertLessEqual(max(pauses), 800)
+
     async def test_lost_history_is_read_again(self) -> None:
         """A compacted history costs one whole read."""
         gone = HistoryGoneError('gone', step='read')
@@ -299,7 +305,7 @@
         with self.assertRaises(PlatformError):
             time.take(Page((), 1, 51_000, 9000, 9002, False))
 
-    async def _fail(self, proved_ms: int) -> list[float]:
+    async def _fail(self, proved_ms: int, **changes: Any) -> list[float]:
         """Let many calls fail; give the pauses after them."""
         failures = [PlatformError('is down', step='read') for _ in range(9)]
         source = ListedSource(_page(3, is_whole=True), _page(3), *failures)
@@ -307,7 +313,7 @@
         clock.__dict__['now'] = lambda: 10_000
         currency = NotedCurrency(clock, StoreTime(), lambda proved_ms: None)
         watch = build_watch(
-            source, clock=clock, currency=currency, pause_ms=200
+            source, clock=clock, currency=currency, pause_ms=200, **changes
         )
         task = asyncio.create_task(watch.run())
         self.addCleanup(task.cancel)
--- a/seampond/watches/watch.py
+++ b/seampond/watches/watch.py
@@ -29,6 +29,11 @@
     return True
 
 
+def _not_longer() -> float:
+    """Ask as often as if there were few."""
+    return 1
+
+
 def _tell_nobody(since: int, page: Page) -> None:
     """Pass nothing on."""
 
@@ -54,6 +59,8 @@
     pace_ms : int
         How long to wait after a change before the next are asked for, so
         that many at once come in one answer.
+    stretch : Callable[[], float]
+        By how much that pause is longer where many others ask too.
     follows : Callable[[], bool]
         Whether we have to follow the table; if not, others pass its changes
         on, and we ask where something is missing or nothing was proved.
@@ -74,6 +81,7 @@
     currency: Currency
     pause_ms: int = 600
     pace_ms: int = 0
+    stretch: Callable[[], float] = _not_longer
     follows: Callable[[], bool] = _always
     proves_first: bool = True
     pass_on: Callable[[int, Page], None] = _tell_nobody
@@ -110,10 +118,7 @@
                 pause_ms = _FIRST_PAUSE_MS
                 continue
             await self._pause(pause_ms * random.uniform(0.5, 1))
-            longest_ms = self.pause_ms
-            if self._is_proved_by_others:
-                longest_ms = max(longest_ms, _PROVED_PAUSE_MS)
-            pause_ms = min(longest_ms, pause_ms * 2)
+            pause_ms = min(self._longest_pause_ms, pause_ms * 2)
 
     async def probe(self) -> bool:
         """Make one call beside the feed; tell whether its answer was taken.
@@ -201,6 +206,20 @@
         wait_ms = 0 if is_hurried else self.wait_ms
         return await self.source.read_changes(self.currency.version, wait_ms)
 
+    @property
+    def _longest_pause_ms(self) -> int:
+        """The longest pause between two calls that fail just now.
+
+        Explanation
+        -----------
+        The first answer after an outage is passed on to all, so the more ask,
+        the more seldom each has to.
+        """
+        longest_ms = round(self.pause_ms * self.stretch())
+        if self._is_proved_by_others:
+            return max(longest_ms, _PROVED_PAUSE_MS)
+        return min(longest_ms, _PROVED_PAUSE_MS)
+
     @property
     def _is_proved_by_others(self) -> bool:
         """Whether others prove that nothing is missing while our calls fail."""
@@ -212,7 +231,7 @@
         if self._is_proved_by_others:
             await self.currency.wait_missing(round(pause_ms))
         else:
-            await self.clock.sleep(min(pause_ms, self.pause_ms))
+            await self.clock.sleep(min(pause_ms, self._longest_pause_ms))
 
     def _give_call_up(self) -> None:
         """End the call that is under way, if there is any."""
