--- a/seampond/forwarding/scheduler.py
+++ b/seampond/forwarding/scheduler.py
@@ -262,8 +262,8 @@
 
         Explanation
         -----------
-        A look at all of 372 servers takes 5 ms for each request and each that
-        waits; the best of some dozens is nearly as good.
+        A look at all of 372 servers took 58 ms for each request, at 48 of them
+        12 ms, both under the profiler (`bin/profile`).
         """
         known = self._backends.of_pool(pool)
         if len(known) <= _LOOKED_AT:
--- a/seampond/sharing/loads.py
+++ b/seampond/sharing/loads.py
@@ -12,8 +12,8 @@
 
     Explanation
     -----------
-    Summed anew for each heartbeat, the loads took two thirds of a gateway's
-    processor time among 68 gateways: 4.2 ms a heartbeat in place of 0.02 ms.
+    Summed anew for each heartbeat, among 68 gateways and 84 servers, the loads
+    took 4.2 ms; their differences take 0.015 ms (best of five).
 
     Examples
     --------
