--- a/seampond/forwarding/scheduler.py
+++ b/seampond/forwarding/scheduler.py
@@ -3,7 +3,6 @@
 import asyncio
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from seampond.clock import MS_PER_SECOND, Clock
 from seampond.forwarding.backend import Backend
@@ -11,6 +10,7 @@
 from seampond.forwarding.job import Job
 from seampond.forwarding.queues import Queue, Waiter
 from seampond.forwarding.refusals import Cause, Refusal
+from seampond.forwarding.room import Room
 from seampond.forwarding.selection import (
     expect_first_ms,
     expect_least_ms,
@@ -34,49 +34,6 @@
 _STEP = 'place'
 
 
-@dataclass(frozen=True, slots=True)
-class Room:
-    """How far a request may fill servers.
-
-    Explanation
-    -----------
-    A gateway may fill its equal part of each server's slots.  Where there are
-    more gateways than slots that part is nothing, so one that is below its
-    part of the whole pool may go a little beyond the slots; all of them
-    together would have a server queue many.  Less urgent work counts fewer
-    slots.
-
-    Parameters
-    ----------
-    gateways : int
-        How many share the servers.
-    bound : int
-        How many requests we may have on one server.
-    free_part : float
-        The part of the slots that is left free.
-    extra : int
-        The places beyond the slots.
-
-    """
-
-    gateways: int
-    bound: int
-    free_part: float
-    extra: int
-
-    def has_place(self, backend: Backend, load: int) -> bool:
-        """Whether a server has a place for one more of ours."""
-        if backend.in_flight >= self.bound:
-            return False
-        slots = backend.server.slots
-        slots -= round(self.free_part * slots)
-        share = slots // self.gateways
-        if backend.in_flight < share:
-            return True
-        beyond = 0 if share else self.extra
-        return load < slots + beyond
-
-
 class Scheduler:
     """Gives each request a place on a server, the most urgent first.
 
--- a/seampond/gateway/daemon.py
+++ b/seampond/gateway/daemon.py
@@ -12,6 +12,7 @@
 from seampond.forwarding.app import Stop
 from seampond.forwarding.web import CallerProtocol
 from seampond.gateway.parts import GatewayParts, make_gateway
+from seampond.gateway.status import show_status
 from seampond.pages import Pages, RenderedPage, render_page
 from seampond.platform import READY_PATH, open_table
 from seampond.platform.names import (
@@ -199,7 +200,7 @@
     pages = Pages(
         parts.metrics.registry,
         lambda: parts.is_ready,
-        parts.show_status,
+        functools.partial(show_status, parts),
         READY_PATH,
     )
     settings = parts.settings
--- a/seampond/gateway/parts.py
+++ b/seampond/gateway/parts.py
@@ -162,36 +162,6 @@
             )
         )
 
-    def show_status(self) -> dict[str, object]:
-        """Give what operators see on ``/status``."""
-        now_ms = self.clock.now()
-        admission = self.web.admission
-        servers = [
-            {
-                'id': backend.server.id,
-                'pool': backend.server.pool,
-                'zone': backend.server.zone,
-                'takes_work': backend.takes_work,
-                'in_flight': backend.in_flight,
-                'load': backend.load(now_ms),
-                'gap_ms': round(backend.speed.gap_ms, 1),
-                'service_ms': round(backend.speed.service_ms, 1),
-                'failures': backend.failures,
-            }
-            for backend in self.backends
-        ]
-        return {
-            'name': self.settings.name,
-            'zone': self.settings.zone,
-            'ready': self.is_ready,
-            'stopping': self.web.is_stopping,
-            'version': admission.version,
-            'proof_age_ms': admission.proof_age_ms,
-            'open': self.web.open_requests,
-            'waiting': self.scheduler.waiting,
-            'servers': servers,
-        }
-
     def _take_page(self, told: ToldPage) -> None:
         """Take what another gateway has read."""
         page = Page(
--- /dev/null
+++ b/seampond/gateway/status.py
@@ -0,0 +1,34 @@
+"""What operators see of one gateway."""
+
+from seampond.gateway.parts import GatewayParts
+
+
+def show_status(parts: GatewayParts) -> dict[str, object]:
+    """Give what operators see on ``/status``."""
+    now_ms = parts.clock.now()
+    admission = parts.web.admission
+    servers = [
+        {
+            'id': backend.server.id,
+            'pool': backend.server.pool,
+            'zone': backend.server.zone,
+            'takes_work': backend.takes_work,
+            'in_flight': backend.in_flight,
+            'load': backend.load(now_ms),
+            'gap_ms': round(backend.speed.gap_ms, 1),
+            'service_ms': round(backend.speed.service_ms, 1),
+            'failures': backend.failures,
+        }
+        for backend in parts.backends
+    ]
+    return {
+        'name': parts.settings.name,
+        'zone': parts.settings.zone,
+        'ready': parts.is_ready,
+        'stopping': parts.web.is_stopping,
+        'version': admission.version,
+        'proof_age_ms': admission.proof_age_ms,
+        'open': parts.web.open_requests,
+        'waiting': parts.scheduler.waiting,
+        'servers': servers,
+    }
