--- a/seampond/platform/tests/rows.py
+++ b/seampond/platform/tests/rows.py
@@ -30,6 +30,8 @@
         The most connections that each server takes, 0 for any number.
     limits : dict[str, int]
         Bounds on callers, named as in the product's own limits.
+    other_tenants : int
+        How many tenants there are beside the one.
 
     """
 
@@ -39,6 +41,7 @@
     weights: Sequence[tuple[str, int]] = ()
     connections_max: int = 0
     limits: dict[str, int] | None = None
+    other_tenants: int = 0
 
     def make(self) -> dict[str, Any]:
         """Give the row as it lies in the store."""
@@ -65,7 +68,13 @@
             'version': self.version,
             'routes': [route],
             'services': [{'name': POOL, 'max-conns': self.connections_max}],
-            'tenants': [{'name': TENANT, 'api-keys': list(self.keys)}],
+            'tenants': [
+                {'name': TENANT, 'api-keys': list(self.keys)},
+                *(
+                    {'name': f'other-{number}', 'api-keys': [f'k-{number}']}
+                    for number in range(self.other_tenants)
+                ),
+            ],
             'limits': named,
         }
 
--- a/seampond/slopes/gateway_fleet.py
+++ b/seampond/slopes/gateway_fleet.py
@@ -15,8 +15,6 @@
 from seampond.clock import MS_PER_SECOND
 from seampond.demo.fleet import free_ports
 from seampond.platform.names import (
-    CONFIGURATION_KEY,
-    CONFIGURATION_TABLE,
     GATEWAYS_TABLE,
     SERVERS_TABLE,
 )
@@ -27,6 +25,7 @@
     POOL,
     STAMP_HEADER,
     ConfigurationRow,
+    put_configuration,
 )
 from seampond.sharing import Heartbeat, Load, give_beat_ms, key_of
 from seampond.sharing.heartbeats import encode
@@ -79,12 +78,7 @@
     store: StandInStore, sizes: Sizes, server: str, peers: str
 ) -> None:
     """Write the rows of the whole fleet."""
-    row = ConfigurationRow().make()
-    row['tenants'] += [
-        {'name': f't{number}', 'api-keys': [f'other-{number}']}
-        for number in range(sizes.workspaces)
-    ]
-    store.put(CONFIGURATION_TABLE, CONFIGURATION_KEY, row)
+    put_configuration(store, ConfigurationRow(other_tenants=sizes.workspaces))
     for number in range(sizes.servers):
         place = {'service': POOL, 'address': server, 'slots': _SLOTS}
         store.put(SERVERS_TABLE, f'i-{number}', place)
