Sight: why each call of a spell fails, how much had come, how far a gateway is behind

Only the first failure of a spell was logged, so a spell that began with no path to the store and went on with answers that did not end looked like one outage. The gauge of the proof's age was declared and never set.

Now each change of the reason is logged, with the bytes of an answer that had come, and the end of the spell with its length; two gauges tell the proof's age and since when a known change of a table is missing. No decision changes. The stand-in store's feed carries each change, as a store does, and can be behind a narrow link. The new tests fail without the change.

--- a/seampond/errors.py
+++ b/seampond/errors.py
@@ -63,6 +63,24 @@
     """A write may or may not have taken effect: read it back."""
 
 
+class CutAnswerError(UnknownOutcomeError):
+    """An answer had begun to come and did not end.
+
+    Parameters
+    ----------
+    received : int
+        How many bytes of its body had come.
+
+    """
+
+    def __init__(
+        self, message: str, *, step: str, peer: str, received: int
+    ) -> None:
+        """Keep how much had come."""
+        super().__init__(message, step=step, peer=peer)
+        self.received = received
+
+
 class ConflictError(PlatformError):
     """A conditional write met a row that had changed."""
 
--- a/seampond/forwarding/exchange.py
+++ b/seampond/forwarding/exchange.py
@@ -33,6 +33,11 @@
         The header that every answer carries back, in lower case; empty where
         answers carry none.
 
+    Attributes
+    ----------
+    received_bytes : int
+        How much of the body of the last answer has come.
+
     """
 
     _parser: httptools.HttpResponseParser
@@ -50,6 +55,7 @@
         """Start unconnected."""
         self.peer = peer
         self.idle_until_ms = 0
+        self.received_bytes = 0
         self._clock = clock
         self._id_header = id_header
         self._transport: asyncio.Transport | None = None
@@ -242,6 +248,7 @@
         if not self._is_ours:
             return
         self._parts.append(payload)
+        self.received_bytes += len(payload)
         self._buffered += len(payload)
         if self._buffered > _HIGH_WATER_BYTES and self._transport:
             self._transport.pause_reading()
@@ -281,6 +288,7 @@
         self._error = ''
         self._parts = deque()
         self._buffered = 0
+        self.received_bytes = 0
 
     def _check(self, step: str) -> None:
         if self._error:
--- a/seampond/gateway/parts.py
+++ b/seampond/gateway/parts.py
@@ -1,6 +1,7 @@
 """The state of one gateway, wired together."""
 
 import asyncio
+import functools
 import random
 import secrets
 import sys
@@ -225,6 +226,26 @@
     )
 
 
+def _show_ages(
+    metrics: GatewayMetrics,
+    belief: Belief,
+    currencies: Mapping[str, Currency],
+    clock: Clock,
+) -> None:
+    """Let the metrics tell how old and how complete beliefs are when asked."""
+    metrics.proof_age.set_function(
+        lambda: (belief.proof_age_ms(clock.now()) or 0) / MS_PER_SECOND
+    )
+    for table, currency in currencies.items():
+        metrics.missing.labels(table).set_function(
+            functools.partial(_missing_seconds, currency)
+        )
+
+
+def _missing_seconds(currency: Currency) -> float:
+    return currency.missing_ms / MS_PER_SECOND
+
+
 def make_gateway(settings: GatewaySettings, clock: Clock) -> GatewayParts:
     """Wire the state of a gateway together."""
     metrics = GatewayMetrics()
@@ -290,6 +311,14 @@
     )
     configuration = ConfigurationFollower(belief, promises, metrics, clock)
     store_time = StoreTime()
+    currencies = {
+        CONFIGURATION_TABLE: Currency(
+            clock, store_time, configuration.note_proof
+        ),
+        SERVERS_TABLE: Currency(clock, store_time, lambda proved_ms: None),
+        GATEWAYS_TABLE: Currency(clock, store_time, lambda proved_ms: None),
+    }
+    _show_ages(metrics, belief, currencies, clock)
     return GatewayParts(
         settings=settings,
         clock=clock,
@@ -300,13 +329,7 @@
         scheduler=scheduler,
         web=web,
         configuration=configuration,
-        currencies={
-            CONFIGURATION_TABLE: Currency(
-                clock, store_time, configuration.note_proof
-            ),
-            SERVERS_TABLE: Currency(clock, store_time, lambda proved_ms: None),
-            GATEWAYS_TABLE: Currency(clock, store_time, lambda proved_ms: None),
-        },
+        currencies=currencies,
         peers=peers,
         quotas=quotas,
         budget=budget,
--- a/seampond/metrics/gateway.py
+++ b/seampond/metrics/gateway.py
@@ -54,3 +54,9 @@
             'Since when nothing has proved that the version is the newest.',
             registry=self.registry,
         )
+        self.missing = Gauge(
+            'seampond_table_missing_seconds',
+            'For how long a change of a table is known here and not held.',
+            ['table'],
+            registry=self.registry,
+        )
--- a/seampond/platform/store.py
+++ b/seampond/platform/store.py
@@ -11,7 +11,12 @@
 from urllib.parse import urlencode
 
 from seampond.clock import MS_PER_SECOND, Clock
-from seampond.errors import ConflictError, PlatformError, UnknownOutcomeError
+from seampond.errors import (
+    ConflictError,
+    CutAnswerError,
+    PlatformError,
+    UnknownOutcomeError,
+)
 from seampond.forwarding.exchange import Connection, open_connection
 from seampond.forwarding.heads import ExchangeError, parse_idle_ms
 from seampond.platform import names
@@ -144,8 +149,9 @@
                 status, text = await self._exchange(target, body)
             content = json.loads(text) if status == HTTPStatus.OK else None
         except _FAILURES as error:
+            failure = self._failure(step, error)
             self.close()
-            raise self._failure(step, error) from error
+            raise failure from error
         except asyncio.CancelledError:
             self.close()
             raise
@@ -187,11 +193,14 @@
         return b'%b\r\n\r\n%b' % (head.encode(), body or b'')
 
     def _failure(self, step: str, error: Exception) -> PlatformError:
-        return UnknownOutcomeError(
-            f'{type(error).__name__} {error}'.strip(),
-            step=step,
-            peer=self._address,
-        )
+        """Tell whether the store was silent or its answer did not end."""
+        message = f'{type(error).__name__} {error}'.strip()
+        received = self._connection.received_bytes if self._connection else 0
+        if received and isinstance(error, (ExchangeError, TimeoutError)):
+            return CutAnswerError(
+                message, step=step, peer=self._address, received=received
+            )
+        return UnknownOutcomeError(message, step=step, peer=self._address)
 
 
 class StoreTable:
--- a/seampond/platform/tests/test_platform.py
+++ b/seampond/platform/tests/test_platform.py
@@ -9,7 +9,7 @@
 
 import seampond
 from seampond.clock import Clock
-from seampond.errors import ConflictError, PlatformError
+from seampond.errors import ConflictError, CutAnswerError, PlatformError
 from seampond.forwarding.models import Kind
 from seampond.platform import names, open_table, read_configuration, read_server
 from seampond.testing.scripted import Received, run_scripted, write_answer
@@ -202,6 +202,22 @@
                 with self.assertRaises(PlatformError):
                     await table.read_all()
 
+    async def test_answer_that_stops_midway_tells_what_had_come(self) -> None:
+        """It is told apart from a store that is silent."""
+
+        async def serve_half(
+            request: Received, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.write(write_answer(200, {}, b'{"rows"', length=99))
+
+        async with (
+            run_scripted(serve_half) as server,
+            open_table(server.address, 't', Clock()) as table,
+        ):
+            with self.assertRaises(CutAnswerError) as caught:
+                await table.read_changes(1, 0)
+        self.assertEqual(caught.exception.received, len(b'{"rows"'))
+
     async def test_store_that_is_down(self) -> None:
         """503 is a failure of the platform, with step and peer."""
         async with run_store() as store:
--- a/seampond/testing/store.py
+++ b/seampond/testing/store.py
@@ -12,6 +12,9 @@
 from seampond.platform import names
 from seampond.testing.scripted import Received, run_scripted, write_answer
 
+# How often a part of an answer goes out over a narrow link.
+_PART_MS = 50
+
 
 @dataclass
 class StandInStore:
@@ -25,8 +28,8 @@
         Whether each call is answered with 503.
     oldest : int
         The oldest version that feeds still know.
-    behind : dict
-        Rows as reads show them, where reads lag; None where they do not.
+    bytes_per_s : int
+        How fast answers go out, 0 for any speed: a narrow link of the caller.
 
     """
 
@@ -36,8 +39,10 @@
     late_ms: int = 0
     is_down: bool = False
     oldest: int = 0
+    bytes_per_s: int = 0
     rows: dict[tuple[str, str], dict[str, object]] = field(default_factory=dict)
     calls: list[str] = field(default_factory=list)
+    _history: list[dict[str, object]] = field(default_factory=list)
     _changed: asyncio.Event = field(default_factory=asyncio.Event)
 
     def put(self, table: str, key: str, content: object) -> None:
@@ -74,7 +79,7 @@
         if parts.path == names.FEED_PATH:
             content = await self._feed(query)
         elif parts.path == names.READ_PATH:
-            content = self._page(query['table'], 0, with_gone=False)
+            content = self._page(query['table'])
         elif self._transact(json.loads(request.body)):
             content = {}
         else:
@@ -88,7 +93,18 @@
             'now_ms': self.clock.now() + 1_000_000,
         } | content
         await asyncio.sleep(late_ms / MS_PER_SECOND)
-        writer.write(self.answer(request, stamped))
+        await self._send(writer, self.answer(request, stamped))
+
+    async def _send(self, writer: asyncio.StreamWriter, answer: bytes) -> None:
+        """Send an answer at the speed of the link."""
+        if not self.bytes_per_s:
+            writer.write(answer)
+            return
+        part_bytes = max(1, self.bytes_per_s * _PART_MS // MS_PER_SECOND)
+        for start in range(0, len(answer), part_bytes):
+            writer.write(answer[start : start + part_bytes])
+            await writer.drain()
+            await asyncio.sleep(_PART_MS / MS_PER_SECOND)
 
     async def _feed(self, query: dict[str, str]) -> dict[str, object] | None:
         since = int(query[names.SINCE])
@@ -96,7 +112,7 @@
         while True:
             if since < self.oldest:
                 return None
-            content = self._page(query['table'], since, with_gone=True)
+            content = self._changes(query['table'], since)
             left_ms = until_ms - self.clock.now()
             if content['rows'] or left_ms <= 0:
                 return content
@@ -105,15 +121,20 @@
                 async with asyncio.timeout(left_ms / MS_PER_SECOND):
                     await self._changed.wait()
 
-    def _page(
-        self, table: str, since: int, *, with_gone: bool
-    ) -> dict[str, object]:
+    def _page(self, table: str) -> dict[str, object]:
         rows = [
             row
             for (known, _), row in sorted(self.rows.items())
-            if known == table
-            and int(str(row['ver'])) > since
-            and (with_gone or not row.get('gone'))
+            if known == table and not row.get('gone')
+        ]
+        return {'rows': rows, 'more': False}
+
+    def _changes(self, table: str, since: int) -> dict[str, object]:
+        """Give each change, also those that a later one has overwritten."""
+        rows = [
+            row
+            for row in self._history
+            if row['table'] == table and int(str(row['ver'])) > since
         ]
         return {'rows': rows, 'more': False}
 
@@ -131,11 +152,9 @@
 
     def _store(self, table: str, key: str, part: dict[str, object]) -> None:
         self.version += 1
-        self.rows[(table, key)] = {
-            'table': table,
-            names.KEY: key,
-            'ver': self.version,
-        } | part
+        row = {'table': table, names.KEY: key, 'ver': self.version} | part
+        self.rows[(table, key)] = row
+        self._history.append(row)
         self._wake()
 
     def _wake(self) -> None:
--- a/seampond/watches/currency.py
+++ b/seampond/watches/currency.py
@@ -81,6 +81,11 @@
         """Whether we have heard of a change that we do not hold."""
         return bool(self._missing)
 
+    @property
+    def missing_ms(self) -> int:
+        """For how long we have known of a change that we do not hold."""
+        return self._clock.now() - self._missing_ms if self._missing else 0
+
     def check(self, page: Page) -> None:
         """Check that an answer belongs to its call; learn from its times.
 
--- a/seampond/watches/tests/test_watch.py
+++ b/seampond/watches/tests/test_watch.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from seampond.clock import Clock, ManualClock
-from seampond.errors import PlatformError
+from seampond.errors import CutAnswerError, PlatformError
 from seampond.watches import (
     Currency,
     HistoryGoneError,
@@ -298,6 +298,23 @@
         self.assertEqual(taken, [3, 4])
         self.assertEqual(failures, ['read'])
 
+    async def test_each_reason_of_a_spell_is_logged(self) -> None:
+        """Once each, with what had come of an answer; then its end."""
+        cut = CutAnswerError('TimeoutError', step='read', peer='', received=7)
+        down = PlatformError('is down', step='read')
+        with self.assertLogs('seampond.watches.watch', 'WARNING') as logs:
+            await self._follow(
+                _page(3, is_whole=True), down, down, cut, cut, _page(4)
+            )
+        told = [
+            (line.getMessage(), line.__dict__.get('received'))
+            for line in logs.records
+        ]
+        failed = 'store call failed'
+        self.assertEqual(
+            told, [(failed, 0), (failed, 7), ('store answers again', None)]
+        )
+
     async def test_answer_to_an_earlier_call_is_refused(self) -> None:
         """An answer that is older than its call proves nothing."""
         time = StoreTime()
--- a/seampond/watches/watch.py
+++ b/seampond/watches/watch.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 
 from seampond.clock import Clock
-from seampond.errors import PlatformError
+from seampond.errors import CutAnswerError, PlatformError
 from seampond.watches.currency import Currency
 from seampond.watches.rows import HistoryGoneError, Page, TableSource
 
@@ -90,6 +90,8 @@
     _call: asyncio.Timeout | None = None
     _is_suspect: bool = False
     _is_failing: bool = False
+    _reason: str = ''
+    _failed_ms: int = 0
 
     @property
     def is_failing(self) -> bool:
@@ -104,15 +106,14 @@
             try:
                 is_fresh = await self._step()
                 self._is_failing = False
+                self._note_answer()
             except HistoryGoneError:
                 self._tell('history gone', 'read-changes')
                 self.is_current = False
                 continue
             except PlatformError as error:
-                self.count_failure(error.step)
+                self._note_failure(error)
                 self._is_failing = True
-                if pause_ms == _FIRST_PAUSE_MS:
-                    self._tell('store call failed', error.message)
                 is_fresh = False
             if is_fresh:
                 pause_ms = _FIRST_PAUSE_MS
@@ -134,12 +135,13 @@
             page = await self.probe_source.read_changes(since, 0)
             is_fresh = self._accept(page, since)
         except PlatformError as error:
-            self.count_failure(error.step)
+            self._note_failure(error)
             # The feed's own call may hang as well, and longer.
             self._is_suspect = True
             # Who does not follow asks on at the feed's growing pauses.
             self._is_failing = not self.follows()
             return False
+        self._note_answer()
         if self._is_suspect:
             self._is_suspect = False
             self._give_call_up()
@@ -233,6 +235,35 @@
         else:
             await self.clock.sleep(min(pause_ms, self._longest_pause_ms))
 
+    def _note_failure(self, error: PlatformError) -> None:
+        """Count a failed call; log it where its reason is another one.
+
+        Explanation
+        -----------
+        A spell of failures may change its cause on the way: first there is no
+        path to the store, then there is one that is too narrow for an answer.
+        """
+        self.count_failure(error.step)
+        reason = f'{type(error).__name__} {error.message}'
+        if reason == self._reason:
+            return
+        if not self._reason:
+            self._failed_ms = self.clock.now()
+        self._reason = reason
+        received = error.received if isinstance(error, CutAnswerError) else 0
+        self._tell('store call failed', reason, received=received)
+
+    def _note_answer(self) -> None:
+        """Log the end of a spell of failures."""
+        if not self._reason:
+            return
+        self._tell(
+            'store answers again',
+            self._reason,
+            failed_ms=self.clock.now() - self._failed_ms,
+        )
+        self._reason = ''
+
     def _give_call_up(self) -> None:
         """End the call that is under way, if there is any."""
         if self._call is not None:
@@ -265,12 +296,13 @@
             return False
         return True
 
-    def _tell(self, event: str, detail: str) -> None:
+    def _tell(self, event: str, detail: str, **figures: int) -> None:
         _logger.warning(
             event,
             extra={
                 'table': self.source.name,
                 'version': self.currency.version,
                 'detail': detail,
+                **figures,
             },
         )
