--- a/seampond/platform/tests/test_platform.py
+++ b/seampond/platform/tests/test_platform.py
@@ -218,6 +218,15 @@
                 await table.read_changes(1, 0)
         self.assertEqual(caught.exception.received, len(b'{"rows"'))
 
+    async def test_answer_that_keeps_coming_is_waited_for(self) -> None:
+        """Silence ends a call, not the time that a narrow link needs."""
+        async with run_store() as store:
+            store.put('t', 'a', b'x' * 200_000)
+            store.bytes_per_s = 160_000
+            async with open_table(store.address, 't', Clock()) as table:
+                page = await table.read_all()
+        self.assertEqual(len(page.rows[0].content), 200_000)
+
     async def test_store_that_is_down(self) -> None:
         """503 is a failure of the platform, with step and peer."""
         async with run_store() as store:
--- a/seampond/watches/tests/test_watch.py
+++ b/seampond/watches/tests/test_watch.py
@@ -315,6 +315,15 @@
             told, [(failed, 0), (failed, 7), ('store answers again', None)]
         )
 
+    async def test_answer_that_did_not_end_is_not_asked_for_again(self) -> None:
+        """All changes were too much for the call: the table is read whole."""
+        cut = CutAnswerError('TimeoutError', step='read', peer='', received=7)
+        calls, taken, _ = await self._follow(
+            _page(3, is_whole=True), cut, _page(9, is_whole=True), _page(9)
+        )
+        self.assertEqual(calls, ['all', 'since 3', 'all', 'since 9', 'since 9'])
+        self.assertEqual(taken, [3, 9, 9])
+
     async def test_answer_to_an_earlier_call_is_refused(self) -> None:
         """An answer that is older than its call proves nothing."""
         time = StoreTime()
