Wait for an answer of the store as long as it keeps coming

Cause: a call had 0.9 s for its whole answer, so a link of 5 Mbit/s let no answer over 560 KB through, however steadily it came. Ruled out: a silent store, which sends nothing; a trickle for ever, which has its own bound.

Now 0.9 s bound the wait for the head and each pause of the body; changes may come for 2 s, a whole read for 8 s a page. Test: an answer of 267 KB at 160 KB/s, given up before, is read.

--- a/seampond/forwarding/exchange.py
+++ b/seampond/forwarding/exchange.py
@@ -134,19 +134,30 @@
         self._buffered = 0
         return parts
 
-    async def read_whole(self, most_bytes: int) -> bytes:
+    async def read_whole(
+        self, most_bytes: int, silence_ms: int | None = None
+    ) -> bytes:
         """Wait for the whole body.
 
+        Parameters
+        ----------
+        silence_ms : int or None
+            How long nothing more of it may come, None for any time.
+
         Raises
         ------
         ExchangeError
             If the answer was cut short, or is longer than `most_bytes`.
+        TimeoutError
+            If it stopped coming.
 
         """
         parts: list[bytes] = []
         size = 0
+        seconds = None if silence_ms is None else silence_ms / MS_PER_SECOND
         while True:
-            part = await self.read_part()
+            async with asyncio.timeout(seconds):
+                part = await self.read_part()
             if part is None:
                 return b''.join(parts)
             parts.append(part)
--- a/seampond/platform/store.py
+++ b/seampond/platform/store.py
@@ -18,13 +18,18 @@
     UnknownOutcomeError,
 )
 from seampond.forwarding.exchange import Connection, open_connection
-from seampond.forwarding.heads import ExchangeError, parse_idle_ms
+from seampond.forwarding.heads import ExchangeError, Head, parse_idle_ms
 from seampond.platform import names
 from seampond.watches import HistoryGoneError, Page, Row
 
 # Some hundred times what the store needs for an answer on a good day, and
 # less than the age at which what is believed of it counts as old.
-_ANSWER_MS = 900
+_SILENCE_MS = 900
+# An answer that keeps coming is no sign of a dead store: 520 KB need 0.83 s of
+# a link of 5 Mbit/s that carries nothing else.  Changes may be too many, which
+# a whole read never is; a page of it is 1.5 MB at the most, 2.4 s of that link.
+_CHANGES_MS = 2000
+_WHOLE_MS = 8000
 # The pages bound an answer at 1 MB; its values are half as long again.
 _ANSWER_MAX_BYTES = 4_194_304
 _CALL_ID = b'call'
@@ -59,7 +64,9 @@
         rows: list[Row] = []
         query = {'table': table, 'part': ''}
         while True:
-            page, has_more = await self._page(names.READ_PATH, query, 0)
+            page, has_more = await self._page(
+                names.READ_PATH, query, most_ms=_WHOLE_MS
+            )
             rows.extend(page.rows)
             if not has_more:
                 break
@@ -95,7 +102,7 @@
             'value': base64.b64encode(content).decode(),
         }
         body = json.dumps({'put': [row]}).encode()
-        status, _ = await self._call(names.TRANSACTION_PATH, 0, body)
+        status, _ = await self._call(names.TRANSACTION_PATH, body=body)
         if status == HTTPStatus.PRECONDITION_FAILED:
             raise ConflictError('row has changed', step='put', peer=key)
 
@@ -116,16 +123,20 @@
             names.REMOVED: [row],
         }
         body = json.dumps(change).encode()
-        status, _ = await self._call(names.TRANSACTION_PATH, 0, body)
+        status, _ = await self._call(names.TRANSACTION_PATH, body=body)
         if status == HTTPStatus.PRECONDITION_FAILED:
             raise ConflictError('row has changed', step='remove', peer=key)
 
     async def _page(
-        self, path: str, query: Mapping[str, str], wait_ms: int
+        self,
+        path: str,
+        query: Mapping[str, str],
+        wait_ms: int = 0,
+        most_ms: int = _CHANGES_MS,
     ) -> tuple[Page, bool]:
         sent_ms = self._clock.now()
         target = f'{path}?{urlencode(query)}'
-        status, content = await self._call(target, wait_ms)
+        status, content = await self._call(target, wait_ms, most_ms=most_ms)
         try:
             page = Page(
                 tuple(_read_row(row) for row in content['rows']),
@@ -140,14 +151,30 @@
         return page, bool(content.get('more'))
 
     async def _call(
-        self, target: str, wait_ms: int, body: bytes | None = None
+        self,
+        target: str,
+        wait_ms: int = 0,
+        *,
+        body: bytes | None = None,
+        most_ms: int = _CHANGES_MS,
     ) -> tuple[int, Any]:
+        """Make one call; give the status and the content of its answer.
+
+        Parameters
+        ----------
+        wait_ms : int
+            How long the store may hold the call before it answers.
+        most_ms : int
+            How long the answer may go on coming.
+
+        """
         step = target.partition('?')[0]
-        seconds = (wait_ms + _ANSWER_MS) / MS_PER_SECOND
         try:
-            async with asyncio.timeout(seconds):
-                status, text = await self._exchange(target, body)
-            content = json.loads(text) if status == HTTPStatus.OK else None
+            async with asyncio.timeout((wait_ms + _SILENCE_MS) / MS_PER_SECOND):
+                connection, head = await self._ask(target, body)
+            async with asyncio.timeout(most_ms / MS_PER_SECOND):
+                text = await self._finish(connection, head)
+            content = json.loads(text) if head.status == HTTPStatus.OK else None
         except _FAILURES as error:
             failure = self._failure(step, error)
             self.close()
@@ -155,33 +182,36 @@
         except asyncio.CancelledError:
             self.close()
             raise
-        if status == HTTPStatus.GONE:
+        if head.status == HTTPStatus.GONE:
             raise HistoryGoneError(
                 'history gone', step=step, peer=self._address
             )
-        if status not in (HTTPStatus.OK, HTTPStatus.PRECONDITION_FAILED):
+        if head.status not in (HTTPStatus.OK, HTTPStatus.PRECONDITION_FAILED):
             raise PlatformError(
-                f'answered {status}', step=step, peer=self._address
+                f'answered {head.status}', step=step, peer=self._address
             )
-        return status, content
+        return head.status, content
 
-    async def _exchange(
+    async def _ask(
         self, target: str, body: bytes | None
-    ) -> tuple[int, bytes]:
-        """Make one call; give the status and the body of its answer."""
+    ) -> tuple[Connection, Head]:
+        """Send one call; give the head of its answer."""
         connection = self._connection
         if connection is None or not connection.is_usable:
             self.close()
             connection = await open_connection(
-                self._address, self._clock, b'', _ANSWER_MS
+                self._address, self._clock, b'', _SILENCE_MS
             )
             self._connection = connection
         connection.send(_CALL_ID, self._make_packet(target, body))
-        head = await connection.read_head()
-        text = await connection.read_whole(_ANSWER_MAX_BYTES)
+        return connection, await connection.read_head()
+
+    async def _finish(self, connection: Connection, head: Head) -> bytes:
+        """Give the body of an answer, as long as it keeps coming."""
+        text = await connection.read_whole(_ANSWER_MAX_BYTES, _SILENCE_MS)
         if not connection.finish(parse_idle_ms(head)):
             self._connection = None
-        return head.status, text
+        return text
 
     def _make_packet(self, target: str, body: bytes | None) -> bytes:
         method = 'GET' if body is None else 'POST'
