Read a table whole where its changes cannot come in one call

Cause of the incident: after a cut a gateway asked for all changes since what it held. The answer, each version of the configuration since, did not come to its end in time; the same call was made again, with more to tell each time, until the history was lost. Class: an operation that cannot succeed is repeated as it is.

Now an answer that did not end, and a history that a probe finds lost, make the next call a whole read, on the feed and beside it. Where a change has been known to be missing for over 2 s while calls failed, a table of up to 100 rows is read whole at once. A stale whole read gives way to the feed.

--- a/seampond/watches/tests/test_watch.py
+++ b/seampond/watches/tests/test_watch.py
@@ -102,6 +102,14 @@
         await asyncio.sleep(0)
 
 
+class SkippingClock(ManualClock):
+    """A clock that is told the time, and on which a sleep takes none."""
+
+    async def sleep(self, duration_ms: float) -> None:
+        """Let others run."""
+        await asyncio.sleep(0)
+
+
 class HeldClock(Clock):
     """A clock on which a sleep never ends."""
 
@@ -324,6 +332,26 @@
         self.assertEqual(calls, ['all', 'since 3', 'all', 'since 9', 'since 9'])
         self.assertEqual(taken, [3, 9, 9])
 
+    async def test_whole_read_that_is_stale_is_not_repeated(self) -> None:
+        """The feed may come to its end meanwhile."""
+        cut = CutAnswerError('TimeoutError', step='read', peer='', received=7)
+        calls, taken, _ = await self._follow(
+            _page(7, is_whole=True), cut, _page(4, is_whole=True), _page(9)
+        )
+        self.assertEqual(calls, ['all', 'since 7', 'all', 'since 7', 'since 9'])
+        self.assertEqual(taken, [7, 9])
+
+    async def test_small_table_is_read_whole_after_a_long_spell(self) -> None:
+        """Where changes are known to be missing; a large one is not."""
+        for rows, call in ((1, 'all'), (101, 'since 3')):
+            with self.subTest(rows=rows):
+                self.assertEqual(await self._ask_after_a_spell(rows), call)
+
+    async def test_small_table_is_followed_after_a_short_spell(self) -> None:
+        """There is little that the feed has to tell."""
+        call = await self._ask_after_a_spell(rows=1, spell_ms=1000)
+        self.assertEqual(call, 'since 3')
+
     async def test_answer_to_an_earlier_call_is_refused(self) -> None:
         """An answer that is older than its call proves nothing."""
         time = StoreTime()
@@ -331,6 +359,24 @@
         with self.assertRaises(PlatformError):
             time.take(Page((), 1, 51_000, 9000, 9002, False))
 
+    async def _ask_after_a_spell(self, rows: int, spell_ms: int = 3000) -> str:
+        """Hear of a change, reach the store later; give the last call."""
+        keys = [str(number) for number in range(rows)]
+        down = PlatformError('is down', step='read')
+        source = ListedSource(_page(3, *keys, is_whole=True), _page(3), down)
+        clock = SkippingClock()
+        currency = build_currency(clock)
+        watch = build_watch(source, clock=clock, currency=currency)
+        task = asyncio.create_task(watch.run())
+        self.addCleanup(task.cancel)
+        async with asyncio.timeout(5):
+            while len(source.calls) < 3:
+                await asyncio.sleep(0)
+            currency.take_proof(Proof(9, 1))
+            clock.advance(spell_ms)
+            await source.is_over.wait()
+        return source.calls[3]
+
     async def _fail(self, proved_ms: int, **changes: Any) -> list[float]:
         """Let many calls fail; give the pauses after them."""
         failures = [PlatformError('is down', step='read') for _ in range(9)]
@@ -398,6 +444,21 @@
             await self.feed.is_over.wait()
         self.assertEqual(self.feed.calls[-1], 'since 4')
 
+    async def test_probe_does_not_ask_again_for_what_cannot_come(self) -> None:
+        """Beside a dead feed: too much for a call, or no longer known."""
+        failures = (
+            CutAnswerError('TimeoutError', step='read', peer='', received=7),
+            HistoryGoneError('gone', step='read'),
+        )
+        for failure in failures:
+            with self.subTest(type(failure).__name__):
+                self.feed = ListedSource(_page(3, is_whole=True), _page(3))
+                watch = await self._start(failure, _page(9, is_whole=True))
+                self.assertFalse(await watch.probe())
+                self.assertTrue(await watch.probe())
+                self.assertEqual(self.probes.calls, ['since 3', 'all'])
+                self.assertEqual(watch.currency.version, 9)
+
     async def test_no_probe_while_the_feed_asks_again(self) -> None:
         """A store that refuses calls is asked by the feed alone."""
         refused = PlatformError('busy', step='read')
--- a/seampond/watches/watch.py
+++ b/seampond/watches/watch.py
@@ -21,6 +21,11 @@
 # calls of a day.
 _PROVED_MS = 2500
 _PROVED_PAUSE_MS = 3000
+# A feed tells each change since the version that is held, a whole read each row
+# once.  After a cut of 12 s of a table of one row, written some 35 times, a
+# feed's answer had not ended after 0.9 s and 0.5 MB; a read took 0.04 s.
+_CATCH_UP_MS = 2000
+_FEW_ROWS = 100
 _logger = logging.getLogger(__name__)
 
 
@@ -90,6 +95,9 @@
     _call: asyncio.Timeout | None = None
     _is_suspect: bool = False
     _is_failing: bool = False
+    # Set where asking for the same changes again cannot succeed.
+    _needs_whole: bool = False
+    _rows: int = 0
     _reason: str = ''
     _failed_ms: int = 0
 
@@ -132,7 +140,7 @@
             return False
         since = self.currency.version
         try:
-            page = await self.probe_source.read_changes(since, 0)
+            page = await self._read(self.probe_source, 0)
             is_fresh = self._accept(page, since)
         except PlatformError as error:
             self._note_failure(error)
@@ -189,7 +197,7 @@
         since = self.currency.version
         try:
             async with self._call:
-                page = await self._read()
+                page = await self._read(self.source, self._wait_ms)
         except TimeoutError as error:
             raise PlatformError('given up', step='read-changes') from error
         finally:
@@ -199,14 +207,35 @@
             await self.clock.sleep(self.pace_ms)
         return is_fresh
 
-    async def _read(self) -> Page:
-        if not self.is_current:
-            return await self.source.read_all()
-        # A read may be behind, and after an outage nothing is proved: what
-        # follows is asked for at once.
-        is_hurried = self.is_new or self._is_failing
-        wait_ms = 0 if is_hurried else self.wait_ms
-        return await self.source.read_changes(self.currency.version, wait_ms)
+    async def _read(self, source: TableSource, wait_ms: int) -> Page:
+        if not self.is_current or self._is_far_behind:
+            return await source.read_all()
+        return await source.read_changes(self.currency.version, wait_ms)
+
+    @property
+    def _wait_ms(self) -> int:
+        """How long the store may hold the feed's next call.
+
+        Explanation
+        -----------
+        A read may be behind, and after an outage nothing is proved: what
+        follows is asked for at once.
+        """
+        return 0 if self.is_new or self._is_failing else self.wait_ms
+
+    @property
+    def _is_far_behind(self) -> bool:
+        """Whether all changes since what we hold may be too much for a call.
+
+        Explanation
+        -----------
+        The longer we are behind the more a feed has to tell.
+        """
+        if self._needs_whole:
+            return True
+        is_small = self._rows <= _FEW_ROWS
+        is_long = self.currency.missing_ms > _CATCH_UP_MS
+        return self._is_failing and is_small and is_long
 
     @property
     def _longest_pause_ms(self) -> int:
@@ -244,6 +273,8 @@
         path to the store, then there is one that is too narrow for an answer.
         """
         self.count_failure(error.step)
+        if isinstance(error, (CutAnswerError, HistoryGoneError)):
+            self._needs_whole = True
         reason = f'{type(error).__name__} {error.message}'
         if reason == self._reason:
             return
@@ -275,7 +306,9 @@
         self.currency.check(page)
         if page.version < self.currency.version:
             self._tell('stale answer', str(page.version))
+            self._needs_whole = False
             return False
+        self._note_size(page)
         self.is_new = page.is_whole
         self.is_current = self._is_taken(page)
         if self.is_current:
@@ -284,6 +317,12 @@
                 self.pass_on(since, page)
         return self.is_current
 
+    def _note_size(self, page: Page) -> None:
+        """Note that an answer came to its end, and how large the table is."""
+        self._needs_whole = False
+        if page.is_whole:
+            self._rows = len(page.rows)
+
     def _is_taken(self, page: Page) -> bool:
         """Hand an answer on; a fault there must not end the watch."""
         try:
