A gateway that is not in a whole read of the table is gone

Cause: a whole read only added; a gateway whose removal fell into a gap stayed known, was sent heartbeats and counted for 20 s. Test first: 3 gateways counted instead of 2.

--- a/seampond/sharing/exchange.py
+++ b/seampond/sharing/exchange.py
@@ -142,10 +142,14 @@
 def take_gateways(peers: Peers, page: Page) -> None:
     """Take the rows of the gateways' table."""
     latest = {row.key: row for row in page.rows}
-    peers.take_rows(
-        (row.key, '' if row.is_gone else _read_address(row))
+    listed = {
+        row.key: '' if row.is_gone else _read_address(row)
         for row in latest.values()
-    )
+    }
+    if page.is_whole:
+        # A removal that was missed shows only by the row that is not there.
+        listed |= dict.fromkeys(peers.names - listed.keys(), '')
+    peers.take_rows(listed.items())
     own = latest.get(peers.name)
     if own is not None and not own.is_gone:
         peers.own_version = own.version
--- a/seampond/sharing/peers.py
+++ b/seampond/sharing/peers.py
@@ -157,6 +157,11 @@
             if not self._is_silent(peer)
         )
 
+    @property
+    def names(self) -> frozenset[str]:
+        """The others that are listed."""
+        return frozenset(self._peers)
+
     @property
     def addresses(self) -> list[str]:
         """Where the others listen, also those that were silent for long."""
