--- a/seampond/platform/store.py
+++ b/seampond/platform/store.py
@@ -60,19 +60,26 @@
             self._connection = None
 
     async def read(self, table: str) -> Page:
-        """Read all rows of a table, as of one moment or later."""
-        rows: list[Row] = []
+        """Read all rows of a table, as of one moment or later.
+
+        Explanation
+        -----------
+        It is as old as its first page: what changes before the last one is
+        read belongs to the changes that follow.
+        """
         query = {'table': table, 'part': ''}
-        while True:
+        first, has_more = await self._page(
+            names.READ_PATH, query, most_ms=_WHOLE_MS
+        )
+        rows = list(first.rows)
+        while has_more:
+            last = rows[-1].key
+            query[names.START] = f'{last}\0'
             page, has_more = await self._page(
                 names.READ_PATH, query, most_ms=_WHOLE_MS
             )
             rows.extend(page.rows)
-            if not has_more:
-                break
-            last = rows[-1].key
-            query[names.START] = f'{last}\0'
-        return replace(page, rows=tuple(rows), is_whole=True)
+        return replace(first, rows=tuple(rows), is_whole=True)
 
     async def read_changes(self, table: str, since: int, wait_ms: int) -> Page:
         """Wait for changes of a table after version `since`."""
--- a/seampond/platform/tests/test_platform.py
+++ b/seampond/platform/tests/test_platform.py
@@ -227,6 +227,28 @@
                 page = await table.read_all()
         self.assertEqual(len(page.rows[0].content), 200_000)
 
+    async def test_read_in_pages_is_as_old_as_its_first(self) -> None:
+        """What changed between two pages has to be asked for again."""
+
+        async def serve_page(
+            request: Received, writer: asyncio.StreamWriter
+        ) -> None:
+            row = {names.KEY: f'k{len(pages)}', 'ver': 1, 'value': ''}
+            page = pages.pop(0) | {'rows': [row]}
+            writer.write(write_answer(200, {}, json.dumps(page).encode()))
+
+        pages: list[dict[str, object]] = [
+            {'ver': 5, 'now_ms': 100, 'more': True},
+            {'ver': 9, 'now_ms': 300, 'more': False},
+        ]
+        async with (
+            run_scripted(serve_page) as server,
+            open_table(server.address, 't', Clock()) as table,
+        ):
+            page = await table.read_all()
+        self.assertEqual([row.key for row in page.rows], ['k2', 'k1'])
+        self.assertEqual((page.version, page.store_ms), (5, 100))
+
     async def test_store_that_is_down(self) -> None:
         """503 is a failure of the platform, with step and peer."""
         async with run_store() as store:
