A proof after a whole read hides no removal

Cause: what is removed is not in a whole read, so the newest change was told too low, and a gateway that lacked the removal took itself for current. Now the newest change that others have told of counts.

--- a/seampond/watches/currency.py
+++ b/seampond/watches/currency.py
@@ -114,6 +114,8 @@
         if not self.version:
             return
         if proof.changed <= self.version:
+            # A whole read does not show what was removed: others may know.
+            self._changed = max(self._changed, proof.changed)
             self._prove(proof)
             return
         if not self._missing:
--- a/seampond/watches/tests/test_watch.py
+++ b/seampond/watches/tests/test_watch.py
@@ -487,6 +487,20 @@
             while self.taken[-1] != 9:
                 await asyncio.sleep(0.01)
 
+    async def test_proof_after_a_whole_read_hides_no_removal(self) -> None:
+        """A row that went is not in it; who lacks the change has to ask."""
+        clock = ManualClock(1000)
+        reader, late = build_currency(clock), build_currency(clock)
+        hold(late, Page((Row('a', b'', 6),), 6, 1000, 1000, 1000, False))
+        whole = Page((Row('a', b'', 6),), 9, 1000, 1000, 1000, True)
+        hold(reader, whole)
+        reader.take_proof(Proof(changed=8, store_ms=1100))
+        clock.advance(500)
+        hold(reader, Page((), 9, 1500, 1500, 1500, False))
+        assert reader.proof is not None
+        late.take_proof(reader.proof)
+        self.assertTrue(late.is_missing)
+
     async def test_proof_of_others_saves_a_call(self) -> None:
         """Nothing is asked while somebody else proves that we are current."""
         clock = ManualClock(1000)
