--- a/seampond/watches/tests/test_watch.py
+++ b/seampond/watches/tests/test_watch.py
@@ -491,9 +491,9 @@
         """A row that went is not in it; who lacks the change has to ask."""
         clock = ManualClock(1000)
         reader, late = build_currency(clock), build_currency(clock)
-        hold(late, Page((Row('a', b'', 6),), 6, 1000, 1000, 1000, False))
-        whole = Page((Row('a', b'', 6),), 9, 1000, 1000, 1000, True)
-        hold(reader, whole)
+        row = Row('a', b'', 6)
+        hold(late, Page((row,), 6, 1000, 1000, 1000, is_whole=False))
+        hold(reader, Page((row,), 9, 1000, 1000, 1000, is_whole=True))
         reader.take_proof(Proof(changed=8, store_ms=1100))
         clock.advance(500)
         hold(reader, Page((), 9, 1500, 1500, 1500, False))
