--- a/seampond/gateway/tests/test_catching_up.py
+++ b/seampond/gateway/tests/test_catching_up.py
@@ -28,7 +28,7 @@
 
 _TENANTS = 2000
 _VERSIONS = 60
-# All versions take some ten seconds, the newest a sixth of one.
+# All versions take over seven seconds, the newest an eighth of one.
 _BYTES_PER_S = 1_000_000
 _MOST_S = 8
 _LATER_MS = 1_000_000_000
