--- a/seampond/testing/narrow_links.py
+++ b/seampond/testing/narrow_links.py
@@ -5,16 +5,13 @@
 
 from seampond.clock import Clock
 from seampond.errors import CutAnswerError, PlatformError
+from seampond.platform.store import _CHANGES_MS, _SILENCE_MS, _WHOLE_MS
 from seampond.watches import HistoryGoneError, Page, Row
 
 _STORE_AHEAD_MS = 1_000_000
 _LATENCY_MS = 5
 _LOOK_MS = 10
 _STEP = 'read'
-# As the calls of the store's client bound them.
-SILENCE_MS = 900
-CHANGES_MS = 2000
-WHOLE_MS = 8000
 
 
 @dataclass
@@ -43,10 +40,6 @@
         self.rows[key] = row
         self.changes.append((self.clock.now(), row))
 
-    def compact(self) -> None:
-        """Forget what has changed."""
-        self.oldest = self.version
-
     def newest_before(self, at_ms: int) -> dict[str, int]:
         """Give the version of each row at a moment."""
         return {
@@ -92,7 +85,7 @@
         sent_ms = self._clock.now()
         await self._reach()
         rows = tuple(self._table.rows.values())
-        return await self._carry(rows, sent_ms, WHOLE_MS, is_whole=True)
+        return await self._carry(rows, sent_ms, _WHOLE_MS, is_whole=True)
 
     async def read_changes(self, since: int, wait_ms: int) -> Page:
         """Wait for changes, then read each that was made since."""
@@ -110,16 +103,16 @@
             if self._link.is_cut:
                 # No sign comes; the call ends when its time is over.
                 left_ms = sent_ms + wait_ms - self._clock.now()
-                await self._clock.sleep(max(0, left_ms) + SILENCE_MS)
+                await self._clock.sleep(max(0, left_ms) + _SILENCE_MS)
                 raise PlatformError('TimeoutError', step=_STEP)
-        return await self._carry(rows, sent_ms, CHANGES_MS, is_whole=False)
+        return await self._carry(rows, sent_ms, _CHANGES_MS, is_whole=False)
 
     async def _reach(self) -> None:
         await self._clock.sleep(_LATENCY_MS)
         if not self._link.is_cut:
             return
         if not self._link.refuses:
-            await self._clock.sleep(SILENCE_MS)
+            await self._clock.sleep(_SILENCE_MS)
         raise PlatformError('no way there', step=_STEP)
 
     async def _carry(
