--- a/seampond/watches/watch.py
+++ b/seampond/watches/watch.py
@@ -4,11 +4,12 @@
 import logging
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from seampond.clock import Clock
 from seampond.errors import CutAnswerError, PlatformError
 from seampond.watches.currency import Currency
+from seampond.watches.failures import FailureLog
 from seampond.watches.rows import HistoryGoneError, Page, TableSource
 
 _FIRST_PAUSE_MS = 100
@@ -98,8 +99,11 @@
     # Set where asking for the same changes again cannot succeed.
     _needs_whole: bool = False
     _rows: int = 0
-    _reason: str = ''
-    _failed_ms: int = 0
+    _failures: FailureLog = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Start with no call failed."""
+        self._failures = FailureLog(self.clock, self.count_failure, self._tell)
 
     @property
     def is_failing(self) -> bool:
@@ -114,7 +118,7 @@
             try:
                 is_fresh = await self._step()
                 self._is_failing = False
-                self._note_answer()
+                self._failures.note_answer()
             except HistoryGoneError:
                 self._tell('history gone', 'read-changes')
                 self.is_current = False
@@ -149,7 +153,7 @@
             # Who does not follow asks on at the feed's growing pauses.
             self._is_failing = not self.follows()
             return False
-        self._note_answer()
+        self._failures.note_answer()
         if self._is_suspect:
             self._is_suspect = False
             self._give_call_up()
@@ -265,35 +269,10 @@
             await self.clock.sleep(min(pause_ms, self._longest_pause_ms))
 
     def _note_failure(self, error: PlatformError) -> None:
-        """Count a failed call; log it where its reason is another one.
-
-        Explanation
-        -----------
-        A spell of failures may change its cause on the way: first there is no
-        path to the store, then there is one that is too narrow for an answer.
-        """
-        self.count_failure(error.step)
+        """Note a failed call, and whether the same one can succeed at all."""
+        self._failures.note(error)
         if isinstance(error, (CutAnswerError, HistoryGoneError)):
             self._needs_whole = True
-        reason = f'{type(error).__name__} {error.message}'
-        if reason == self._reason:
-            return
-        if not self._reason:
-            self._failed_ms = self.clock.now()
-        self._reason = reason
-        received = error.received if isinstance(error, CutAnswerError) else 0
-        self._tell('store call failed', reason, received=received)
-
-    def _note_answer(self) -> None:
-        """Log the end of a spell of failures."""
-        if not self._reason:
-            return
-        self._tell(
-            'store answers again',
-            self._reason,
-            failed_ms=self.clock.now() - self._failed_ms,
-        )
-        self._reason = ''
 
     def _give_call_up(self) -> None:
         """End the call that is under way, if there is any."""
