--- a/seampond/watches/tests/test_narrow_links.py
+++ b/seampond/watches/tests/test_narrow_links.py
@@ -32,7 +32,7 @@
 _STEP_MS = 100
 _FOLLOWERS = 2
 _ONE_LOST_OF = 10
-# 5 Mbit/s.
+# 5 Mbit/s, in bytes a millisecond.
 _NARROW = 625.0
 # More than the link carries is written for a while only, then seldom.
 _CARRIED_PART = 0.8
