Read large versions whole while they are written faster than they come

Cause: a feed tells each version since the one that is held, so where rows of 250 KB and more are written each 0.3 s before links of 5 Mbit/s each answer is longer than the one before; and while whole reads keep coming nothing is told to those that do not follow, nor proved. Ruled out: a longer limit for a feed's answer (the answers only grow). Change: two versions of one row in an answer that was over 250 ms on its way start whole reads, until one brings nothing new; a change that was told without its rows is probed for by a whole read where the table has four rows at most; a whole read lets others know of its change; proofs that came too early count once their change is held.

--- a/seampond/gateway/parts.py
+++ b/seampond/gateway/parts.py
@@ -178,7 +178,7 @@
         return {
             key_of(table): currency.proof
             for table, currency in self.currencies.items()
-            if currency.proof is not None and currency.proved_ms > oldest_ms
+            if currency.proof is not None and currency.told_ms > oldest_ms
         }
 
     def _loads(self) -> dict[int, Load]:
--- a/seampond/watches/currency.py
+++ b/seampond/watches/currency.py
@@ -1,6 +1,7 @@
 """How current a belief of a table is, proved by our own answers or others'."""
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
@@ -9,6 +10,10 @@
 from seampond.watches.rows import Page
 from seampond.watches.store_time import StoreTime
 
+# Proofs come with each heartbeat of each that follows the store: these are of
+# the last second at the least.
+_HELD_PROOFS = 32
+
 
 @dataclass(frozen=True, slots=True)
 class Proof:
@@ -51,6 +56,7 @@
     >>> page = Page((), 7, 5000, 500, 500, False)
     >>> currency.check(page)
     >>> currency.take(page)
+    True
     >>> currency.take_proof(Proof(changed=6, store_ms=5040))
     >>> currency.proved_ms
     540
@@ -67,6 +73,8 @@
         self.version = 0
         self.proof: Proof | None = None
         self.proved_ms = 0
+        # When there was last something to tell others.
+        self.told_ms = 0
         self._store_time = store_time
         self._clock = clock
         self._on_proof = on_proof
@@ -75,6 +83,8 @@
         self._missing = 0
         self._missing_ms = 0
         self._is_missing = asyncio.Event()
+        # Proofs of changes that we did not hold yet, the latest last.
+        self._early: deque[Proof] = deque(maxlen=_HELD_PROOFS)
 
     @property
     def is_missing(self) -> bool:
@@ -97,8 +107,20 @@
         """
         self._store_time.take(page)
 
-    def take(self, page: Page) -> None:
-        """Note an answer of the store that we hold now."""
+    def carried_ms(self, page: Page) -> int:
+        """Give how long an answer was on its way, a little too much."""
+        return page.received_ms - self._store_time.local_ms(page.store_ms)
+
+    def take(self, page: Page) -> bool:
+        """Note an answer of the store that we hold now.
+
+        Returns
+        -------
+        bool
+            Whether anything proves what we hold: the answer itself, or what
+            another process told while it was on its way.
+
+        """
         self.version = max(self.version, page.version)
         changes = (row.version for row in page.rows)
         self._changed = max(self._changed, max(changes, default=0))
@@ -108,6 +130,9 @@
         # A whole read may be some seconds behind; a change feed is not.
         if not page.is_whole:
             self._prove(Proof(self._changed, page.store_ms))
+            return True
+        self._note_change()
+        return self._take_early()
 
     def take_proof(self, proof: Proof) -> None:
         """Take what another process knows."""
@@ -121,6 +146,7 @@
         if not self._missing:
             self._missing_ms = self._clock.now()
         self._missing = max(self._missing, proof.changed)
+        self._early.append(proof)
         self._is_missing.set()
 
     def due_ms(self, age_ms: int, behind_ms: int) -> int:
@@ -147,10 +173,37 @@
             async with asyncio.timeout(most_ms / MS_PER_SECOND):
                 await self._is_missing.wait()
 
+    def _note_change(self) -> None:
+        """Let others know of a change that a whole read has shown.
+
+        Explanation
+        -----------
+        It proves no later moment, but what was newest at an earlier one is
+        not newer than this change, and who lacks it has to ask.
+        """
+        if self.proof is not None and self.proof.changed < self._changed:
+            self.proof = Proof(self._changed, self.proof.store_ms)
+            self.told_ms = self._clock.now()
+
+    def _take_early(self) -> bool:
+        """Take the proofs that came before what they prove.
+
+        Explanation
+        -----------
+        Rows that are written again and again are never held in the version
+        that was told last; without these nothing would be proved meanwhile.
+        """
+        held = [proof for proof in self._early if proof.changed <= self.version]
+        for proof in held:
+            self._early.remove(proof)
+            self.take_proof(proof)
+        return bool(held)
+
     def _prove(self, proof: Proof) -> None:
         if self.proof is not None and proof.store_ms <= self.proof.store_ms:
             return
         self.proof = proof
+        self.told_ms = self._clock.now()
         proved_ms = self._store_time.local_ms(proof.store_ms)
         self.proved_ms = max(self.proved_ms, proved_ms)
         self._on_proof(proved_ms)
--- a/seampond/watches/tests/test_narrow_links.py
+++ b/seampond/watches/tests/test_narrow_links.py
@@ -224,6 +224,6 @@
 
         Each answer has to tell of more of them than the one before.
         """
-        for size in (250_000, 420_000):
+        for size in (250_000, 300_000, 350_000, 420_000):
             with self.subTest(size=size):
                 self.assertEqual(play(0, [], _STORM_GAP_MS, size), [])
--- a/seampond/watches/tests/test_watch.py
+++ b/seampond/watches/tests/test_watch.py
@@ -459,6 +459,20 @@
                 self.assertEqual(self.probes.calls, ['since 3', 'all'])
                 self.assertEqual(watch.currency.version, 9)
 
+    async def test_large_change_is_probed_for_by_a_whole_read(self) -> None:
+        """Others told of it without its rows: a feed may tell it many times.
+
+        A table of some rows is asked for its changes: few are missing.
+        """
+        for rows, call in ((1, 'all'), (5, 'since 3')):
+            with self.subTest(rows=rows):
+                keys = map(str, range(rows))
+                self.feed = ListedSource(_page(3, *keys, is_whole=True))
+                watch = await self._start(_page(9, is_whole=True))
+                watch.currency.take_proof(Proof(changed=8, store_ms=0))
+                self.assertTrue(await watch.probe())
+                self.assertEqual(self.probes.calls, [call])
+
     async def test_no_probe_while_the_feed_asks_again(self) -> None:
         """A store that refuses calls is asked by the feed alone."""
         refused = PlatformError('busy', step='read')
@@ -559,6 +573,32 @@
         hold(self.currency, Page((), 9, 1900, 1900, 1900, True))
         self.assertEqual(self.currency.proved_ms, 1000)
 
+    def test_early_proof_counts_once_its_change_has_come(self) -> None:
+        """What is written again and again is never held as it was told.
+
+        Each proof named a later version than the one that had just come, so
+        nothing proved what was held while large versions kept coming.
+        """
+        self.currency.take_proof(Proof(changed=6, store_ms=1500))
+        self.currency.take_proof(Proof(changed=7, store_ms=1900))
+        row = Row('a', b'', 6)
+        whole = Page((row,), 6, 2000, 2000, 2000, is_whole=True)
+        self.clock.advance(1000)
+        self.currency.check(whole)
+        self.assertTrue(self.currency.take(whole))
+        self.assertEqual(self.currency.proved_ms, 1500)
+        self.assertTrue(self.currency.is_missing)
+
+    def test_whole_read_lets_others_know_of_a_change(self) -> None:
+        """Who lacks it has to ask, though no later moment is proved."""
+        row = Row('a', b'', 9)
+        hold(self.currency, Page((row,), 9, 1900, 1900, 1900, is_whole=True))
+        self.assertEqual(self.currency.proof, Proof(9, 1000))
+        other = build_currency(self.clock)
+        hold(other, Page((), 8, 1000, 1000, 1000, is_whole=False))
+        other.take_proof(Proof(9, 1000))
+        self.assertTrue(other.is_missing)
+
     def test_overtaken_proof_changes_nothing(self) -> None:
         """Datagrams may overtake one another."""
         self.currency.take_proof(Proof(changed=5, store_ms=1800))
--- a/seampond/watches/watch.py
+++ b/seampond/watches/watch.py
@@ -27,6 +27,12 @@
 # feed's answer had not ended after 0.9 s and 0.5 MB; a read took 0.04 s.
 _CATCH_UP_MS = 2000
 _FEW_ROWS = 100
+# Of a table of so few rows a whole read tells no more than a feed does, and
+# versions that are written faster than a link carries them make each answer of
+# a feed longer than the one before: rows of 420 KB, written each 0.3 s, came
+# 3.3 s late over 5 Mbit/s, 1.9 s now (virtual time).
+_VERY_FEW_ROWS = 4
+_HEAVY_MS = 250
 _logger = logging.getLogger(__name__)
 
 
@@ -98,6 +104,10 @@
     _is_failing: bool = False
     # Set where asking for the same changes again cannot succeed.
     _needs_whole: bool = False
+    # Set while rows are written faster than a feed's answers come.
+    _is_flooded: bool = False
+    # Whether the newest rows were long on their way.
+    _is_heavy: bool = False
     _rows: int = 0
     _failures: FailureLog = field(init=False)
 
@@ -139,12 +149,14 @@
         Explanation
         -----------
         Not while the feed fails and asks again by itself: each call is priced.
+        Nor while it reads one large version after another, for which a second
+        reader would leave half of the link.
         """
-        if self._is_failing or not self.is_current:
+        if self._is_failing or self._is_flooded or not self.is_current:
             return False
         since = self.currency.version
         try:
-            page = await self._read(self.probe_source, 0)
+            page = await self._read_beside()
             is_fresh = self._accept(page, since)
         except PlatformError as error:
             self._note_failure(error)
@@ -193,7 +205,7 @@
     def _has_to_ask(self) -> bool:
         if self.is_new or self._is_failing or not self.is_current:
             return True
-        return self.follows()
+        return self._is_flooded or self.follows()
 
     async def _step(self) -> bool:
         """Make one call; tell whether its answer was fresh."""
@@ -216,6 +228,20 @@
             return await source.read_all()
         return await source.read_changes(self.currency.version, wait_ms)
 
+    async def _read_beside(self) -> Page:
+        """Read beside the feed, without waiting.
+
+        Explanation
+        -----------
+        A change that others told of without its rows is too large for a
+        datagram, and so may be what has been written since; and where the
+        versions of a large row come slowly, nobody may have told for long.
+        """
+        is_large = self.currency.is_missing or self._is_heavy
+        if is_large and self._rows <= _VERY_FEW_ROWS:
+            return await self.probe_source.read_all()
+        return await self._read(self.probe_source, 0)
+
     @property
     def _wait_ms(self) -> int:
         """How long the store may hold the feed's next call.
@@ -235,7 +261,7 @@
         -----------
         The longer we are behind the more a feed has to tell.
         """
-        if self._needs_whole:
+        if self._needs_whole or self._is_flooded:
             return True
         is_small = self._rows <= _FEW_ROWS
         is_long = self.currency.missing_ms > _CATCH_UP_MS
@@ -287,20 +313,30 @@
             self._tell('stale answer', str(page.version))
             self._needs_whole = False
             return False
-        self._note_size(page)
-        self.is_new = page.is_whole
+        self._note_size(page, since)
         self.is_current = self._is_taken(page)
         if self.is_current:
-            self.currency.take(page)
+            is_proved = self.currency.take(page)
+            self.is_new = page.is_whole and not is_proved
             if is_news:
                 self.pass_on(since, page)
         return self.is_current
 
-    def _note_size(self, page: Page) -> None:
+    def _note_size(self, page: Page, since: int) -> None:
         """Note that an answer came to its end, and how large the table is."""
         self._needs_whole = False
         if page.is_whole:
             self._rows = len(page.rows)
+            newest = max((row.version for row in page.rows), default=0)
+            is_flooded = self._is_flooded and newest > since
+        else:
+            keys = {row.key for row in page.rows}
+            is_flooded = len(keys) < len(page.rows)
+        if page.rows:
+            carried_ms = self.currency.carried_ms(page)
+            self._is_heavy = carried_ms > _HEAVY_MS
+        is_small = self._rows <= _VERY_FEW_ROWS
+        self._is_flooded = is_flooded and self._is_heavy and is_small
 
     def _is_taken(self, page: Page) -> bool:
         """Hand an answer on; a fault there must not end the watch."""
