Carry out roll-outs ordered by operators

Change: seampond/rollouts decides, without input or output: a part for each gateway of what may be exposed, which needs no message; a sequential test of each route's answers against the old version's in the same seconds, slow ones among the bad; few servers first, so that these carry a load; a rise once proved; one step agreed in the store (nobody sends to the old version any more) before the final state, which is written only when each gateway is empty there. All writes rest on the versions of order, state and step. gateway/rollouts.py follows and writes, platform/rollouts.py knows names and formats. The state's table is followed only while an order runs.

--- a/seampond/forwarding/attempt.py
+++ b/seampond/forwarding/attempt.py
@@ -58,6 +58,7 @@
             load - 1,
             pool.pace(backend.speed),
             round(expect_first_ms(backend, job, pool, now_ms, load)),
+            version=backend.server.version,
         )
         self.progress.trail.append(self.tried)
         backend.unanswered[job.request_id] = (
@@ -67,11 +68,16 @@
         try:
             outcome = await self._run()
         finally:
-            backend.unanswered.pop(job.request_id, None)
-            self.progress.tried.add(backend.server.id)
+            self._note_end(now_ms)
         self.tried.outcome = outcome.value
         return outcome
 
+    def _note_end(self, since_ms: int) -> None:
+        """Note that the server is asked no more, however that came."""
+        self.tried.took_ms = self.clock.now() - since_ms
+        self.backend.unanswered.pop(self.progress.job.request_id, None)
+        self.progress.tried.add(self.backend.server.id)
+
     async def _run(self) -> Outcome:
         try:
             connection = await self.backends.connect(self.backend)
@@ -200,10 +206,12 @@
             pause_ms = now_ms - self.part_ms
             self.tried.pause_ms = max(self.tried.pause_ms, pause_ms)
         self.part_ms = now_ms
+        if parts >= _PARTS_TO_LEARN:
+            took_ms = now_ms - self.sent_ms - self.tried.first_ms
+            self.tried.gap_ms = took_ms / (parts - 1)
         if parts % _PARTS_TO_LEARN:
             return
-        took_ms = now_ms - self.sent_ms - self.tried.first_ms
-        self.backend.speed.note_gap(took_ms / (parts - 1))
+        self.backend.speed.note_gap(self.tried.gap_ms)
         self.backends.refresh_speed(self.progress.job.pool)
 
     def _note_stream(self, parts: int) -> None:
--- a/seampond/forwarding/backend.py
+++ b/seampond/forwarding/backend.py
@@ -13,7 +13,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Server:
-    """One server as the list names it."""
+    """One server as the list names it.
+
+    Parameters
+    ----------
+    version : str
+        The version of its software, empty if none is told.
+    cold_ms : int
+        How much longer it is slow from its start, when its row was written.
+
+    """
 
     id: str
     pool: str
@@ -21,6 +30,8 @@
     zone: str
     slots: int
     is_leaving: bool = False
+    version: str = ''
+    cold_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,6 +70,8 @@
     fallback_until_ms : int
         Until when it is a fallback, its row having gone without a word
         of its leave: rows also go while the store is down.
+    cold_until_ms : int
+        Until when it is slow from its start.
     others : OthersLoad or None
         What the other gateways have there, as they told us.
     unanswered : dict[bytes, tuple[int, int]]
@@ -76,6 +89,7 @@
     paused_until_ms: int = 0
     is_listed: bool = True
     fallback_until_ms: int = 0
+    cold_until_ms: int = 0
     report: LoadReport | None = None
     idle: list[Connection] = field(default_factory=list)
     open_count: int = 0
--- a/seampond/forwarding/backends.py
+++ b/seampond/forwarding/backends.py
@@ -99,13 +99,25 @@
         """Give the servers of one pool, the fallbacks among them."""
         return self._by_pool.get(pool, [])
 
+    def all_of_pool(self, pool: str) -> list[Backend]:
+        """Give all servers of a pool, also those that have only open work."""
+        return [
+            backend
+            for backend in self._by_id.values()
+            if backend.server.pool == pool
+        ]
+
     def take(self, servers: Iterable[Server], gone: Iterable[str]) -> None:
         """Take changes of the list."""
         for server in servers:
             backend = self._by_id.get(server.id)
             if backend is None:
                 told = self._told.get(self._key_of(server.id))
-                self._by_id[server.id] = Backend(server, others=told)
+                self._by_id[server.id] = Backend(
+                    server,
+                    others=told,
+                    cold_until_ms=self._clock.now() + server.cold_ms,
+                )
                 self._tell('server listed', server)
                 continue
             if backend.server.is_leaving != server.is_leaving:
--- a/seampond/forwarding/forwarder.py
+++ b/seampond/forwarding/forwarder.py
@@ -14,6 +14,7 @@
 from seampond.forwarding.refusals import Cause, Refusal
 from seampond.forwarding.retries import RetryBudget
 from seampond.forwarding.scheduler import Scheduler
+from seampond.forwarding.versions import ANY_VERSION, Versions
 from seampond.metrics.gateway import GatewayMetrics
 from seampond.promises import Promises
 
@@ -36,6 +37,8 @@
         Raises `Refusal` if the request may not be sent just now.
     promises : Promises
         Checks each send before it is made.
+    versions : Versions
+        Told how each send ended.
 
     """
 
@@ -47,6 +50,7 @@
     clock: Clock
     check_proof: Callable[[Job], None]
     promises: Promises
+    versions: Versions = ANY_VERSION
 
 
 class Forwarder:
@@ -116,7 +120,11 @@
             parts.clock,
             parts.promises,
         )
-        return await attempt.run()
+        try:
+            return await attempt.run()
+        finally:
+            # Also of a send that was given up: its server may have been mute.
+            parts.versions.note_try(progress.job, backend, attempt.tried)
 
     def _may_try_again(self, progress: Progress, outcome: Outcome) -> bool:
         job = progress.job
--- a/seampond/forwarding/progress.py
+++ b/seampond/forwarding/progress.py
@@ -58,6 +58,12 @@
         -1 if none came.
     pause_ms : int
         The longest pause between two parts of the answer.
+    gap_ms : float
+        The mean time between two parts, 0 where few have come.
+    took_ms : int
+        From the send to the end, however it ended.
+    version : str
+        The version of the server's software.
 
     """
 
@@ -67,11 +73,14 @@
     expected_ms: int
     first_ms: int = -1
     pause_ms: int = 0
+    gap_ms: float = 0
+    took_ms: int = 0
+    version: str = ''
     outcome: str = 'open'
 
     def describe(self) -> dict[str, object]:
         """Give the fields of a log line."""
-        return {
+        told: dict[str, object] = {
             'server': self.server,
             'load': self.load,
             'pace': round(self.pace, 2),
@@ -80,6 +89,9 @@
             'pause_ms': self.pause_ms,
             'outcome': self.outcome,
         }
+        if self.version:
+            told['version'] = self.version
+        return told
 
 
 @dataclass(slots=True)
--- a/seampond/forwarding/scheduler.py
+++ b/seampond/forwarding/scheduler.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from seampond.clock import MS_PER_SECOND, Clock
 from seampond.forwarding.backend import Backend
@@ -16,6 +16,7 @@
     expect_least_ms,
     rate_backend,
 )
+from seampond.forwarding.versions import ANY_VERSION, Versions
 from seampond.promises import Promises, Rule
 
 # A refusal within a quarter of the target leaves time for another try.
@@ -49,6 +50,8 @@
     ----------
     count_gateways : Callable[[], int]
         How many gateways share the servers.
+    versions : Versions
+        Which versions of the servers' software a request may go to.
 
     """
 
@@ -59,6 +62,7 @@
         clock: Clock,
         count_gateways: Callable[[], int],
         promises: Promises,
+        versions: Versions = ANY_VERSION,
     ) -> None:
         """Start with nobody waiting."""
         self._backends = backends
@@ -66,6 +70,7 @@
         self._clock = clock
         self._count_gateways = count_gateways
         self._promises = promises
+        self._versions = versions
         self._queues: dict[str, Queue] = {}
         self._rng = random.Random()
 
@@ -164,6 +169,7 @@
 
     def _occupy(self, backend: Backend) -> Backend:
         backend.in_flight += 1
+        self._versions.note_placed(backend)
         return backend
 
     def _find(
@@ -177,10 +183,20 @@
             The servers to choose from, None for the pool's.
 
         """
-        now_ms = self._clock.now()
         if known is None:
             known = self._draw(job.pool)
         room = self._measure_room(job.pool, self._free_part(job))
+        for group in self._versions.group(job, known):
+            found = self._find_best(job, avoid, group, room)
+            if found is not None:
+                return found
+        return None
+
+    def _find_best(
+        self, job: Job, avoid: set[str], known: Sequence[Backend], room: Room
+    ) -> Backend | None:
+        """Give the best of some servers, None if none has a place."""
+        now_ms = self._clock.now()
         best: tuple[bool, float] | None = None
         found = None
         for backend in known:
--- a/seampond/gateway/daemon.py
+++ b/seampond/gateway/daemon.py
@@ -12,6 +12,7 @@
 from seampond.forwarding.app import Stop
 from seampond.forwarding.web import CallerProtocol
 from seampond.gateway.parts import GatewayParts, make_gateway
+from seampond.gateway.rollouts import carry_out
 from seampond.gateway.status import show_status
 from seampond.pages import Pages, RenderedPage, render_page
 from seampond.platform import READY_PATH, open_table
@@ -19,6 +20,7 @@
     CONFIGURATION_TABLE,
     GATEWAYS_TABLE,
     SERVERS_TABLE,
+    STATUS_TABLE,
 )
 from seampond.settings.gateway import GatewaySettings
 from seampond.sharing.exchange import (
@@ -38,6 +40,7 @@
 _URGENT_PAUSE_MS = 600
 _CALM_PAUSE_MS = 1500
 _GATHER_MS = 250
+_LOOK_MS = 100
 _logger = logging.getLogger(__name__)
 
 
@@ -170,6 +173,51 @@
         await unregister(table, parts.peers)
 
 
+def _take_operators(parts: GatewayParts, page: Page) -> None:
+    """Take what operators have written: configurations and orders."""
+    parts.configuration.take(page)
+    parts.rollouts.take_orders(page)
+
+
+async def _follow_states(parts: GatewayParts) -> None:
+    """Follow the states of roll-outs while an order is carried out.
+
+    Explanation
+    -----------
+    Each call to the store is priced, and most of the time there is no order.
+    """
+    follower = parts.rollouts
+    while True:
+        await follower.is_wanted.wait()
+        async with _watch(
+            parts, STATUS_TABLE, follower.take_states, _PROOF_MS, _URGENT
+        ):
+            while follower.is_wanted.is_set():
+                await parts.clock.sleep(_LOOK_MS)
+        parts.watches.pop(STATUS_TABLE)
+
+
+@asynccontextmanager
+async def _run_rollouts(parts: GatewayParts) -> AsyncIterator[None]:
+    """Carry out orders of roll-outs until the end of the `with`."""
+    clock, address = parts.clock, parts.settings.store.address
+    async with (
+        open_table(address, STATUS_TABLE, clock) as table,
+        run_tasks(
+            _follow_states(parts),
+            carry_out(
+                parts.rollouts,
+                table,
+                lambda: parts.peers.rank,
+                parts.is_urgent.set,
+                parts.promises,
+                clock,
+            ),
+        ),
+    ):
+        yield
+
+
 def _port(address: str) -> int:
     return int(address.rpartition(':')[2])
 
@@ -225,7 +273,12 @@
     drain_ms = bounds.stop_ms - settings.linger_ms - _STOP_MARGIN_MS
     async with AsyncExitStack() as stack:
         for table, take, age_ms, pace in (
-            (CONFIGURATION_TABLE, parts.configuration.take, _PROOF_MS, _URGENT),
+            (
+                CONFIGURATION_TABLE,
+                functools.partial(_take_operators, parts),
+                _PROOF_MS,
+                _URGENT,
+            ),
             (SERVERS_TABLE, parts.servers.take, _PROOF_MS, _CALM),
             (
                 GATEWAYS_TABLE,
@@ -238,6 +291,7 @@
                 _watch(parts, table, take, age_ms, pace)
             )
         await stack.enter_async_context(_share(parts))
+        await stack.enter_async_context(_run_rollouts(parts))
         server = await stack.enter_async_context(
             serve_http(
                 make_app(parts),
--- a/seampond/gateway/parts.py
+++ b/seampond/gateway/parts.py
@@ -20,14 +20,19 @@
 from seampond.forwarding.retries import RetryBudget
 from seampond.forwarding.scheduler import Scheduler
 from seampond.gateway.beliefs import ConfigurationFollower, ServerFollower
+from seampond.gateway.rollouts import RolloutFollower
+from seampond.gateway.versions import RolloutVersions
 from seampond.metrics.gateway import GatewayMetrics
 from seampond.platform import HEADERS
 from seampond.platform.names import (
     CONFIGURATION_TABLE,
     GATEWAYS_TABLE,
     SERVERS_TABLE,
+    STATUS_TABLE,
 )
 from seampond.promises import Promises
+from seampond.rollouts import Report, Rollouts
+from seampond.rollouts.desk import Limits as ExposureLimits
 from seampond.settings.gateway import BoundSettings, GatewaySettings
 from seampond.sharing import (
     Heartbeat,
@@ -68,6 +73,7 @@
     is_urgent: asyncio.Event
     incarnation: int
     servers: ServerFollower
+    rollouts: RolloutFollower
     watches: dict[str, Watch] = field(default_factory=dict)
     _pages: list[ToldPage] = field(default_factory=list)
 
@@ -78,6 +84,7 @@
             not self.web.is_stopping
             and self.belief.configuration is not None
             and self.servers.is_known
+            and self.rollouts.rollouts.is_known
         )
 
     @property
@@ -99,12 +106,16 @@
         self.web.admission.proof_ms = bounds.proof_ms
         self.budget.set_bounds(bounds.retry_ratio, bounds.retry_allowance)
         self.quotas.margin = make_margin(bounds)
+        self.rollouts.rollouts.limits = make_exposure_limits(bounds)
         self.backends.grace_ms = round(bounds.drain_ms * _GRACE_PART)
         return sorted(key for key in after if before.get(key) != after[key])
 
     def take_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Take what another gateway has told."""
         self.quotas.take_heartbeat(heartbeat)
+        self.rollouts.rollouts.take_reports(
+            heartbeat.name, heartbeat.incarnation, heartbeat.rollouts
+        )
         # Before the proofs, which ask for what is missing.
         for told in heartbeat.pages:
             self._take_page(told)
@@ -136,6 +147,7 @@
             levels=self.quotas.tell_levels(),
             is_cut=self.is_cut,
             pages=tuple(self._pages),
+            rollouts=self.rollouts.rollouts.make_reports(),
         )
 
     def note_told(self) -> None:
@@ -226,6 +238,45 @@
     )
 
 
+def make_exposure_limits(bounds: BoundSettings) -> ExposureLimits:
+    """Give what may be sent to a version that is not proved."""
+    return ExposureLimits(bounds.expose_share, bounds.expose_slack)
+
+
+def make_rollouts(
+    bounds: BoundSettings,
+    belief: Belief,
+    backends: Backends,
+    peers: Peers,
+    store_time: StoreTime,
+) -> Rollouts:
+    """Wire the roll-outs."""
+
+    def has_pool(pool: str) -> bool:
+        configuration = belief.configuration
+        return configuration is None or pool in configuration.pools
+
+    def list_reports() -> list[dict[int, Report]] | None:
+        heartbeats = peers.list_heartbeats()
+        if heartbeats is None:
+            return None
+        return [
+            {report.pool: report for report in heartbeat.rollouts}
+            for heartbeat in heartbeats
+        ]
+
+    return Rollouts(
+        make_exposure_limits(bounds),
+        lambda: peers.count if peers.is_listed else 0,
+        backends.all_of_pool,
+        has_pool,
+        list_reports,
+        key_of,
+        store_time.store_ms,
+        store_time.local_ms,
+    )
+
+
 def _show_ages(
     metrics: GatewayMetrics,
     belief: Belief,
@@ -270,8 +321,16 @@
         lambda pool: bound_connections(belief, peers, pool),
         key_of,
     )
+    store_time = StoreTime()
+    rollouts = make_rollouts(bounds, belief, backends, peers, store_time)
+    versions = RolloutVersions(rollouts, clock)
     scheduler = Scheduler(
-        backends, settings.zone, clock, lambda: peers.count, promises
+        backends,
+        settings.zone,
+        clock,
+        lambda: peers.count,
+        promises,
+        versions,
     )
     budget = RetryBudget(
         bounds.retry_ratio,
@@ -281,13 +340,13 @@
         clock,
     )
     configuration = ConfigurationFollower(belief, promises, metrics, clock)
-    store_time = StoreTime()
     currencies = {
         CONFIGURATION_TABLE: Currency(
             clock, store_time, configuration.note_proof
         ),
         SERVERS_TABLE: Currency(clock, store_time, lambda proved_ms: None),
         GATEWAYS_TABLE: Currency(clock, store_time, lambda proved_ms: None),
+        STATUS_TABLE: Currency(clock, store_time, lambda proved_ms: None),
     }
     _show_ages(metrics, belief, currencies, clock)
     belief.is_behind = lambda: currencies[CONFIGURATION_TABLE].is_missing
@@ -310,6 +369,7 @@
             clock,
             admission.check_proof,
             promises,
+            versions,
         )
     )
     web = GatewayWeb(
@@ -337,4 +397,5 @@
         is_urgent=is_urgent,
         incarnation=secrets.randbits(_INCARNATION_BITS),
         servers=ServerFollower(backends, scheduler),
+        rollouts=RolloutFollower(rollouts, clock),
     )
--- /dev/null
+++ b/seampond/gateway/rollouts.py
@@ -0,0 +1,186 @@
+"""Orders and states of roll-outs followed, and decisions written."""
+
+import asyncio
+import logging
+from collections.abc import Callable, Iterable, Iterator
+from typing import Protocol, TypeVar
+
+from seampond.clock import Clock
+from seampond.errors import ConflictError, PlatformError
+from seampond.platform.rollouts import (
+    is_order,
+    is_status,
+    is_step,
+    name_pool,
+    read_order,
+    read_status,
+    read_step,
+    write_change,
+)
+from seampond.platform.store import RowChange
+from seampond.promises import Promises, Rule
+from seampond.rollouts import Change, Rollouts, State
+from seampond.watches import Page, Row
+
+_LOOK_MS = 100
+# Each that comes later in the order of names leaves the earlier ones this time
+# to write: all come to the same decision.
+_RANK_MS = 300
+_MOST_RANKS = 4
+# A write may have been done without an answer; the feed tells by then.
+_AGAIN_MS = 400
+_logger = logging.getLogger(__name__)
+_Read = TypeVar('_Read')
+
+
+class ChangeWriter(Protocol):
+    """Writes rows of the store on conditions."""
+
+    async def change(self, change: RowChange) -> None:
+        """Write all or none."""
+
+
+class RolloutFollower:
+    """Hands rows of the store on to the roll-outs.
+
+    Parameters
+    ----------
+    is_wanted : asyncio.Event
+        Set while the states of orders have to be followed.
+
+    """
+
+    def __init__(self, rollouts: Rollouts, clock: Clock) -> None:
+        """Start with no order."""
+        self.rollouts = rollouts
+        self.is_wanted = asyncio.Event()
+        self._clock = clock
+        self._is_start = True
+
+    def take_orders(self, page: Page) -> None:
+        """Take an answer about the operators' table."""
+        rows = [row for row in page.rows if is_order(row)]
+        latest = {row.key: row for row in rows}
+        orders = list(_read_all(latest.values(), read_order))
+        gone = [name_pool(row) for row in latest.values() if row.is_gone]
+        if page.is_whole:
+            listed = set(map(name_pool, latest.values()))
+            gone.extend(set(self.rollouts.ordered) - listed)
+        self.rollouts.take_orders(
+            orders, gone, self._clock.now(), is_start=self._is_start
+        )
+        self._is_start = False
+        self._note_wanted()
+
+    def take_states(self, page: Page) -> None:
+        """Take an answer about the table of states."""
+        latest = {row.key: row for row in page.rows if not row.is_gone}
+        statuses = [row for row in latest.values() if is_status(row)]
+        steps = [row for row in latest.values() if is_step(row)]
+        self.rollouts.take_states(
+            dict(_read_named(statuses, read_status)),
+            dict(_read_named(steps, read_step)),
+            self._clock.now(),
+        )
+        self._note_wanted()
+
+    def _note_wanted(self) -> None:
+        if self.rollouts.is_wanted:
+            self.is_wanted.set()
+        else:
+            self.is_wanted.clear()
+
+
+def _read_all(
+    rows: Iterable[Row], read: Callable[[Row], _Read]
+) -> Iterator[_Read]:
+    for _, told in _read_named(rows, read):
+        yield told
+
+
+def _read_named(
+    rows: Iterable[Row], read: Callable[[Row], _Read]
+) -> Iterator[tuple[str, _Read]]:
+    """Read rows; one that is none is logged and passed over."""
+    for row in rows:
+        if row.is_gone:
+            continue
+        try:
+            yield name_pool(row), read(row)
+        except PlatformError as error:
+            _logger.error(
+                'row of a roll-out refused',
+                extra={'key': row.key, 'reason': error.message},
+            )
+
+
+async def carry_out(
+    follower: RolloutFollower,
+    writer: ChangeWriter,
+    rank: Callable[[], int],
+    tell_all: Callable[[], None],
+    promises: Promises,
+    clock: Clock,
+) -> None:
+    """Judge, and write what is decided, for as long as the process lives.
+
+    Parameters
+    ----------
+    rank : Callable[[], int]
+        How many others write before us.
+    tell_all : Callable[[], None]
+        Lets the others hear of us at once.
+
+    """
+    rollouts = follower.rollouts
+    decided: Change | None = None
+    decided_ms = 0
+    while True:
+        await follower.is_wanted.wait()
+        before = [(one.stage, one.is_condemned) for one in rollouts.running]
+        rollouts.judge(clock.now())
+        if before != [
+            (one.stage, one.is_condemned) for one in rollouts.running
+        ]:
+            tell_all()
+        change = rollouts.next_change(clock.now())
+        if change != decided:
+            decided, decided_ms = change, clock.now()
+        ranks = min(_MOST_RANKS, rank())
+        if change is None or clock.now() < decided_ms + ranks * _RANK_MS:
+            await clock.sleep(_LOOK_MS)
+            continue
+        _check(rollouts, change, promises)
+        await _write(writer, change)
+        await clock.sleep(_AGAIN_MS)
+
+
+def _check(rollouts: Rollouts, change: Change, promises: Promises) -> None:
+    """Hold a decision against what was promised, before it is written."""
+    if change.state is State.done:
+        promises.check(
+            Rule.nothing_open_when_done,
+            not rollouts.count_open_old(change.pool),
+            step='rollout',
+        )
+
+
+async def _write(writer: ChangeWriter, change: Change) -> None:
+    extra = {
+        'pool': change.pool,
+        'target': change.target,
+        'state': change.state.value if change.state else '',
+        'is_closing': bool(change.step and change.step.is_closing),
+        'reason': change.reason,
+    }
+    try:
+        await writer.change(write_change(change))
+    except ConflictError:
+        _logger.info('another gateway wrote of the roll-out', extra=extra)
+    except PlatformError as error:
+        _logger.warning(
+            'state of a roll-out not written',
+            extra=extra | {'detail': error.message},
+        )
+    else:
+        _logger.info('state of a roll-out written', extra=extra)
--- a/seampond/gateway/status.py
+++ b/seampond/gateway/status.py
@@ -31,4 +31,17 @@
         'open': parts.web.open_requests,
         'waiting': parts.scheduler.waiting,
         'servers': servers,
+        'rollouts': [
+            {
+                'pool': rollout.order.pool,
+                'target': rollout.order.target,
+                'stage': rollout.stage.name,
+                'reason': rollout.reason,
+                'sent': rollout.exposure.sent,
+                'exposed': rollout.exposure.exposed,
+                'answers': rollout.evidence.new_answers.answers,
+                'bad': rollout.evidence.new_answers.bad,
+            }
+            for rollout in parts.rollouts.rollouts.running
+        ],
     }
--- /dev/null
+++ b/seampond/gateway/versions.py
@@ -0,0 +1,72 @@
+"""How roll-outs steer a gateway's requests, and what they learn of them."""
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from seampond.clock import Clock
+from seampond.forwarding.backend import Backend
+from seampond.forwarding.job import Job
+from seampond.forwarding.progress import Outcome, Try
+from seampond.rollouts import Rollouts
+from seampond.rollouts.slowness import Pace
+from seampond.sharing import key_of
+
+_BAD = frozenset(
+    (Outcome.failed.value, Outcome.in_doubt.value, Outcome.rejected.value)
+)
+
+
+@dataclass
+class RolloutVersions:
+    """Sends requests where the roll-outs want them."""
+
+    rollouts: Rollouts
+    clock: Clock
+    rng: random.Random = field(default_factory=random.Random)
+
+    def group(
+        self, job: Job, known: Sequence[Backend]
+    ) -> Sequence[Sequence[Backend]]:
+        """Give the servers to look at, those that come first before others."""
+        is_fresh = not (job.attempts or job.has_begun or job.last_event)
+        draw = self.rng.random() if is_fresh else None
+        return self.rollouts.group(job.pool, known, self.clock.now(), draw)
+
+    def note_placed(self, backend: Backend) -> None:
+        """Count a request against what may be exposed."""
+        self.rollouts.note_placed(backend.server.pool, backend.server.version)
+
+    def note_try(self, job: Job, backend: Backend, tried: Try) -> None:
+        """Count an answer as good, failed or slow."""
+        if tried.outcome == Outcome.unreached.value:
+            return
+        route = key_of(job.route.name)
+        now_ms = self.clock.now()
+        slowness = self.rollouts.slowness
+        is_bad = tried.outcome in _BAD
+        pace: Pace | None = _measure(job, tried)
+        if tried.first_ms < 0 and not is_bad:
+            # Given up before the first byte: bad if that took long.
+            if not slowness.is_slow(route, _measure(job, tried), now_ms):
+                return
+            is_bad = True
+        if now_ms < backend.cold_until_ms:
+            # It said that it would be slow.
+            pace = None
+        self.rollouts.note_answer(
+            backend.server.pool,
+            route,
+            backend.server.version,
+            None if is_bad else pace,
+            now_ms,
+            is_bad=is_bad,
+        )
+
+
+def _measure(job: Job, tried: Try) -> Pace:
+    """Give what tells best how fast an answer was."""
+    if job.is_stream and tried.gap_ms:
+        return Pace('gap', tried.gap_ms)
+    kind = 'first' if job.is_stream else 'answer'
+    return Pace(kind, tried.first_ms if tried.first_ms >= 0 else tried.took_ms)
--- a/seampond/platform/names.py
+++ b/seampond/platform/names.py
@@ -50,6 +50,11 @@
 CONFIGURATION_KEY = 'config'
 SERVERS_TABLE = 'servers'
 GATEWAYS_TABLE = 'gateways'
+STATUS_TABLE = 'status'
+# Orders of roll-outs, in the operators' table, and their states; the steps
+# beside these are our own.
+ROLLOUT_PREFIX = 'rollout/'
+STEP_PREFIX = 'rollout-step/'
 
 DRAINING = 'draining'
 COUNTS_TOKENS = 'tokens'
--- a/seampond/platform/servers.py
+++ b/seampond/platform/servers.py
@@ -33,6 +33,8 @@
             zone=fields.get('zone', ''),
             slots=max(1, int(fields.get('slots', 1))),
             is_leaving=fields.get('state') == names.DRAINING,
+            version=str(fields.get('version', '')),
+            cold_ms=max(0, int(fields.get('cold-left-ms') or 0)),
         )
     except _NOT_A_SERVER as error:
         raise PlatformError(
--- a/seampond/platform/store.py
+++ b/seampond/platform/store.py
@@ -3,9 +3,9 @@
 import asyncio
 import base64
 import json
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Mapping, Sequence
 from contextlib import asynccontextmanager
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from http import HTTPStatus
 from typing import Any
 from urllib.parse import urlencode
@@ -37,6 +37,25 @@
 _FAILURES = (ExchangeError, TimeoutError, *_NOT_AN_ANSWER)
 
 
+RowName = tuple[str, str]
+
+
+@dataclass(frozen=True, slots=True)
+class RowChange:
+    """What one call writes, and what it rests on; rows by table and key.
+
+    Parameters
+    ----------
+    expected : Mapping[RowName, int]
+        The versions that rows must have, 0 for no row.
+
+    """
+
+    expected: Mapping[RowName, int]
+    puts: Mapping[RowName, bytes]
+    removed: Sequence[RowName] = ()
+
+
 class Store:
     """The platform's store.
 
@@ -102,16 +121,7 @@
             If it surely was not.
 
         """
-        row = {
-            'table': table,
-            'part': '',
-            names.KEY: key,
-            'value': base64.b64encode(content).decode(),
-        }
-        body = json.dumps({'put': [row]}).encode()
-        status, _ = await self._call(names.TRANSACTION_PATH, body=body)
-        if status == HTTPStatus.PRECONDITION_FAILED:
-            raise ConflictError('row has changed', step='put', peer=key)
+        await self.change(RowChange({}, {(table, key): content}))
 
     async def remove(self, table: str, key: str, version: int) -> None:
         """Remove one row if it still has this version.
@@ -124,15 +134,40 @@
             If it may have been removed, now or some seconds later.
 
         """
-        row: dict[str, object] = {'table': table, 'part': '', names.KEY: key}
-        change = {
-            names.EXPECTED: [row | {'ver': version}],
-            names.REMOVED: [row],
+        row = (table, key)
+        await self.change(RowChange({row: version}, {}, (row,)))
+
+    async def change(self, change: 'RowChange') -> None:
+        """Write and remove rows, all or none of them.
+
+        Raises
+        ------
+        ConflictError
+            If a row has not the version that is expected.
+        UnknownOutcomeError
+            If it may have been done, now or some seconds later.
+        PlatformError
+            If it surely was not.
+
+        """
+        parts = {
+            names.EXPECTED: [
+                _name_row(row) | {'ver': version}
+                for row, version in change.expected.items()
+            ],
+            'put': [
+                _name_row(row) | {'value': base64.b64encode(content).decode()}
+                for row, content in change.puts.items()
+            ],
+            names.REMOVED: [_name_row(row) for row in change.removed],
         }
-        body = json.dumps(change).encode()
+        told = {name: rows for name, rows in parts.items() if rows}
+        body = json.dumps(told).encode()
         status, _ = await self._call(names.TRANSACTION_PATH, body=body)
         if status == HTTPStatus.PRECONDITION_FAILED:
-            raise ConflictError('row has changed', step='remove', peer=key)
+            raise ConflictError(
+                'a row has changed', step='change', peer=self._address
+            )
 
     async def _page(
         self,
@@ -264,6 +299,15 @@
         """Remove one row if it still has this version."""
         await self._store.remove(self.name, key, version)
 
+    async def change(self, change: RowChange) -> None:
+        """Write and remove rows, also of other tables, all or none."""
+        await self._store.change(change)
+
+
+def _name_row(row: RowName) -> dict[str, object]:
+    table, key = row
+    return {'table': table, 'part': '', names.KEY: key}
+
 
 def _read_row(row: Mapping[str, Any]) -> Row:
     return Row(
--- a/seampond/platform/tests/rows.py
+++ b/seampond/platform/tests/rows.py
@@ -1,5 +1,7 @@
 """Rows of the platform's tables, for the tests of whole gateways."""
 
+import base64
+import json
 from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Any
@@ -114,3 +116,32 @@
 def is_gateway_gone(store: StandInStore, name: str) -> bool:
     """Tell whether the row of a gateway was removed."""
     return bool(store.rows[(names.GATEWAYS_TABLE, name)].get('gone'))
+
+
+def put_order(
+    store: StandInStore, target: str, duration_s: float, **changes: Any
+) -> None:
+    """Order a roll-out as an operator would."""
+    row = {
+        'service': POOL,
+        'target-version': target,
+        'duration-s': duration_s,
+    }
+    key = f'{names.ROLLOUT_PREFIX}{POOL}'
+    store.put(names.CONFIGURATION_TABLE, key, row | changes)
+
+
+def drop_order(store: StandInStore) -> None:
+    """Take an order back."""
+    key = f'{names.ROLLOUT_PREFIX}{POOL}'
+    store.drop(names.CONFIGURATION_TABLE, key)
+
+
+def read_state(store: StandInStore) -> tuple[str, str]:
+    """Give the state of a roll-out and the version that it names."""
+    key = f'{names.ROLLOUT_PREFIX}{POOL}'
+    row = store.rows.get((names.STATUS_TABLE, key))
+    if row is None:
+        return '', ''
+    told = json.loads(base64.b64decode(str(row['value'])))
+    return told['state'], told['target-version']
--- a/seampond/promises/rules.py
+++ b/seampond/promises/rules.py
@@ -25,6 +25,7 @@
     generation_upwards = 'generation-upwards'
     bounded_attempts = 'bounded-attempts'
     proved_key = 'proved-key'
+    nothing_open_when_done = 'nothing-open-when-done'
 
 
 class Promises:
--- /dev/null
+++ b/seampond/rollouts/desk.py
@@ -0,0 +1,436 @@
+"""All roll-outs that a gateway knows of, and what it would write of them."""
+
+import logging
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+
+from seampond.rollouts.exposure import Exposure
+from seampond.rollouts.models import (
+    Change,
+    Order,
+    Report,
+    Stage,
+    State,
+    Status,
+    Step,
+)
+from seampond.rollouts.rollout import Place, Placed, Rollout
+from seampond.rollouts.slowness import Pace, Slowness
+
+# A gateway that has started before the step was written is in the list of
+# gateways by then: its row and the others' read of it take 0.3 s.
+_LISTED_MS = 1000
+# The old servers' rows stay for three heartbeats after they have stopped.
+_STOPPED_MS = 10_000
+_MOVED = frozenset((Stage.moved, Stage.closed))
+_logger = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """What all gateways together may send to an unproved version.
+
+    Parameters
+    ----------
+    share : float
+        Requests for each request that reaches the pool.
+    allowance : float
+        A fixed number beside them.
+
+    """
+
+    share: float
+    allowance: float
+
+
+@dataclass
+class _Known:
+    """What the store says of one pool."""
+
+    order: Order | None = None
+    status: Status | None = None
+    step: Step | None = None
+    rollout: Rollout | None = None
+    closing_ms: int | None = None
+    final_ms: int | None = None
+
+
+@dataclass
+class Rollouts:
+    """All roll-outs that a gateway knows of.
+
+    Parameters
+    ----------
+    limits : Limits
+        What all gateways together may expose.
+    count_gateways : Callable[[], int]
+        How many gateways there may be, this one among them.
+    places_of : Callable[[str], Sequence[Placed]]
+        All servers of a pool that are known, also those that have left the
+        list while something is open there.
+    has_pool : Callable[[str], bool]
+        Whether the configuration names a pool.
+    list_reports : Callable[[], Sequence[Mapping[int, Report]] or None]
+        What each other gateway that may be serving has told last, by pool;
+        None while one of them is not heard.
+    key_of : Callable[[str], int]
+        Gives the key by which gateways tell of a name.
+    store_ms : Callable[[int], int]
+        Gives a moment of our clock by the store's.
+    local_ms : Callable[[int], int]
+        Gives a moment of the store's clock by ours.
+
+    """
+
+    limits: Limits
+    count_gateways: Callable[[], int]
+    places_of: Callable[[str], Sequence[Placed]]
+    has_pool: Callable[[str], bool]
+    list_reports: Callable[[], Sequence[Mapping[int, Report]] | None]
+    key_of: Callable[[str], int]
+    store_ms: Callable[[int], int] = int
+    local_ms: Callable[[int], int] = int
+    slowness: Slowness = field(default_factory=Slowness)
+    is_read: bool = False
+    _pools: dict[str, _Known] = field(default_factory=dict)
+
+    @property
+    def is_known(self) -> bool:
+        """Whether requests can be placed: no order, or its state is known."""
+        return self.is_read or not self.is_wanted
+
+    @property
+    def is_wanted(self) -> bool:
+        """Whether the states of orders have to be followed."""
+        return bool(self.running)
+
+    @property
+    def running(self) -> list[Rollout]:
+        """What is carried out just now."""
+        return [
+            known.rollout
+            for known in self._pools.values()
+            if known.rollout is not None
+        ]
+
+    def take_orders(
+        self,
+        orders: Iterable[Order],
+        gone: Iterable[str],
+        now_ms: int,
+        *,
+        is_start: bool = False,
+    ) -> None:
+        """Take orders as they are written, and the pools without one.
+
+        Parameters
+        ----------
+        is_start : bool
+            Whether this is the first that we know of orders: an earlier life
+            of ours may have spent our part of the allowance.
+
+        """
+        for order in orders:
+            known = self._pools.setdefault(order.pool, _Known())
+            if known.order is None or order.version > known.order.version:
+                allowance = 0 if is_start else self._allowance
+                self._take_order(known, order, now_ms, allowance)
+        for pool in gone:
+            known = self._pools.get(pool, _Known())
+            if known.rollout is not None and known.order is not None:
+                known.order = None
+                known.rollout.condemn('order taken back')
+                _tell('order of a roll-out taken back', known.rollout)
+
+    @property
+    def ordered(self) -> list[str]:
+        """The pools that have an order."""
+        return [
+            pool
+            for pool, known in self._pools.items()
+            if known.order is not None
+        ]
+
+    def take_states(
+        self,
+        statuses: Mapping[str, Status],
+        steps: Mapping[str, Step],
+        now_ms: int,
+    ) -> None:
+        """Take what the store says of orders, by pool."""
+        self.is_read = True
+        for pool in statuses.keys() | steps.keys():
+            known = self._pools.setdefault(pool, _Known())
+            known.status = statuses.get(pool, known.status)
+            known.step = steps.get(pool, known.step)
+        for known in self._pools.values():
+            self._follow(known, now_ms)
+
+    def take_reports(
+        self, name: str, life: int, reports: Iterable[Report]
+    ) -> None:
+        """Take what another gateway tells."""
+        by_key = {self.key_of(pool): known for pool, known in self._items()}
+        for report in reports:
+            known = by_key.get(report.pool)
+            if known is None or known.rollout is None:
+                continue
+            rollout = known.rollout
+            if report.order != rollout.order.version:
+                continue
+            rollout.evidence.take_told(name, life, report.tallies)
+            if report.stage is Stage.refused:
+                rollout.condemn('another gateway found it bad')
+
+    def make_reports(self) -> tuple[Report, ...]:
+        """Give what the others are told."""
+        return tuple(
+            known.rollout.report(
+                self.key_of(pool), known.rollout.count(self.places_of(pool))
+            )
+            for pool, known in self._items()
+            if known.rollout is not None
+        )
+
+    def group(
+        self,
+        pool: str,
+        places: Sequence[Place],
+        now_ms: int,
+        draw: float | None,
+    ) -> tuple[Sequence[Place], ...]:
+        """Give the servers to look at, those that come first before others.
+
+        Parameters
+        ----------
+        draw : float or None
+            From 0 to 1, drawn for the request; None for one that may not go
+            to a version that is not proved.
+
+        """
+        known = self._pools.get(pool)
+        if known is None:
+            return (places,)
+        if known.rollout is not None:
+            return known.rollout.group(places, now_ms, draw)
+        status = known.status
+        if status is None or known.final_ms is None:
+            return (places,)
+        target = status.target
+        new = [place for place in places if place.server.version == target]
+        old = [place for place in places if place.server.version != target]
+        if status.state is State.rolled_back:
+            return (old,)
+        # The old ones have stopped, whatever the list still says.
+        is_just_done = now_ms < known.final_ms + _STOPPED_MS
+        return (new,) if is_just_done and new else (places,)
+
+    def note_placed(self, pool: str, version: str) -> None:
+        """Note that a request has a place on a server."""
+        rollout = self._find(pool)
+        if rollout is not None:
+            is_new = version == rollout.order.target
+            rollout.exposure.note(is_new=is_new)
+
+    def note_answer(
+        self,
+        pool: str,
+        route: int,
+        version: str,
+        pace: Pace | None,
+        now_ms: int,
+        *,
+        is_bad: bool,
+    ) -> None:
+        """Note how one send to a server ended.
+
+        Parameters
+        ----------
+        pace : Pace or None
+            How fast it was, None where that says nothing.
+
+        """
+        rollout = self._find(pool)
+        is_new = rollout is not None and version == rollout.order.target
+        if rollout is not None:
+            is_slow = pace is not None and self.slowness.is_slow(
+                route, pace, now_ms
+            )
+            rollout.evidence.note(
+                route, is_new=is_new, is_bad=is_bad or is_slow
+            )
+        if pace is not None and not is_bad and not is_new:
+            self.slowness.note(route, pace, now_ms)
+
+    def count_open_old(self, pool: str) -> int:
+        """Give our requests on servers of another version than the target."""
+        rollout = self._find(pool)
+        if rollout is None:
+            return 0
+        return rollout.count(self.places_of(pool)).open_old
+
+    def judge(self, now_ms: int) -> None:
+        """Decide how far each roll-out goes."""
+        for pool, known in self._items():
+            rollout = known.rollout
+            if rollout is None:
+                continue
+            before = rollout.stage, rollout.is_condemned
+            if known.order is not None and not self.has_pool(pool):
+                rollout.condemn('no such pool')
+            rollout.judge(now_ms, rollout.count(self.places_of(pool)))
+            if before != (rollout.stage, rollout.is_condemned):
+                _tell('stage of a roll-out', rollout)
+
+    def next_change(self, now_ms: int) -> Change | None:
+        """Give what should be written next, None for nothing."""
+        if not self.is_read:
+            return None
+        changes = (self._plan(pool, now_ms) for pool in self._pools)
+        return next((change for change in changes if change is not None), None)
+
+    def _items(self) -> list[tuple[str, _Known]]:
+        return list(self._pools.items())
+
+    def _find(self, pool: str) -> Rollout | None:
+        known = self._pools.get(pool)
+        return known.rollout if known else None
+
+    @property
+    def _allowance(self) -> float:
+        """Our part of the fixed number; none while we know of nobody."""
+        gateways = self.count_gateways()
+        return self.limits.allowance / gateways if gateways else 0
+
+    def _take_order(
+        self, known: _Known, order: Order, now_ms: int, allowance: float
+    ) -> None:
+        known.order = order
+        known.closing_ms = None
+        known.final_ms = None
+        exposure = Exposure(self.limits.share, allowance)
+        known.rollout = Rollout(order, exposure, now_ms)
+        _tell('roll-out ordered', known.rollout)
+        if self.is_read:
+            self._follow(known, now_ms)
+
+    def _follow(self, known: _Known, now_ms: int) -> None:
+        """Bring a roll-out in line with what the store says of it."""
+        rollout = known.rollout
+        if rollout is None:
+            return
+        status = _belonging(known.status, rollout.order)
+        step = known.step
+        if step is not None and step.order == rollout.order.version:
+            started_ms = self.local_ms(step.since_ms)
+            rollout.started_ms = min(rollout.started_ms, started_ms)
+            if step.is_closing and known.closing_ms is None:
+                known.closing_ms = now_ms
+            rollout.take_step(step)
+        if status is not None:
+            rollout.take_status(status)
+            if status.state.is_final:
+                known.final_ms = now_ms
+                known.rollout = None
+                _tell('end of a roll-out', rollout)
+
+    def _plan(self, pool: str, now_ms: int) -> Change | None:
+        """Give what the store should be told of one pool."""
+        known = self._pools[pool]
+        rollout = known.rollout
+        if rollout is None:
+            return None
+        order = rollout.order
+        step = known.step
+        if step is not None and step.order != order.version:
+            step = None
+        if rollout.is_condemned:
+            return self._change(known, rollout, State.rolled_back)
+        if step is None or _belonging(known.status, order) is None:
+            opened = Step(order.version, False, self.store_ms(now_ms), 0)
+            return self._change(known, rollout, State.running, opened)
+        reports = self._collect(pool, rollout)
+        if reports is None:
+            return None
+        if step.is_closing:
+            return self._plan_end(known, rollout, reports, now_ms)
+        closing = None
+        if all(report.stage in _MOVED for report in reports):
+            opened = Step(order.version, True, step.since_ms, 0)
+            closing = self._change(known, rollout, None, opened)
+        return closing
+
+    def _plan_end(
+        self,
+        known: _Known,
+        rollout: Rollout,
+        reports: Sequence[Report],
+        now_ms: int,
+    ) -> Change | None:
+        """Let the old servers stop, once nobody has anything open there."""
+        if known.closing_ms is None or now_ms < known.closing_ms + _LISTED_MS:
+            return None
+        if not all(map(_is_empty, reports)):
+            return None
+        return self._change(known, rollout, State.done)
+
+    def _collect(self, pool: str, rollout: Rollout) -> list[Report] | None:
+        """Give the word of each gateway that may serve, None if one lacks."""
+        others = self.list_reports()
+        if others is None:
+            return None
+        key = self.key_of(pool)
+        reports = [rollout.report(key, rollout.count(self.places_of(pool)))]
+        for told in others:
+            report = told.get(key)
+            if report is None or report.order != rollout.order.version:
+                return None
+            reports.append(report)
+        return reports
+
+    def _change(
+        self,
+        known: _Known,
+        rollout: Rollout,
+        state: State | None,
+        step: Step | None = None,
+    ) -> Change:
+        status, before = known.status, known.step
+        return Change(
+            rollout.order.pool,
+            rollout.order.target,
+            known.order.version if known.order else 0,
+            status.version if status else 0,
+            before.version if before else 0,
+            rollout.reason,
+            state,
+            step,
+        )
+
+
+def _is_empty(report: Report) -> bool:
+    return report.stage is Stage.closed and not report.open_old
+
+
+def _belonging(status: Status | None, order: Order) -> Status | None:
+    """Give a status if it was written for this order, not an earlier one."""
+    if status is None or status.version < order.version:
+        return None
+    return status if status.target == order.target else None
+
+
+def _tell(event: str, rollout: Rollout) -> None:
+    """Log one change of a roll-out, with what speaks for it."""
+    answers = rollout.evidence.new_answers
+    _logger.info(
+        event,
+        extra={
+            'pool': rollout.order.pool,
+            'target': rollout.order.target,
+            'order': rollout.order.version,
+            'stage': rollout.stage.name,
+            'reason': rollout.reason,
+            'answers': answers.answers,
+            'bad': answers.bad,
+        },
+    )
--- /dev/null
+++ b/seampond/rollouts/slowness.py
@@ -0,0 +1,80 @@
+"""When an answer is so slow that it counts as bad."""
+
+from collections import OrderedDict, deque
+from dataclasses import dataclass
+
+_SAMPLES = 64
+_FEW_SAMPLES = 12
+_ROUTES_MAX = 256
+# Servers of one version differ five times in speed, so that a version that is
+# several times slower is told by what nine in ten answers of the old one take.
+_USUAL_PART = 0.9
+_SLOW_FACTOR = 1.5
+# Once the old version gets no more requests nothing tells what a burst does to
+# any version; only what no burst does counts as slow then.
+_FRESH_MS = 2000
+_STALE_FACTOR = 4
+# What a gateway's own work adds to an answer: of 112 answers of 2 ms, 8 took
+# over 1.5 times as long as nine in ten (two gateways in one process).
+_LEAST_SLOWER_MS = 20
+
+
+@dataclass(frozen=True, slots=True)
+class Pace:
+    """What an answer's speed is told by, and in which unit.
+
+    Parameters
+    ----------
+    kind : str
+        Between two events, or from the send to the first byte.
+    took_ms : float
+        How long it took.
+
+    """
+
+    kind: str
+    took_ms: float
+
+
+class Slowness:
+    """The speed of the old version's last answers, by route.
+
+    Examples
+    --------
+    >>> slowness = Slowness()
+    >>> for took_ms in range(20, 40):
+    ...     slowness.note(1, Pace('gap', took_ms), now_ms=0)
+    >>> [slowness.is_slow(1, Pace('gap', took), 0) for took in (50, 90)]
+    [False, True]
+    >>> [slowness.is_slow(1, Pace('gap', took), 9000) for took in (90, 200)]
+    [False, True]
+
+    """
+
+    def __init__(self) -> None:
+        """Start knowing nothing."""
+        self._samples: OrderedDict[tuple[int, str], deque[float]] = (
+            OrderedDict()
+        )
+        self._noted_ms = 0
+
+    def note(self, route: int, pace: Pace, now_ms: int) -> None:
+        """Take the speed of one answer of the old version."""
+        self._noted_ms = now_ms
+        key = (route, pace.kind)
+        samples = self._samples.setdefault(key, deque(maxlen=_SAMPLES))
+        samples.append(pace.took_ms)
+        self._samples.move_to_end(key)
+        if len(self._samples) > _ROUTES_MAX:
+            self._samples.popitem(last=False)
+
+    def is_slow(self, route: int, pace: Pace, now_ms: int) -> bool:
+        """Tell whether an answer is slow against them; no if few are known."""
+        samples = self._samples.get((route, pace.kind), ())
+        if len(samples) < _FEW_SAMPLES:
+            return False
+        usual_ms = sorted(samples)[int(len(samples) * _USUAL_PART)]
+        is_fresh = now_ms < self._noted_ms + _FRESH_MS
+        factor = _SLOW_FACTOR if is_fresh else _STALE_FACTOR
+        slow_ms = max(factor * usual_ms, usual_ms + _LEAST_SLOWER_MS)
+        return pace.took_ms > slow_ms
--- /dev/null
+++ b/seampond/rollouts/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of roll-outs."""
--- a/seampond/settings/gateway.py
+++ b/seampond/settings/gateway.py
@@ -95,6 +95,9 @@
         some units more than the quota.
     quota_window_s : float
         The length of that window.
+    expose_share, expose_slack : float
+        All gateways together may send a share of a pool's requests and some
+        more to a version that is not proved.
 
     """
 
@@ -109,6 +112,8 @@
     quota_slack: Amount = 0
     quota_window_s: Seconds = 8
     stop_ms: Milliseconds = 8000
+    expose_share: Amount = 0.1
+    expose_slack: Amount = 0
 
     @property
     def proof_ms(self) -> int | None:
--- a/seampond/sharing/heartbeat.capnp
+++ b/seampond/sharing/heartbeat.capnp
@@ -24,6 +24,18 @@
   levelUnits @16 :List(Int64);
   isCut @17 :Bool;
   pages @18 :List(Page);
+  rollouts @19 :List(Rollout);
+}
+
+struct Rollout {
+  pool @0 :UInt64;
+  order @1 :UInt64;
+  stage @2 :UInt8;
+  openOld @3 :UInt32;
+  routes @4 :List(UInt64);
+  areNew @5 :List(Bool);
+  answers @6 :List(UInt32);
+  bad @7 :List(UInt32);
 }
 
 struct Page {
--- a/seampond/sharing/heartbeats.py
+++ b/seampond/sharing/heartbeats.py
@@ -10,10 +10,12 @@
 import capnp
 
 from seampond.errors import ForeignMessageError
+from seampond.rollouts.models import Report, Stage, Tally, TallyKey
 from seampond.watches import Proof, Row
 
 _MAX_UNREAD = 4_294_967_295
 _SCHEMA_FILE = 'heartbeat.capnp'
+_Key = TypeVar('_Key')
 _Told = TypeVar('_Told')
 _FAILURES = (capnp.KjException, ValueError, KeyError, AttributeError)
 
@@ -87,6 +89,8 @@
         Whether its calls to the store fail, so that it passes nothing on.
     pages : tuple[ToldPage, ...]
         What it has read of the store since its last heartbeat.
+    rollouts : tuple[Report, ...]
+        How far it has come with the roll-outs that are carried out.
 
     """
 
@@ -103,6 +107,7 @@
     levels: Mapping[int, int] = field(default_factory=dict)
     is_cut: bool = False
     pages: tuple[ToldPage, ...] = ()
+    rollouts: tuple[Report, ...] = ()
 
 
 @functools.cache
@@ -110,7 +115,7 @@
     return capnp.load(str(Path(__file__).with_name(_SCHEMA_FILE)))
 
 
-def _join(keys: Iterable[int], told: Iterable[_Told]) -> dict[int, _Told]:
+def _join(keys: Iterable[_Key], told: Iterable[_Told]) -> dict[_Key, _Told]:
     """Give the rows of a table that is told by its columns.
 
     Raises
@@ -152,6 +157,32 @@
     )
 
 
+def _describe_report(report: Report) -> dict[str, Any]:
+    """Give the fields of a report as the schema names them."""
+    tallies = report.tallies
+    return {
+        'pool': report.pool,
+        'order': report.order,
+        'stage': report.stage.value,
+        'openOld': report.open_old,
+        'routes': [key.route for key in tallies],
+        'areNew': [key.is_new for key in tallies],
+        'answers': [tally.answers for tally in tallies.values()],
+        'bad': [tally.bad for tally in tallies.values()],
+    }
+
+
+def _read_report(reader: Any) -> Report:
+    keys = map(TallyKey, reader.routes, reader.areNew)
+    return Report(
+        reader.pool,
+        reader.order,
+        Stage(reader.stage),
+        reader.openOld,
+        _join(keys, map(Tally, reader.answers, reader.bad)),
+    )
+
+
 def encode(heartbeat: Heartbeat) -> bytes:
     """Encode a heartbeat into one datagram.
 
@@ -184,6 +215,7 @@
         levelUnits=list(levels.values()),
         isCut=heartbeat.is_cut,
         pages=[_describe(page) for page in heartbeat.pages],
+        rollouts=[_describe_report(report) for report in heartbeat.rollouts],
     )
     packed: bytes = message.to_bytes_packed()
     return packed
@@ -220,6 +252,7 @@
             _join(reader.levelTenants, reader.levelUnits),
             reader.isCut,
             tuple(_read_page(page) for page in reader.pages),
+            tuple(_read_report(report) for report in reader.rollouts),
         )
     except _FAILURES as error:
         raise ForeignMessageError(
--- a/seampond/sharing/peers.py
+++ b/seampond/sharing/peers.py
@@ -172,6 +172,24 @@
         """Whether each that may be serving was heard of late."""
         return self.is_listed and self._census.heard == self._census.alive
 
+    def list_heartbeats(self) -> list[Heartbeat] | None:
+        """Give the newest word of each that may be serving.
+
+        Explanation
+        -----------
+        None while one of them was not heard of late, or the list is not known.
+        """
+        if not self.all_heard:
+            return None
+        oldest_ms = self._clock.now() - _FORGET_MS
+        return [
+            peer.heartbeat
+            for peer in self._peers.values()
+            if peer.heartbeat is not None
+            and peer.seen_ms >= oldest_ms
+            and not peer.is_gone
+        ]
+
     @property
     def heard_part(self) -> float:
         """The part of all gateways that is heard, this one among them.
--- a/seampond/testing/store.py
+++ b/seampond/testing/store.py
@@ -141,7 +141,8 @@
     def _transact(self, body: dict[str, list[dict[str, str]]]) -> bool:
         for expected in body.get(names.EXPECTED, []):
             known = self.rows.get((expected['table'], expected[names.KEY]), {})
-            if known.get('ver', 0) != expected['ver']:
+            version = 0 if known.get('gone') else known.get('ver', 0)
+            if version != expected['ver']:
                 return False
         for row in body.get(names.REMOVED, []):
             self.drop(row['table'], row[names.KEY])
--- a/seampond/watches/store_time.py
+++ b/seampond/watches/store_time.py
@@ -49,3 +49,16 @@
     def local_ms(self, store_ms: int) -> int:
         """Give a moment of our clock that is not after the store's."""
         return store_ms - round(self._most_ms)
+
+    def store_ms(self, local_ms: int) -> int:
+        """Give a moment of the store's clock that is not before ours.
+
+        Examples
+        --------
+        >>> time = StoreTime()
+        >>> time.take(Page((), 1, 5010, 10, 14, False))
+        >>> time.store_ms(20)
+        5020
+
+        """
+        return local_ms + round(self._most_ms)
