--- /dev/null
+++ b/seampond/gateway/bounds.py
@@ -0,0 +1,28 @@
+"""The bounds of the settings, as the parts of a gateway take them."""
+
+from seampond.clock import MS_PER_SECOND
+from seampond.rollouts.desk import Limits as ExposureLimits
+from seampond.settings.gateway import BoundSettings
+from seampond.sharing import Margin
+
+# Less than the bound: what is sent has to arrive inside it.
+_GRACE_PART = 0.7
+
+
+def give_grace_ms(bounds: BoundSettings) -> int:
+    """Give how long a server whose row has gone is a fallback."""
+    return round(bounds.drain_ms * _GRACE_PART)
+
+
+def make_margin(bounds: BoundSettings) -> Margin:
+    """Give what may be given beyond a quota."""
+    return Margin(
+        bounds.quota_overrun,
+        bounds.quota_slack,
+        round(bounds.quota_window_s * MS_PER_SECOND),
+    )
+
+
+def make_exposure_limits(bounds: BoundSettings) -> ExposureLimits:
+    """Give what may be sent to a version that is not proved."""
+    return ExposureLimits(bounds.expose_share, bounds.expose_slack)
--- a/seampond/gateway/daemon.py
+++ b/seampond/gateway/daemon.py
@@ -11,9 +11,10 @@
 from seampond.clock import Clock
 from seampond.forwarding.app import Stop
 from seampond.forwarding.web import CallerProtocol
-from seampond.gateway.parts import GatewayParts, make_gateway
+from seampond.gateway.parts import GatewayParts
 from seampond.gateway.rollouts import carry_out
 from seampond.gateway.status import show_status
+from seampond.gateway.wiring import make_gateway
 from seampond.pages import Pages, RenderedPage, render_page
 from seampond.platform import READY_PATH, open_table
 from seampond.platform.names import (
--- a/seampond/gateway/parts.py
+++ b/seampond/gateway/parts.py
@@ -1,53 +1,40 @@
-"""The state of one gateway, wired together."""
+"""The state of one gateway, and what it tells others."""
 
 import asyncio
-import functools
-import random
-import secrets
-import sys
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
 import msgspec
 
-from seampond.clock import MS_PER_SECOND, Clock
-from seampond.forwarding.admission import Admission, Belief
+from seampond.clock import Clock
+from seampond.forwarding.admission import Belief
 from seampond.forwarding.app import GatewayWeb
 from seampond.forwarding.backend import OthersLoad
 from seampond.forwarding.backends import Backends
-from seampond.forwarding.forwarder import Forwarder, ForwarderParts
 from seampond.forwarding.retries import RetryBudget
 from seampond.forwarding.scheduler import Scheduler
 from seampond.gateway.beliefs import ConfigurationFollower, ServerFollower
+from seampond.gateway.bounds import (
+    give_grace_ms,
+    make_exposure_limits,
+    make_margin,
+)
 from seampond.gateway.rollouts import RolloutFollower
-from seampond.gateway.versions import RolloutVersions
 from seampond.metrics.gateway import GatewayMetrics
-from seampond.platform import HEADERS
-from seampond.platform.names import (
-    CONFIGURATION_TABLE,
-    GATEWAYS_TABLE,
-    SERVERS_TABLE,
-    STATUS_TABLE,
-)
 from seampond.promises import Promises
-from seampond.rollouts import Report, Rollouts
-from seampond.rollouts.desk import Limits as ExposureLimits
-from seampond.settings.gateway import BoundSettings, GatewaySettings
+from seampond.settings.gateway import GatewaySettings
 from seampond.sharing import (
     Heartbeat,
     Load,
-    Margin,
     Peers,
     Quotas,
     ToldPage,
     key_of,
 )
-from seampond.watches import Currency, Page, Proof, StoreTime, Watch
+from seampond.watches import Currency, Page, Proof, Watch
 
-_INCARNATION_BITS = 48
 _PROOF_TOLD_MS = 1000
-_GRACE_PART = 0.7
 # With a heartbeat it has to fit into one datagram of 64 KB.
 _PAGE_MAX_BYTES = 8192
 _PAGES_MAX = 5
@@ -107,7 +94,7 @@
         self.budget.set_bounds(bounds.retry_ratio, bounds.retry_allowance)
         self.quotas.margin = make_margin(bounds)
         self.rollouts.rollouts.limits = make_exposure_limits(bounds)
-        self.backends.grace_ms = round(bounds.drain_ms * _GRACE_PART)
+        self.backends.grace_ms = give_grace_ms(bounds)
         return sorted(key for key in after if before.get(key) != after[key])
 
     def take_heartbeat(self, heartbeat: Heartbeat) -> None:
@@ -211,191 +198,3 @@
         else:
             flat[f'{start}{name}'] = part
     return flat
-
-
-def bound_connections(belief: Belief, peers: Peers, pool: str) -> int:
-    """Give how many connections one gateway may have to each server.
-
-    Explanation
-    -----------
-    A server resets what comes beyond the bound of its pool.  Each request
-    has a connection of its own and takes a rested one first, so a bound on
-    the requests there bounds the connections too.
-    """
-    configuration = belief.configuration
-    known = configuration.pools.get(pool) if configuration else None
-    if known is None or not known.connections_max:
-        return sys.maxsize
-    return max(1, known.connections_max // peers.count)
-
-
-def make_margin(bounds: BoundSettings) -> Margin:
-    """Give what may be given beyond a quota."""
-    return Margin(
-        bounds.quota_overrun,
-        bounds.quota_slack,
-        round(bounds.quota_window_s * MS_PER_SECOND),
-    )
-
-
-def make_exposure_limits(bounds: BoundSettings) -> ExposureLimits:
-    """Give what may be sent to a version that is not proved."""
-    return ExposureLimits(bounds.expose_share, bounds.expose_slack)
-
-
-def make_rollouts(
-    bounds: BoundSettings,
-    belief: Belief,
-    backends: Backends,
-    peers: Peers,
-    store_time: StoreTime,
-) -> Rollouts:
-    """Wire the roll-outs."""
-
-    def has_pool(pool: str) -> bool:
-        configuration = belief.configuration
-        return configuration is None or pool in configuration.pools
-
-    def list_reports() -> list[dict[int, Report]] | None:
-        heartbeats = peers.list_heartbeats()
-        if heartbeats is None:
-            return None
-        return [
-            {report.pool: report for report in heartbeat.rollouts}
-            for heartbeat in heartbeats
-        ]
-
-    return Rollouts(
-        make_exposure_limits(bounds),
-        lambda: peers.count if peers.is_listed else 0,
-        backends.all_of_pool,
-        has_pool,
-        list_reports,
-        key_of,
-        store_time.store_ms,
-        store_time.local_ms,
-    )
-
-
-def _show_ages(
-    metrics: GatewayMetrics,
-    belief: Belief,
-    currencies: Mapping[str, Currency],
-    clock: Clock,
-) -> None:
-    """Let the metrics tell how old and how complete beliefs are when asked."""
-    metrics.proof_age.set_function(
-        lambda: (belief.proof_age_ms(clock.now()) or 0) / MS_PER_SECOND
-    )
-    for table, currency in currencies.items():
-        metrics.missing.labels(table).set_function(
-            functools.partial(_missing_seconds, currency)
-        )
-
-
-def _missing_seconds(currency: Currency) -> float:
-    return currency.missing_ms / MS_PER_SECOND
-
-
-def make_gateway(settings: GatewaySettings, clock: Clock) -> GatewayParts:
-    """Wire the state of a gateway together."""
-    metrics = GatewayMetrics()
-    promises = Promises(lambda rule: metrics.violations.labels(rule).inc())
-    belief = Belief()
-    bounds = settings.bounds
-    peers = Peers(settings.name, clock)
-    is_urgent = asyncio.Event()
-    quotas = Quotas(
-        peers,
-        make_margin(bounds),
-        clock,
-        is_urgent.set,
-        random.Random(),
-    )
-    # Less than the bound: what is sent has to arrive inside it.
-    grace_ms = round(bounds.drain_ms * _GRACE_PART)
-    backends = Backends(
-        clock,
-        HEADERS.request_id,
-        grace_ms,
-        lambda pool: bound_connections(belief, peers, pool),
-        key_of,
-    )
-    store_time = StoreTime()
-    rollouts = make_rollouts(bounds, belief, backends, peers, store_time)
-    versions = RolloutVersions(rollouts, clock)
-    scheduler = Scheduler(
-        backends,
-        settings.zone,
-        clock,
-        lambda: peers.count,
-        promises,
-        versions,
-    )
-    budget = RetryBudget(
-        bounds.retry_ratio,
-        bounds.retry_allowance,
-        round(bounds.retry_window_s * MS_PER_SECOND),
-        lambda: peers.count,
-        clock,
-    )
-    configuration = ConfigurationFollower(belief, promises, metrics, clock)
-    currencies = {
-        CONFIGURATION_TABLE: Currency(
-            clock, store_time, configuration.note_proof
-        ),
-        SERVERS_TABLE: Currency(clock, store_time, lambda proved_ms: None),
-        GATEWAYS_TABLE: Currency(clock, store_time, lambda proved_ms: None),
-        STATUS_TABLE: Currency(clock, store_time, lambda proved_ms: None),
-    }
-    _show_ages(metrics, belief, currencies, clock)
-    belief.is_behind = lambda: currencies[CONFIGURATION_TABLE].is_missing
-    admission = Admission(
-        belief,
-        HEADERS,
-        clock,
-        bounds.proof_ms,
-        quotas.charge,
-        quotas.refund,
-        scheduler.has_room,
-    )
-    forwarder = Forwarder(
-        ForwarderParts(
-            backends,
-            scheduler,
-            budget,
-            HEADERS,
-            metrics,
-            clock,
-            admission.check_proof,
-            promises,
-            versions,
-        )
-    )
-    web = GatewayWeb(
-        admission,
-        forwarder,
-        metrics,
-        clock,
-        promises,
-        lambda: peers.has_ready,
-    )
-    return GatewayParts(
-        settings=settings,
-        clock=clock,
-        metrics=metrics,
-        promises=promises,
-        belief=belief,
-        backends=backends,
-        scheduler=scheduler,
-        web=web,
-        configuration=configuration,
-        currencies=currencies,
-        peers=peers,
-        quotas=quotas,
-        budget=budget,
-        is_urgent=is_urgent,
-        incarnation=secrets.randbits(_INCARNATION_BITS),
-        servers=ServerFollower(backends, scheduler),
-        rollouts=RolloutFollower(rollouts, clock),
-    )
--- /dev/null
+++ b/seampond/gateway/wiring.py
@@ -0,0 +1,212 @@
+"""The parts of a gateway, wired together."""
+
+import asyncio
+import functools
+import random
+import secrets
+import sys
+from collections.abc import Mapping
+
+from seampond.clock import MS_PER_SECOND, Clock
+from seampond.forwarding.admission import Admission, Belief
+from seampond.forwarding.app import GatewayWeb
+from seampond.forwarding.backends import Backends
+from seampond.forwarding.forwarder import Forwarder, ForwarderParts
+from seampond.forwarding.retries import RetryBudget
+from seampond.forwarding.scheduler import Scheduler
+from seampond.gateway.beliefs import ConfigurationFollower, ServerFollower
+from seampond.gateway.bounds import (
+    give_grace_ms,
+    make_exposure_limits,
+    make_margin,
+)
+from seampond.gateway.parts import GatewayParts
+from seampond.gateway.rollouts import RolloutFollower
+from seampond.gateway.versions import RolloutVersions
+from seampond.metrics.gateway import GatewayMetrics
+from seampond.platform import HEADERS
+from seampond.platform.names import (
+    CONFIGURATION_TABLE,
+    GATEWAYS_TABLE,
+    SERVERS_TABLE,
+    STATUS_TABLE,
+)
+from seampond.promises import Promises
+from seampond.rollouts import Report, Rollouts
+from seampond.settings.gateway import BoundSettings, GatewaySettings
+from seampond.sharing import Peers, Quotas, key_of
+from seampond.watches import Currency, StoreTime
+
+_INCARNATION_BITS = 48
+
+
+def bound_connections(belief: Belief, peers: Peers, pool: str) -> int:
+    """Give how many connections one gateway may have to each server.
+
+    Explanation
+    -----------
+    A server resets what comes beyond the bound of its pool.  Each request
+    has a connection of its own and takes a rested one first, so a bound on
+    the requests there bounds the connections too.
+    """
+    configuration = belief.configuration
+    known = configuration.pools.get(pool) if configuration else None
+    if known is None or not known.connections_max:
+        return sys.maxsize
+    return max(1, known.connections_max // peers.count)
+
+
+def make_rollouts(
+    bounds: BoundSettings,
+    belief: Belief,
+    backends: Backends,
+    peers: Peers,
+    store_time: StoreTime,
+) -> Rollouts:
+    """Wire the roll-outs."""
+
+    def has_pool(pool: str) -> bool:
+        configuration = belief.configuration
+        return configuration is None or pool in configuration.pools
+
+    def list_reports() -> list[dict[int, Report]] | None:
+        heartbeats = peers.list_heartbeats()
+        if heartbeats is None:
+            return None
+        return [
+            {report.pool: report for report in heartbeat.rollouts}
+            for heartbeat in heartbeats
+        ]
+
+    return Rollouts(
+        make_exposure_limits(bounds),
+        lambda: peers.count if peers.is_listed else 0,
+        backends.all_of_pool,
+        has_pool,
+        list_reports,
+        key_of,
+        store_time.store_ms,
+        store_time.local_ms,
+    )
+
+
+def _show_ages(
+    metrics: GatewayMetrics,
+    belief: Belief,
+    currencies: Mapping[str, Currency],
+    clock: Clock,
+) -> None:
+    """Let the metrics tell how old and how complete beliefs are when asked."""
+    metrics.proof_age.set_function(
+        lambda: (belief.proof_age_ms(clock.now()) or 0) / MS_PER_SECOND
+    )
+    for table, currency in currencies.items():
+        metrics.missing.labels(table).set_function(
+            functools.partial(_missing_seconds, currency)
+        )
+
+
+def _missing_seconds(currency: Currency) -> float:
+    return currency.missing_ms / MS_PER_SECOND
+
+
+def make_gateway(settings: GatewaySettings, clock: Clock) -> GatewayParts:
+    """Wire the state of a gateway together."""
+    metrics = GatewayMetrics()
+    promises = Promises(lambda rule: metrics.violations.labels(rule).inc())
+    belief = Belief()
+    bounds = settings.bounds
+    peers = Peers(settings.name, clock)
+    is_urgent = asyncio.Event()
+    quotas = Quotas(
+        peers,
+        make_margin(bounds),
+        clock,
+        is_urgent.set,
+        random.Random(),
+    )
+    backends = Backends(
+        clock,
+        HEADERS.request_id,
+        give_grace_ms(bounds),
+        lambda pool: bound_connections(belief, peers, pool),
+        key_of,
+    )
+    store_time = StoreTime()
+    rollouts = make_rollouts(bounds, belief, backends, peers, store_time)
+    versions = RolloutVersions(rollouts, clock)
+    scheduler = Scheduler(
+        backends,
+        settings.zone,
+        clock,
+        lambda: peers.count,
+        promises,
+        versions,
+    )
+    budget = RetryBudget(
+        bounds.retry_ratio,
+        bounds.retry_allowance,
+        round(bounds.retry_window_s * MS_PER_SECOND),
+        lambda: peers.count,
+        clock,
+    )
+    configuration = ConfigurationFollower(belief, promises, metrics, clock)
+    currencies = {
+        CONFIGURATION_TABLE: Currency(
+            clock, store_time, configuration.note_proof
+        ),
+        SERVERS_TABLE: Currency(clock, store_time, lambda proved_ms: None),
+        GATEWAYS_TABLE: Currency(clock, store_time, lambda proved_ms: None),
+        STATUS_TABLE: Currency(clock, store_time, lambda proved_ms: None),
+    }
+    _show_ages(metrics, belief, currencies, clock)
+    belief.is_behind = lambda: currencies[CONFIGURATION_TABLE].is_missing
+    admission = Admission(
+        belief,
+        HEADERS,
+        clock,
+        bounds.proof_ms,
+        quotas.charge,
+        quotas.refund,
+        scheduler.has_room,
+    )
+    forwarder = Forwarder(
+        ForwarderParts(
+            backends,
+            scheduler,
+            budget,
+            HEADERS,
+            metrics,
+            clock,
+            admission.check_proof,
+            promises,
+            versions,
+        )
+    )
+    web = GatewayWeb(
+        admission,
+        forwarder,
+        metrics,
+        clock,
+        promises,
+        lambda: peers.has_ready,
+    )
+    return GatewayParts(
+        settings=settings,
+        clock=clock,
+        metrics=metrics,
+        promises=promises,
+        belief=belief,
+        backends=backends,
+        scheduler=scheduler,
+        web=web,
+        configuration=configuration,
+        currencies=currencies,
+        peers=peers,
+        quotas=quotas,
+        budget=budget,
+        is_urgent=is_urgent,
+        incarnation=secrets.randbits(_INCARNATION_BITS),
+        servers=ServerFollower(backends, scheduler),
+        rollouts=RolloutFollower(rollouts, clock),
+    )
