Roll-outs: an order turns no gateway unready; removed rows, idle pools, many routes

Cause, found by reading: a gateway that runs when the first order comes was not ready until the states were read, all of them at once, and for as long as the store did not answer; a state whose row was removed was never written again; one pool whose change cannot be made held up all others; a pool without requests never moved; counts of thousands of routes would not fit into a datagram. Change: only who starts while an order runs waits for its state; rows that are not there count as none; a change for each pool; an idle pool moves after half of the time; 512 counts at the most.

--- a/seampond/gateway/rollouts.py
+++ b/seampond/gateway/rollouts.py
@@ -19,7 +19,7 @@
 )
 from seampond.platform.store import RowChange
 from seampond.promises import Promises, Rule
-from seampond.rollouts import Change, Rollouts, State
+from seampond.rollouts import Change, Rollouts, Stage, State
 from seampond.watches import Page, Row
 
 _LOOK_MS = 100
@@ -74,12 +74,18 @@
 
     def take_states(self, page: Page) -> None:
         """Take an answer about the table of states."""
-        latest = {row.key: row for row in page.rows if not row.is_gone}
+        latest = {row.key: row for row in page.rows}
         statuses = [row for row in latest.values() if is_status(row)]
         steps = [row for row in latest.values() if is_step(row)]
+        # A row that is not there any more is one that nothing rests on.
+        lacking = self.rollouts.told if page.is_whole else ()
         self.rollouts.take_states(
-            dict(_read_named(statuses, read_status)),
-            dict(_read_named(steps, read_step)),
+            dict.fromkeys(lacking)
+            | {name_pool(row): None for row in statuses}
+            | dict(_read_named(statuses, read_status)),
+            dict.fromkeys(lacking)
+            | {name_pool(row): None for row in steps}
+            | dict(_read_named(steps, read_step)),
             self._clock.now(),
         )
         self._note_wanted()
@@ -133,26 +139,28 @@
 
     """
     rollouts = follower.rollouts
-    decided: Change | None = None
-    decided_ms = 0
+    since_ms: dict[Change, int] = {}
     while True:
         await follower.is_wanted.wait()
-        before = [(one.stage, one.is_condemned) for one in rollouts.running]
+        before = _list_stages(rollouts)
         rollouts.judge(clock.now())
-        if before != [
-            (one.stage, one.is_condemned) for one in rollouts.running
-        ]:
+        if before != _list_stages(rollouts):
             tell_all()
-        change = rollouts.next_change(clock.now())
-        if change != decided:
-            decided, decided_ms = change, clock.now()
-        ranks = min(_MOST_RANKS, rank())
-        if change is None or clock.now() < decided_ms + ranks * _RANK_MS:
-            await clock.sleep(_LOOK_MS)
-            continue
-        _check(rollouts, change, promises)
-        await _write(writer, change)
-        await clock.sleep(_AGAIN_MS)
+        now_ms = clock.now()
+        changes = rollouts.list_changes(now_ms)
+        since_ms = {change: since_ms.get(change, now_ms) for change in changes}
+        wait_ms = min(_MOST_RANKS, rank()) * _RANK_MS
+        due = [
+            change for change in changes if now_ms >= since_ms[change] + wait_ms
+        ]
+        for change in due:
+            _check(rollouts, change, promises)
+            await _write(writer, change)
+        await clock.sleep(_AGAIN_MS if due else _LOOK_MS)
+
+
+def _list_stages(rollouts: Rollouts) -> list[tuple[Stage, bool]]:
+    return [(one.stage, one.is_condemned) for one in rollouts.running]
 
 
 def _check(rollouts: Rollouts, change: Change, promises: Promises) -> None:
--- /dev/null
+++ b/seampond/gateway/tests/test_callers.py
@@ -0,0 +1,83 @@
+"""Callers that leave unserved, and callers that find a crowd before them."""
+
+import asyncio
+import contextlib
+
+from seampond.gateway.tests.test_gateway import GatewayCase
+from seampond.platform.tests.rows import HOST, ID_HEADER, KEY
+from seampond.testing.gateways import until_true
+from seampond.testing.scripted import Received
+
+_RESTING = 300
+_LEAVE_S = 0.05
+
+
+class CallersTest(GatewayCase):
+    """One gateway, one server."""
+
+    async def test_who_leaves_while_waiting_reaches_no_server(self) -> None:
+        """Not even when a place comes free right afterwards."""
+        is_free = asyncio.Event()
+        serve = self.serve
+
+        async def hold(request: Received, writer: asyncio.StreamWriter) -> None:
+            await is_free.wait()
+            await serve(request, writer)
+
+        self.serve = hold  # type: ignore[method-assign]
+        gateway = await self.start_ready()
+        self.list_server(slots=1)
+        scheduler = gateway.parts.scheduler
+        backends = gateway.parts.backends
+        await until_true(
+            lambda: all(known.server.slots == 1 for known in backends)
+        )
+        first = asyncio.create_task(self.ask(gateway))
+        await until_true(lambda: len(self.server.received) == 1)
+        second = await self._open(gateway.parts.settings.listen, 'r2')
+        await until_true(lambda: scheduler.waiting == 1)
+        second.transport.abort()
+        await until_true(lambda: scheduler.waiting == 0)
+        is_free.set()
+        response = await first
+        self.assertEqual(response.status_code, 200)
+        await asyncio.sleep(_LEAVE_S)
+        self.assertEqual(len(self.server.received), 1)
+
+    async def test_ready_gateway_takes_callers_beside_a_crowd(self) -> None:
+        """Connections that rest, and heads that never end, hold nobody up."""
+        gateway = await self.start_ready()
+        address = gateway.parts.settings.listen
+        for number in range(_RESTING):
+            writer = await self._connect(address)
+            if number % 2:
+                writer.write(b'POST /x/y HTTP/1.1\r\nHost: ')
+        async with asyncio.timeout(5):
+            response = await self.ask(gateway)
+        self.assertEqual(response.status_code, 200)
+
+    async def _connect(self, address: str) -> asyncio.StreamWriter:
+        host, _, port = address.rpartition(':')
+        _, writer = await asyncio.open_connection(host, int(port))
+        self.addAsyncCleanup(_end, writer)
+        return writer
+
+    async def _open(self, address: str, name: str) -> asyncio.StreamWriter:
+        """Send a request whose answer nobody waits for."""
+        writer = await self._connect(address)
+        lines = (
+            'POST /x/y HTTP/1.1',
+            f'Host: {HOST}',
+            f'{ID_HEADER}: {name}',
+            f'Authorization: Token {KEY}',
+            'Content-Length: 3',
+        )
+        head = '\r\n'.join(lines)
+        writer.write(f'{head}\r\n\r\nask'.encode())
+        return writer
+
+
+async def _end(writer: asyncio.StreamWriter) -> None:
+    writer.close()
+    with contextlib.suppress(ConnectionError):
+        await writer.wait_closed()
--- a/seampond/rollouts/desk.py
+++ b/seampond/rollouts/desk.py
@@ -92,12 +92,19 @@
     local_ms: Callable[[int], int] = int
     slowness: Slowness = field(default_factory=Slowness)
     is_read: bool = False
+    _is_started_unread: bool = False
     _pools: dict[str, _Known] = field(default_factory=dict)
 
     @property
     def is_known(self) -> bool:
-        """Whether requests can be placed: no order, or its state is known."""
-        return self.is_read or not self.is_wanted
+        """Whether requests can be placed.
+
+        Explanation
+        -----------
+        Who starts while an order runs may not send to the old version if the
+        store says so; who runs when an order comes begins with its trial.
+        """
+        return not self._is_started_unread
 
     @property
     def is_wanted(self) -> bool:
@@ -130,7 +137,9 @@
             of ours may have spent our part of the allowance.
 
         """
-        for order in orders:
+        listed = list(orders)
+        self._is_started_unread |= is_start and bool(listed)
+        for order in listed:
             known = self._pools.setdefault(order.pool, _Known())
             if known.order is None or order.version > known.order.version:
                 allowance = 0 if is_start else self._allowance
@@ -142,6 +151,15 @@
                 known.rollout.condemn('order taken back')
                 _tell('order of a roll-out taken back', known.rollout)
 
+    @property
+    def told(self) -> frozenset[str]:
+        """The pools of which the store says anything."""
+        return frozenset(
+            pool
+            for pool, known in self._pools.items()
+            if known.status is not None or known.step is not None
+        )
+
     @property
     def ordered(self) -> list[str]:
         """The pools that have an order."""
@@ -153,12 +171,13 @@
 
     def take_states(
         self,
-        statuses: Mapping[str, Status],
-        steps: Mapping[str, Step],
+        statuses: Mapping[str, Status | None],
+        steps: Mapping[str, Step | None],
         now_ms: int,
     ) -> None:
-        """Take what the store says of orders, by pool."""
+        """Take what the store says of orders, by pool; None: no row."""
         self.is_read = True
+        self._is_started_unread = False
         for pool in statuses.keys() | steps.keys():
             known = self._pools.setdefault(pool, _Known())
             known.status = statuses.get(pool, known.status)
@@ -282,12 +301,12 @@
             if before != (rollout.stage, rollout.is_condemned):
                 _tell('stage of a roll-out', rollout)
 
-    def next_change(self, now_ms: int) -> Change | None:
-        """Give what should be written next, None for nothing."""
+    def list_changes(self, now_ms: int) -> list[Change]:
+        """Give what should be written next, one for each pool at the most."""
         if not self.is_read:
-            return None
-        changes = (self._plan(pool, now_ms) for pool in self._pools)
-        return next((change for change in changes if change is not None), None)
+            return []
+        changes = [self._plan(pool, now_ms) for pool in self._pools]
+        return [change for change in changes if change is not None]
 
     def _items(self) -> list[tuple[str, _Known]]:
         return list(self._pools.items())
--- a/seampond/rollouts/evidence.py
+++ b/seampond/rollouts/evidence.py
@@ -26,6 +26,10 @@
 _LEAST_ROUTE_PART = 0.05
 # All routes together, beside the keys of the routes.
 _ALL = -1
+# Beyond so many routes the rest is counted together: a heartbeat tells 17 bytes
+# for each count, and has to fit into one datagram of 64 KB.
+_COUNTS_MAX = 512
+_OTHERS = 0
 
 
 @enum.unique
@@ -129,6 +133,8 @@
     def note(self, route: int, *, is_new: bool, is_bad: bool) -> None:
         """Count one answer of ours."""
         key = TallyKey(route, is_new)
+        if key not in self.own and len(self.own) >= _COUNTS_MAX:
+            key = TallyKey(_OTHERS, is_new)
         fresh = Tally(1, int(is_bad))
         self.own.setdefault(key, Tally()).add(fresh)
         self._add(key, fresh)
--- a/seampond/rollouts/rollout.py
+++ b/seampond/rollouts/rollout.py
@@ -215,7 +215,10 @@
             return True
         is_late = age_ms >= duration_ms * _LATEST_TRIAL_PART
         has_answered = bool(self.evidence.new_answers.answers)
-        return is_late and has_answered and not self.evidence.is_suspect
+        # Where nobody asks for anything nobody can be harmed.
+        is_idle = not self.evidence.totals
+        is_untouched = has_answered or is_idle
+        return is_late and is_untouched and not self.evidence.is_suspect
 
     def _has_room(self, counted: Counted) -> bool:
         return counted.new_slots >= _LEAST_ROOM_PART * counted.old_slots
@@ -230,7 +233,8 @@
         """Give the few new servers that every gateway tries first."""
         part = max(_TRIAL_SERVERS_PART, self.part(now_ms))
         count = max(1, round(part * len(new)))
-        return sorted(new, key=_by_id)[:count]
+        serving = [place for place in new if place.takes_work]
+        return sorted(serving, key=_by_id)[:count]
 
 
 def _by_id(place: Placed) -> str:
--- a/seampond/rollouts/tests/test_evidence.py
+++ b/seampond/rollouts/tests/test_evidence.py
@@ -93,3 +93,11 @@
         second = Answers(Tally(1, 0), Tally(2, 0))
         evidence.take_told('a', 2, second.tell())
         self.assertEqual(evidence.new_answers, Tally(6, 1))
+
+    def test_counts_of_many_routes_fit_into_a_heartbeat(self) -> None:
+        """A configuration may have thousands of routes."""
+        evidence = Evidence()
+        for route in range(1, 3000):
+            evidence.note(route, is_new=True, is_bad=False)
+        self.assertLess(len(evidence.own), 520)
+        self.assertEqual(evidence.new_answers.answers, 2999)
--- a/seampond/rollouts/tests/test_model.py
+++ b/seampond/rollouts/tests/test_model.py
@@ -263,13 +263,11 @@
         node.desk.take_reports(str(other.number), 1, reports)
 
     def _write(self, node: Node) -> None:
-        change = node.desk.next_change(self.now_ms)
-        if change is not None:
+        for change in node.desk.list_changes(self.now_ms):
             self.apply(change)
 
     def _write_late(self, node: Node) -> None:
-        change = node.desk.next_change(self.now_ms)
-        if change is not None:
+        for change in node.desk.list_changes(self.now_ms):
             self.lates -= 1
             self.late.append(change)
 
--- a/seampond/rollouts/tests/test_rollout.py
+++ b/seampond/rollouts/tests/test_rollout.py
@@ -149,11 +149,17 @@
         self.desk.take_orders([build_order(**changes)], [], 0)
         return self.desk.running[0]
 
+    def plan(self, now_ms: int) -> Change | None:
+        """Give what would be written now, None for nothing."""
+        changes = self.desk.list_changes(now_ms)
+        return changes[0] if changes else None
+
     def write(self, version: int, now_ms: int = 0) -> Change:
         """Let the next change be done in the store."""
-        change = self.desk.next_change(now_ms)
+        change = self.plan(now_ms)
         assert change is not None
-        statuses, steps = {}, {}
+        statuses: dict[str, Status | None] = {}
+        steps: dict[str, Step | None] = {}
         if change.state is not None:
             statuses[POOL] = Status(change.state, change.target, version)
         if change.step is not None:
@@ -170,7 +176,7 @@
         change = self.write(11)
         self.assertIs(change.state, State.running)
         self.assertEqual((change.order_version, change.status_version), (10, 0))
-        self.assertIsNone(self.desk.next_change(0))
+        self.assertIsNone(self.plan(0))
 
     def test_all_have_to_move_before_it_closes_and_empty_before_done(
         self,
@@ -190,7 +196,7 @@
         for others in waits:
             self.others = others
             with self.subTest(others=others):
-                self.assertIsNone(self.desk.next_change(0))
+                self.assertIsNone(self.plan(0))
         self.others = [{key: Report(key, 10, Stage.moved)}]
         closing = self.write(12, 5000)
         assert closing.step is not None
@@ -200,12 +206,12 @@
             Report(key, 10, Stage.closed, open_old=1),
         ):
             self.others = [{key: told}]
-            self.assertIsNone(self.desk.next_change(9000))
+            self.assertIsNone(self.plan(9000))
         self.others = [{key: Report(key, 10, Stage.closed)}]
         # One that has just started may not be on the list yet.
-        self.assertIsNone(self.desk.next_change(5500))
+        self.assertIsNone(self.plan(5500))
         self.places[0].in_flight = 1
-        self.assertIsNone(self.desk.next_change(9000))
+        self.assertIsNone(self.plan(9000))
         self.places[0].in_flight = 0
         done = self.write(13, 9000)
         self.assertIs(done.state, State.done)
@@ -227,7 +233,7 @@
         """The same version may be ordered again."""
         self.desk.take_states({POOL: Status(State.rolled_back, NEW, 4)}, {}, 0)
         self.order()
-        change = self.desk.next_change(0)
+        change = self.plan(0)
         assert change is not None
         self.assertIs(change.state, State.running)
         self.assertEqual(change.status_version, 4)
@@ -237,7 +243,7 @@
         self.order()
         self.write(11)
         self.desk.take_orders([], [POOL], 100)
-        change = self.desk.next_change(100)
+        change = self.plan(100)
         assert change is not None
         self.assertIs(change.state, State.rolled_back)
         self.assertEqual(change.order_version, 0)
@@ -245,7 +251,7 @@
         self.pools.clear()
         self.order()
         self.desk.judge(100)
-        change = self.desk.next_change(100)
+        change = self.plan(100)
         assert change is not None
         self.assertEqual(change.reason, 'no such pool')
 
@@ -257,7 +263,7 @@
         rollout = self.desk.running[0]
         self.assertEqual(rollout.order.target, 'v3')
         self.assertIs(rollout.stage, Stage.trial)
-        change = self.desk.next_change(100)
+        change = self.plan(100)
         assert change is not None
         self.assertEqual(change.target, 'v3')
 
@@ -267,7 +273,7 @@
         key = len(POOL)
         self.desk.take_reports('b', 1, [Report(key, 10, Stage.refused)])
         self.assertIs(rollout.stage, Stage.refused)
-        change = self.desk.next_change(0)
+        change = self.plan(0)
         assert change is not None
         self.assertIs(change.state, State.rolled_back)
 
@@ -304,5 +310,43 @@
         """They may say that the order has ended."""
         self.desk.is_read = False
         self.order()
-        self.assertIsNone(self.desk.next_change(0))
+        self.assertIsNone(self.plan(0))
+
+    def test_order_that_comes_turns_no_gateway_unready(self) -> None:
+        """All would be at once, for as long as the store does not answer.
+
+        One that starts while an order runs has to read its state first.
+        """
+        self.desk.is_read = False
+        self.order()
+        self.assertTrue(self.desk.is_known)
+        self.setUp()
+        self.desk.take_orders([build_order()], [], 0, is_start=True)
         self.assertFalse(self.desk.is_known)
+        self.desk.take_states({}, {}, 0)
+        self.assertTrue(self.desk.is_known)
+
+    def test_state_that_was_removed_is_written_anew(self) -> None:
+        """A change that rests on a row that is gone would never be made."""
+        self.order()
+        self.write(11)
+        self.assertEqual(self.desk.told, {POOL})
+        self.desk.take_states({POOL: None}, {POOL: None}, 0)
+        change = self.plan(0)
+        assert change is not None
+        self.assertEqual((change.status_version, change.step_version), (0, 0))
+
+    def test_stuck_order_holds_up_no_other(self) -> None:
+        """Each pool has a change of its own."""
+        self.order()
+        self.order(pool='api', version=12)
+        pools = [change.pool for change in self.desk.list_changes(0)]
+        self.assertEqual(pools, [POOL, 'api'])
+
+    def test_pool_that_nobody_asks_moves_late(self) -> None:
+        """Nothing can be proved there, and nobody harmed."""
+        rollout = self.order()
+        self.desk.judge(5900)
+        self.assertIsNone(rollout.proved_ms)
+        self.desk.judge(6000)
+        self.assertEqual(rollout.proved_ms, 6000)
