Heartbeats: reports of roll-outs there and back, and the most counts

A stage that is not known is a foreign message; 520 counts beside 60 servers and 300 workspaces fit into one datagram. Both pass on the code as it is; they hold it to that.

--- a/seampond/sharing/tests/test_heartbeats.py
+++ b/seampond/sharing/tests/test_heartbeats.py
@@ -4,11 +4,14 @@
 from dataclasses import replace
 
 from seampond.errors import ForeignMessageError
+from seampond.rollouts import Report, Stage
+from seampond.rollouts.models import Tally, TallyKey
 from seampond.sharing import Heartbeat, Load, ToldPage, key_of
 from seampond.sharing.heartbeats import _schema, decode, encode
 from seampond.watches import Proof, Row
 
 _BYTES_MAX = 450
+_DATAGRAM_BYTES = 65_000
 
 
 def build_heartbeat(servers: int, tenants: int) -> Heartbeat:
@@ -48,6 +51,27 @@
         heartbeat = Heartbeat('g', 1, 1, is_cut=True, pages=(page,))
         self.assertEqual(decode(encode(heartbeat)), heartbeat)
 
+    def test_reports_of_roll_outs(self) -> None:
+        """Stage, open work and counts; a stage of a later program is none."""
+        tallies = {TallyKey(7, is_new=True): Tally(40, 3)}
+        report = Report(key_of('llm'), 12, Stage.closed, 2, tallies)
+        heartbeat = Heartbeat('g', 1, 1, rollouts=(report,))
+        self.assertEqual(decode(encode(heartbeat)), heartbeat)
+        message = _schema().Heartbeat.new_message(name='g')
+        message.init('rollouts', 1)[0].stage = 9
+        with self.assertRaises(ForeignMessageError):
+            decode(message.to_bytes_packed())
+
+    def test_most_counts_fit_into_a_datagram(self) -> None:
+        """As many routes as are told apart, beside all loads."""
+        tallies = {
+            TallyKey(key_of(f'r{number}'), is_new=bool(number % 2)): Tally(9, 1)
+            for number in range(520)
+        }
+        report = Report(key_of('llm'), 12, Stage.trial, 0, tallies)
+        heartbeat = replace(build_heartbeat(60, 300), rollouts=(report,))
+        self.assertLess(len(encode(heartbeat)), _DATAGRAM_BYTES)
+
     def test_parts_of_units_are_told_as_whole(self) -> None:
         """Too much, never too little; a refund beyond all is nothing."""
         heartbeat = Heartbeat('g', 1, 1, spent={1: 2.5, 2: -1.0})
