--- a/seampond/watches/currency.py
+++ b/seampond/watches/currency.py
@@ -10,8 +10,8 @@
 from seampond.watches.rows import Page
 from seampond.watches.store_time import StoreTime
 
-# Four gateways follow the store and tell a proof with each heartbeat, 13 a second
-# at their usual pace: these are of the last two seconds.
+# Four gateways follow the store and tell a proof with each heartbeat, 13 a
+# second at their usual pace: these are of the last two seconds.
 _HELD_PROOFS = 32
 
 
