Log and count the words of servers on themselves

Cause looked for: requests reach servers that have said in an answer that they leave or want rest. The logs could not tell whether the words came and were lost, or were never read. Ruled out: nothing yet. Change: each such word is a log line and a count; no decision reads it. Measured: test_forwarder, doctests of the new module; no figures.

--- a/seampond/forwarding/attempt.py
+++ b/seampond/forwarding/attempt.py
@@ -18,6 +18,7 @@
     expect_first_ms,
     note_kept,
 )
+from seampond.forwarding.words import read_words
 from seampond.promises import Promises, Rule
 from seampond.quarantine import show
 from seampond.quarantine.quarantine import Quarantine
@@ -154,6 +155,7 @@
         job.maybe_run = True
         head = await connection.read_head()
         self._note_load(head)
+        self.backends.note_words(self.backend, read_words(head, self.names))
         if self._is_rejection(head):
             job.maybe_run = had_run
             await connection.read_whole(_WHOLE_MAX_BYTES)
--- a/seampond/forwarding/backends.py
+++ b/seampond/forwarding/backends.py
@@ -9,6 +9,7 @@
 from seampond.forwarding.backend import Backend, OthersLoad, Server
 from seampond.forwarding.exchange import Connection, open_connection
 from seampond.forwarding.speeds import PoolSpeed
+from seampond.forwarding.words import Words
 
 _CONNECT_MS = 300
 _logger = logging.getLogger(__name__)
@@ -19,6 +20,10 @@
     return sys.maxsize
 
 
+def _count_nothing(word: str) -> None:
+    """Count no words."""
+
+
 class Backends:
     """All servers that a gateway knows, by their id.
 
@@ -32,6 +37,8 @@
         Gives how many connections we may have to each server of a pool.
     key_of : Callable[[str], int]
         Gives the key by which other gateways tell of a server's life.
+    count_word : Callable[[str], None]
+        Counts an answer with a word of its server on itself.
 
     """
 
@@ -42,6 +49,7 @@
         grace_ms: int = 0,
         bound_connections: Callable[[str], int] = _no_bound,
         key_of: Callable[[str], int] = hash,
+        count_word: Callable[[str], None] = _count_nothing,
     ) -> None:
         """Start with none."""
         self.bound_connections = bound_connections
@@ -49,6 +57,7 @@
         self._clock = clock
         self._id_header = id_header
         self._key_of = key_of
+        self._count_word = count_word
         self._by_id: dict[str, Backend] = {}
         self._by_key: dict[int, Backend] = {}
         # What the others have, where they have anything.
@@ -148,6 +157,17 @@
         names = {server.id for server in listed}.union(unreadable)
         self.take(listed, [name for name in self._by_id if name not in names])
 
+    def note_words(self, backend: Backend, words: Words) -> None:
+        """Note what a server says of itself in an answer."""
+        if words.leaves:
+            self._count_word('leaves')
+            self._tell('server says that it leaves', backend.server)
+        if words.rest_ms:
+            self._count_word('rest')
+            self._tell(
+                'server wants rest', backend.server, rest_ms=words.rest_ms
+            )
+
     async def connect(self, backend: Backend) -> Connection:
         """Give a connection to a server, a rested one if there is any.
 
@@ -245,7 +265,7 @@
                 by_pool.setdefault(backend.server.pool, []).append(backend)
         self._by_pool = by_pool
 
-    def _tell(self, event: str, server: Server) -> None:
+    def _tell(self, event: str, server: Server, **fields: int) -> None:
         _logger.info(
             event,
             extra={
@@ -253,5 +273,6 @@
                 'address': server.address,
                 'pool': server.pool,
                 'known': len(self._by_id),
-            },
+            }
+            | fields,
         )
--- a/seampond/forwarding/models.py
+++ b/seampond/forwarding/models.py
@@ -175,6 +175,7 @@
     stamp: bytes
     load: bytes
     not_run: bytes
+    leaving: bytes
     tokens: bytes
     prompt: bytes
     last_event: bytes
--- /dev/null
+++ b/seampond/forwarding/words.py
@@ -0,0 +1,110 @@
+"""What a server says of itself in the head of an answer."""
+
+import re
+import time
+from dataclasses import dataclass
+from datetime import UTC
+from email.utils import parsedate_to_datetime
+from http import HTTPStatus
+
+from seampond.clock import MS_PER_SECOND
+from seampond.forwarding.heads import Head
+from seampond.forwarding.models import HeaderNames
+
+_RETRY_AFTER = b'retry-after'
+_YES = b'1'
+_SECONDS = re.compile(r'\d+\.?\d*|\.\d+', re.ASCII)
+# A longer time is a slip of its writer: it would shut a server out for good.
+_REST_MAX_MS = 300_000
+
+
+@dataclass(frozen=True, slots=True)
+class Words:
+    """What one answer says of its server.
+
+    Parameters
+    ----------
+    leaves : bool
+        Whether the server leaves.
+    rest_ms : int
+        For how long it wants nothing from us, 0 for no such wish.
+
+    """
+
+    leaves: bool = False
+    rest_ms: int = 0
+
+
+def read_words(head: Head, names: HeaderNames) -> Words:
+    """Read what an answer says of its server.
+
+    Explanation
+    -----------
+    A misdirected request was answered by another server than the one that
+    was asked; its words are not that one's.
+
+    Examples
+    --------
+    >>> from seampond.testing.gateways import NAMES
+    >>> read_words(Head(503, [(b'retry-after', b'2.5')]), NAMES).rest_ms
+    2500
+
+    """
+    if head.status == HTTPStatus.MISDIRECTED_REQUEST:
+        return Words()
+    leaves = any(
+        name == names.leaving and text.strip() == _YES
+        for name, text in head.headers
+    )
+    rest_ms = 0
+    if head.status == HTTPStatus.SERVICE_UNAVAILABLE:
+        rest_ms = max(
+            (
+                parse_retry_after_ms(text.decode('latin-1'), time.time())
+                for name, text in head.headers
+                if name == _RETRY_AFTER
+            ),
+            default=0,
+        )
+    return Words(leaves, rest_ms)
+
+
+def parse_retry_after_ms(text: str, now_s: float) -> int:
+    """Give how long a server wants rest, 0 for no time that can be read.
+
+    Parameters
+    ----------
+    text : str
+        Seconds, fractions included, or a date of HTTP.
+    now_s : float
+        The time of day in seconds, for a date.
+
+    Examples
+    --------
+    >>> parse_retry_after_ms(' 0.5 ', 0), parse_retry_after_ms('-3', 0)
+    (500, 0)
+    >>> parse_retry_after_ms('Thu, 01 Jan 1970 00:00:07 GMT', 5)
+    2000
+
+    """
+    stripped = text.strip()
+    # Several headers of one name may have been joined on their way.
+    parts = [part.strip() for part in stripped.split(',')]
+    if all(map(_SECONDS.fullmatch, parts)):
+        seconds = max(map(float, parts))
+    else:
+        seconds = _seconds_until(stripped, now_s)
+    # Bounded first: a number of some hundred digits is infinite.
+    most_s = _REST_MAX_MS / MS_PER_SECOND
+    return round(min(max(seconds, 0), most_s) * MS_PER_SECOND)
+
+
+def _seconds_until(date: str, now_s: float) -> float:
+    try:
+        moment = parsedate_to_datetime(date)
+        if moment.tzinfo is None:
+            moment = moment.replace(tzinfo=UTC)
+        return moment.timestamp() - now_s
+    except (ValueError, TypeError, OverflowError):
+        # No date either; a wish that cannot be read is none.
+        return 0
--- a/seampond/gateway/wiring.py
+++ b/seampond/gateway/wiring.py
@@ -134,6 +134,7 @@
         give_grace_ms(bounds),
         lambda pool: bound_connections(belief, peers, pool),
         key_of,
+        lambda word: metrics.words.labels(word).inc(),
     )
     store_time = StoreTime()
     rollouts = make_rollouts(bounds, belief, backends, peers, store_time)
--- a/seampond/metrics/gateway.py
+++ b/seampond/metrics/gateway.py
@@ -32,6 +32,11 @@
             'Calls to the store that failed, by step.',
             'step',
         )
+        self.words = self.count(
+            'seampond_server_words',
+            'Answers in which a server said that it leaves or wants rest.',
+            'word',
+        )
         self.trials = self.count(
             'seampond_quarantine_trials',
             'Trials of quarantined requests, by whether leave was given.',
--- a/seampond/platform/names.py
+++ b/seampond/platform/names.py
@@ -15,6 +15,7 @@
     stamp=b'x-seampond-server-stamp',
     load=b'x-seampond-server-load',
     not_run=b'x-seampond-not-executed',
+    leaving=b'server-leaving',
     tokens=_TOKENS,
     prompt=_PROMPT,
     last_event=b'last-event-id',
