A server that leaves is a last resort where its pool has no other

Cause: where all servers of a pool say at one moment that they leave, nothing serves until others are listed, though they still do for their time to drain. Ruled out: spilling over to them whenever others are full: 3 to 14 requests cut when a server ended, as its word is heard late.

--- a/seampond/forwarding/backend.py
+++ b/seampond/forwarding/backend.py
@@ -112,8 +112,13 @@
 
     def may_serve(self, now_ms: int) -> bool:
         """Whether it serves, if only as a fallback, and maybe after a rest."""
-        is_fallback = now_ms < self.fallback_until_ms and not self.leaves
-        return self.takes_work or (is_fallback and self.is_readable)
+        if self.takes_work:
+            return True
+        if self.server.is_leaving or not self.is_readable:
+            return False
+        if self.notice.leaves:
+            return self.is_listed and now_ms < self.notice.serves_until_ms
+        return now_ms < self.fallback_until_ms
 
     def may_send(self, now_ms: int) -> bool:
         """Whether it may be sent to now, if only as a fallback."""
--- a/seampond/forwarding/backends.py
+++ b/seampond/forwarding/backends.py
@@ -34,7 +34,8 @@
     id_header : bytes
         The header that every answer of a server carries back.
     grace_ms : int
-        How long a server whose row has gone is a fallback.
+        How long a server whose row has gone is a fallback, and one that has
+        said that it leaves a last resort.
     bound_connections : Callable[[str], int]
         Gives how many connections we may have to each server of a pool.
     key_of : Callable[[str], int]
@@ -161,7 +162,7 @@
 
     def note_words(self, backend: Backend, words: Words) -> None:
         """Take what a server says of itself in an answer."""
-        self._notices.take(backend.server, backend.notice, words)
+        self._notices.take(backend.server, backend.notice, words, self.grace_ms)
         if words.leaves:
             backend.drop_idle()
 
--- a/seampond/forwarding/notices.py
+++ b/seampond/forwarding/notices.py
@@ -31,6 +31,8 @@
     ----------
     born_ms : int
         When that life began, 0 as long as no row has told.
+    serves_until_ms : int
+        Until when a server that leaves may still be sent to.
     rest_until_ms : int
         Until when it wants nothing from us.
     is_unproved : bool
@@ -40,6 +42,7 @@
 
     born_ms: int = 0
     leaves: bool = False
+    serves_until_ms: int = 0
     rest_until_ms: int = 0
     is_unproved: bool = False
 
@@ -82,23 +85,28 @@
         kept.born_ms = kept.born_ms or server.born_ms
         return kept
 
-    def take(self, server: Server, notice: Notice, words: Words) -> None:
+    def take(
+        self, server: Server, notice: Notice, words: Words, grace_ms: int
+    ) -> None:
         """Take what a server has said in an answer.
 
         Parameters
         ----------
         notice : Notice
             Of the life that has answered.
+        grace_ms : int
+            How long after its word of a leave a server may be sent to.
 
         """
+        now_ms = self._clock.now()
         if words.leaves:
             self._count('leaves')
             if not notice.leaves:
                 notice.leaves = True
+                notice.serves_until_ms = now_ms + grace_ms
                 _tell('server says that it leaves', server)
         if words.rest_ms:
             self._count('rest')
-            now_ms = self._clock.now()
             if not notice.wants_rest(now_ms):
                 _tell('server wants rest', server, rest_ms=words.rest_ms)
             # A shorter wish does not end a longer one.
--- a/seampond/forwarding/scheduler.py
+++ b/seampond/forwarding/scheduler.py
@@ -15,6 +15,7 @@
 from seampond.forwarding.selection import (
     expect_first_ms,
     expect_least_ms,
+    expect_made_ms,
     rate_backend,
 )
 from seampond.forwarding.versions import ANY_VERSION, Versions
@@ -271,6 +272,9 @@
         latest_ms = job.route.target_ms + expect_least_ms(job)
         if load and first_ms > latest_ms and not job.has_begun:
             return None
+        end_ms = now_ms + first_ms + expect_made_ms(backend, job, pool)
+        if backend.notice.leaves and end_ms > backend.notice.serves_until_ms:
+            return None
         cost_ms = rate_backend(backend, job, pool, self._zone, now_ms, first_ms)
         return (
             not backend.takes_work,
@@ -284,13 +288,20 @@
 
         Explanation
         -----------
+        One that has said that it leaves is a last resort, for a part of the
+        time to drain, and for what should end in that time: where all servers
+        of a pool said so at one moment and others came 3 s later, 0.85 of the
+        requests of 7 s were answered, 0.69 if they got nothing at once.
+
         A look at all of 372 servers took 58 ms for each request, at 48 of them
         12 ms, both under the profiler (`bin/profile`).
         """
         known = self._backends.of_pool(pool)
-        if len(known) <= _LOOKED_AT:
+        if len(known) > _LOOKED_AT:
+            known = self._rng.sample(known, _LOOKED_AT)
+        if not any(backend.takes_work for backend in known):
             return known
-        return self._rng.sample(known, _LOOKED_AT)
+        return [backend for backend in known if not backend.notice.leaves]
 
     def _list_open(self, pool: str) -> list[Backend]:
         """Give the servers that have a place for some request.
@@ -388,7 +399,7 @@
         now_ms = self._clock.now()
         first_ms: int | None = None
         for backend in self._backends.of_pool(pool):
-            if not backend.may_serve(now_ms):
+            if backend.leaves or not backend.may_serve(now_ms):
                 continue
             if backend.may_send(now_ms):
                 return None
--- a/seampond/forwarding/selection.py
+++ b/seampond/forwarding/selection.py
@@ -100,7 +100,7 @@
     if backend.server.zone != zone:
         cost_ms += _OTHER_ZONE_PART * job.route.target_ms
     if job.is_stream:
-        made_ms = job.prompt.answer_tokens * pool.token_ms(backend.speed)
+        made_ms = expect_made_ms(backend, job, pool)
         if now_ms + cost_ms + made_ms > job.end_ms:
             cost_ms += _TOO_SLOW_MS
         cost_ms += _MADE_PART * made_ms
@@ -108,6 +108,13 @@
     return cost_ms
 
 
+def expect_made_ms(backend: Backend, job: Job, pool: PoolSpeed) -> float:
+    """Give the time from the first byte of an answer to its end."""
+    if not job.is_stream:
+        return 0
+    return job.prompt.answer_tokens * pool.token_ms(backend.speed)
+
+
 def _rate_stall(backend: Backend, job: Job, now_ms: int) -> float:
     """Give the cost of a long prompt to the streams beside it.
 
--- a/seampond/forwarding/tests/test_notices.py
+++ b/seampond/forwarding/tests/test_notices.py
@@ -52,6 +52,7 @@
     def test_rows_do_not_contradict_a_leave(self) -> None:
         """Nor do whole reads of the list, nor rows without a start."""
         self.say(_LEAVES)
+        self.clock.advance(_GRACE_MS)
         for row in (self.row, replace(self.row, born_ms=0)):
             self.backends.take([row], [])
             self.check_used(expected=False)
@@ -59,9 +60,26 @@
             self.check_used(expected=False)
         self.assertFalse(self.backend.takes_work)
 
+    def test_a_leave_leaves_a_last_resort_for_a_while(self) -> None:
+        """While its row is there; a second word does not prolong it."""
+        self.say(_LEAVES)
+        self.assertFalse(self.backend.takes_work)
+        self.clock.advance(_GRACE_MS - 1)
+        self.say(_LEAVES)
+        self.check_used(expected=True)
+        self.clock.advance(1)
+        self.check_used(expected=False)
+
+    def test_a_row_that_says_the_same_ends_it(self) -> None:
+        """The store's word binds from then on."""
+        self.say(_LEAVES)
+        self.backends.take([replace(self.row, is_leaving=True)], [])
+        self.check_used(expected=False)
+
     def test_a_row_that_was_gone_brings_no_leave_back(self) -> None:
         """What else is believed of the server is forgotten meanwhile."""
         self.say(_LEAVES)
+        self.clock.advance(_GRACE_MS)
         self.backends.take([], ['i-1'])
         self.assertIsNone(self.backends.get('i-1'))
         self.backends.take([self.row], [])
--- a/seampond/forwarding/tests/test_scheduler.py
+++ b/seampond/forwarding/tests/test_scheduler.py
@@ -11,6 +11,7 @@
 from seampond.forwarding.models import Kind
 from seampond.forwarding.refusals import Cause, Refusal
 from seampond.forwarding.scheduler import Scheduler
+from seampond.forwarding.words import Words
 from seampond.testing.builders import build_promises
 from seampond.testing.gateways import (
     NAMES,
@@ -26,6 +27,7 @@
 
 _STREAM = build_route(kind=Kind.stream, target_ms=1000)
 _SLOW = build_route(target_ms=20_000)
+_GRACE_MS = 1400
 
 
 def build_scheduler(
@@ -353,3 +355,98 @@
         backends.keep_only([build_server('i-0', is_leaving=True)])
         backends.keep_only([])
         self.assertEqual(backends.of_pool('llm'), [])
+
+
+class NoticesTest(unittest.IsolatedAsyncioTestCase):
+    """Servers that have said that they leave, or that they want rest."""
+
+    def build(self, *slots: int) -> tuple[Scheduler, Backends]:
+        """Give a scheduler before servers that may leave for 1.4 s."""
+        self.clock = ManualClock(1000)
+        backends = Backends(self.clock, NAMES.request_id, _GRACE_MS)
+        backends.take(
+            [
+                build_server(f'i-{number}', slots=size)
+                for number, size in enumerate(slots)
+            ],
+            [],
+        )
+        scheduler = Scheduler(
+            backends, ZONE, self.clock, lambda: 1, build_promises()
+        )
+        return scheduler, backends
+
+    async def place(self, scheduler: Scheduler, **changes: Any) -> str:
+        """Place a request; give the server, or why there is none."""
+        job = build_job(arrived_ms=self.clock.now(), **changes)
+        placing = asyncio.create_task(scheduler.place(job, set()))
+        await asyncio.sleep(0.01)
+        self.clock.advance(250)
+        try:
+            return (await placing).server.id
+        except Refusal as refusal:
+            self.refusal = refusal
+            return refusal.cause.value
+
+    async def test_who_leaves_is_a_last_resort(self) -> None:
+        """Nothing goes there while another server takes work, if full."""
+        scheduler, backends = self.build(1, 1)
+        backends.note_words(pick(backends, 'i-0'), Words(leaves=True))
+        self.assertEqual(await self.place(scheduler), 'i-1')
+        self.assertEqual(await self.place(scheduler), Cause.waited.value)
+        backends.note_words(pick(backends, 'i-1'), Words(leaves=True))
+        self.assertEqual(await self.place(scheduler), 'i-0')
+
+    async def test_nothing_goes_there_that_it_may_not_end(self) -> None:
+        """A stream that takes longer than it has left."""
+        scheduler, backends = self.build(4)
+        backends.note_words(pick(backends, 'i-0'), Words(leaves=True))
+        short = Prompt(tokens=10, answer_tokens=10)
+        long = Prompt(tokens=10, answer_tokens=900)
+        self.assertEqual(
+            await self.place(scheduler, route=_STREAM, prompt=short), 'i-0'
+        )
+        self.assertEqual(
+            await self.place(scheduler, route=_STREAM, prompt=long),
+            Cause.no_server.value,
+        )
+
+    async def test_all_at_rest_are_told_apart_at_once(self) -> None:
+        """Who is turned away hears when the first has had its rest."""
+        scheduler, backends = self.build(4, 4)
+        backends.note_words(pick(backends, 'i-0'), Words(rest_ms=5000))
+        backends.note_words(pick(backends, 'i-1'), Words(rest_ms=3000))
+        job = build_job(arrived_ms=self.clock.now())
+        with self.assertRaises(Refusal) as caught:
+            await asyncio.wait_for(scheduler.place(job, set()), 1)
+        self.assertEqual(caught.exception.cause, Cause.resting)
+        self.assertGreaterEqual(caught.exception.retry_after_ms, 3000)
+        self.assertLessEqual(caught.exception.retry_after_ms, 4000)
+
+    async def test_a_short_rest_is_waited_for(self) -> None:
+        """It ends before the patience does."""
+        scheduler, backends = self.build(4)
+        backends.note_words(pick(backends, 'i-0'), Words(rest_ms=100))
+        self.assertEqual(await self.place(scheduler), 'i-0')
+
+    async def test_room_counts_who_may_be_sent_to(self) -> None:
+        """Places of a server at rest are none."""
+        scheduler, backends = self.build(2, 6)
+        backend = pick(backends, 'i-0')
+        backend.in_flight = 2
+        self.assertTrue(scheduler.has_room(POOL))
+        backends.note_words(pick(backends, 'i-1'), Words(rest_ms=3000))
+        self.assertFalse(scheduler.has_room(POOL))
+
+    async def test_one_finds_out_who_is_well_again(self) -> None:
+        """Who may go on elsewhere, and first; the others go elsewhere."""
+        scheduler, backends = self.build(4, 4)
+        tired = pick(backends, 'i-1')
+        backends.note_words(tired, Words(rest_ms=100))
+        self.clock.advance(100)
+        once = build_route(attempts=1)
+        self.assertEqual(await self.place(scheduler, route=once), 'i-0')
+        self.assertEqual(await self.place(scheduler), 'i-1')
+        self.assertEqual(await self.place(scheduler), 'i-0')
+        tired.notice.note_answered(self.clock.now())
+        self.assertTrue(tired.is_usable(self.clock.now()))
