A store that comes back older is told by its era

Cause: versions were compared as the store's own numbers. After a restore from an older copy each answer was older than what was held ('stale answer'), so that no configuration, server or peer written meanwhile was known until the numbers had come as far again; a row that said 'ready' again put a server back that had left; our own row stayed lost. Ruled out: waiting for 410 alone: the whole read that follows was refused as stale. Change: the adapter makes one version of Store-Era and number; changes and conditions of an earlier era fail; a leave that was read holds to the end of that life; trials that were lost stay tried; the gateway's own row is written again. Not done: who starts before the operator has written again serves by the older configuration; no model of it, not in the soak, no figures of calls.

--- a/seampond/forwarding/backends.py
+++ b/seampond/forwarding/backends.py
@@ -199,9 +199,11 @@
 
     def _add(self, server: Server) -> None:
         told = self._told.get(self._key_of(server.life))
+        notice = self._notices.of(server)
+        self._notices.take_row(server, notice)
         self._by_id[server.id] = Backend(
             server,
-            self._notices.of(server),
+            notice,
             others=told,
             cold_until_ms=self._clock.now() + server.cold_ms,
         )
@@ -218,6 +220,7 @@
                 self._tell('server leaves', server)
             backend.server = replace(server, born_ms=told_ms)
             backend.notice.born_ms = told_ms
+            self._notices.take_row(server, backend.notice)
             backend.is_listed = True
             backend.is_readable = True
         # Else a row of an earlier life has come late.
--- a/seampond/forwarding/notices.py
+++ b/seampond/forwarding/notices.py
@@ -85,6 +85,20 @@
         kept.born_ms = kept.born_ms or server.born_ms
         return kept
 
+    def take_row(self, server: Server, notice: Notice) -> None:
+        """Take what a row says of the life that it names.
+
+        Explanation
+        -----------
+        A server that has begun to leave ends, so a row that says `ready` of
+        the same life is an older one: the store may have been restored from a
+        copy in which it had not left yet.
+        """
+        if server.is_leaving:
+            notice.leaves = True
+            notice.serves_until_ms = 0
+            self._keep(server.id, notice)
+
     def take(
         self, server: Server, notice: Notice, words: Words, grace_ms: int
     ) -> None:
--- a/seampond/gateway/daemon.py
+++ b/seampond/gateway/daemon.py
@@ -175,7 +175,7 @@
     async with (
         open_table(settings.store.address, GATEWAYS_TABLE, clock) as table,
         share(settings.peer_listen, sharing),
-        run_tasks(register(table, settings.name, settings.peer_listen, clock)),
+        run_tasks(register(table, parts.peers, settings.peer_listen, clock)),
     ):
         yield
         await unregister(table, parts.peers)
--- a/seampond/platform/names.py
+++ b/seampond/platform/names.py
@@ -34,6 +34,9 @@
     ),
 )
 
+# Rises each time the store is restored from an older copy of itself.
+ERA = b'store-era'
+
 READY_PATH = '/ready'
 
 TRANSACTION_PATH = '/rows-tx'
--- a/seampond/platform/quarantine.py
+++ b/seampond/platform/quarantine.py
@@ -31,6 +31,11 @@
         """Keep the table."""
         self._table = table
 
+    @property
+    def era(self) -> int:
+        """How often the store was restored, as far as known."""
+        return self._table.era
+
     async def read_trials(self) -> Mapping[int, TrialRow]:
         """Read all rows; what cannot be read is no row of ours."""
         page = await self._table.read_all()
--- a/seampond/platform/rollouts.py
+++ b/seampond/platform/rollouts.py
@@ -13,7 +13,7 @@
 from seampond.platform.rows import Count, Part, decode_row
 from seampond.platform.store import RowChange
 from seampond.rollouts import Change, Order, State, Status, Step
-from seampond.watches import Row
+from seampond.watches import Row, number_of
 
 _STATES = MappingProxyType(
     {
@@ -60,6 +60,11 @@
 def read_order(row: Row) -> Order:
     """Read an operator's order.
 
+    Explanation
+    -----------
+    It is known by the store's own number, as are its state and step: a row
+    that a restore of the store has kept is still the same order.
+
     Raises
     ------
     PlatformError
@@ -81,7 +86,9 @@
     if not order.duration_s > 0:
         raise _refuse(row, '`duration-s` is not above 0')
     duration_ms = round(order.duration_s * MS_PER_SECOND)
-    return Order(pool, order.target_version, duration_ms, row.version)
+    return Order(
+        pool, order.target_version, duration_ms, number_of(row.version)
+    )
 
 
 def read_status(row: Row) -> Status:
@@ -97,7 +104,7 @@
     state = _STATES.get(status.state)
     if state is None:
         raise _refuse(row, f'`state` is {status.state!r}')
-    return Status(state, status.target_version, row.version)
+    return Status(state, status.target_version, number_of(row.version))
 
 
 def is_status(row: Row) -> bool:
@@ -120,7 +127,9 @@
 
     """
     step = _decode(row, _Step)
-    return Step(step.order, step.is_closing, step.since_ms, row.version)
+    return Step(
+        step.order, step.is_closing, step.since_ms, number_of(row.version)
+    )
 
 
 def write_change(change: Change) -> RowChange:
--- a/seampond/platform/store.py
+++ b/seampond/platform/store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import json
+import logging
 from collections.abc import AsyncIterator, Mapping, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, replace
@@ -20,7 +21,14 @@
 from seampond.forwarding.exchange import Connection, open_connection
 from seampond.forwarding.heads import ExchangeError, Head, parse_idle_ms
 from seampond.platform import names
-from seampond.watches import HistoryGoneError, Page, Row
+from seampond.watches import (
+    HistoryGoneError,
+    Page,
+    Row,
+    era_of,
+    make_version,
+    number_of,
+)
 
 # Some hundred times what the store needs for an answer on a good day, and
 # less than the age at which what is believed of it counts as old.
@@ -34,6 +42,7 @@
 _ANSWER_MAX_BYTES = 4_194_304
 _CALL_ID = b'call'
 _NOT_AN_ANSWER = (ValueError, KeyError, TypeError)
+_logger = logging.getLogger(__name__)
 _FAILURES = (ExchangeError, TimeoutError, *_NOT_AN_ANSWER)
 
 
@@ -47,7 +56,8 @@
     Parameters
     ----------
     expected : Mapping[RowName, int]
-        The versions that rows must have, 0 for no row.
+        The versions that rows must have, 0 for no row.  One with an era holds
+        in that era only.
 
     """
 
@@ -71,6 +81,13 @@
         self._address = address
         self._clock = clock
         self._connection: Connection | None = None
+        # The newest that an answer has told of.
+        self._era = 0
+
+    @property
+    def era(self) -> int:
+        """How often the store was restored, as far as known; 0 if not."""
+        return self._era
 
     def close(self) -> None:
         """Drop the connection."""
@@ -97,17 +114,30 @@
             page, has_more = await self._page(
                 names.READ_PATH, query, most_ms=_WHOLE_MS
             )
+            if era_of(page.version) != era_of(first.version):
+                raise PlatformError(
+                    'restored meanwhile', step='read', peer=self._address
+                )
             rows.extend(page.rows)
         return replace(first, rows=tuple(rows), is_whole=True)
 
     async def read_changes(self, table: str, since: int, wait_ms: int) -> Page:
-        """Wait for changes of a table after version `since`."""
+        """Wait for changes of a table after version `since`.
+
+        Raises
+        ------
+        HistoryGoneError
+            Also if `since` is of an earlier era: the store has begun anew.
+
+        """
         query = {
             'table': table,
-            names.SINCE: str(since),
+            names.SINCE: str(number_of(since)),
             names.WAIT: str(wait_ms),
         }
+        self._check_era(since)
         page, _ = await self._page(names.FEED_PATH, query, wait_ms)
+        self._check_era(since)
         return page
 
     async def put(self, table: str, key: str, content: bytes) -> None:
@@ -150,9 +180,13 @@
             If it surely was not.
 
         """
+        if self._is_outdated(change):
+            raise ConflictError(
+                'read before a restore', step='change', peer=self._address
+            )
         parts = {
             names.EXPECTED: [
-                _name_row(row) | {'ver': version}
+                _name_row(row) | {'ver': number_of(version)}
                 for row, version in change.expected.items()
             ],
             'put': [
@@ -168,6 +202,21 @@
             raise ConflictError(
                 'a row has changed', step='change', peer=self._address
             )
+        if self._is_outdated(change):
+            raise UnknownOutcomeError(
+                'restored meanwhile', step='change', peer=self._address
+            )
+
+    def _check_era(self, since: int) -> None:
+        if since and era_of(since) < self._era:
+            raise HistoryGoneError(
+                'restored', step=names.FEED_PATH, peer=self._address
+            )
+
+    def _is_outdated(self, change: RowChange) -> bool:
+        """Whether a change rests on a version of an earlier era."""
+        eras = [era_of(version) for version in change.expected.values()]
+        return any(0 < era < self._era for era in eras)
 
     async def _page(
         self,
@@ -181,8 +230,8 @@
         status, content = await self._call(target, wait_ms, most_ms=most_ms)
         try:
             page = Page(
-                tuple(_read_row(row) for row in content['rows']),
-                int(content['ver']),
+                tuple(_read_row(row, self._era) for row in content['rows']),
+                make_version(self._era, int(content['ver'])),
                 int(content['now_ms']),
                 sent_ms,
                 self._clock.now(),
@@ -246,7 +295,30 @@
             )
             self._connection = connection
         connection.send(_CALL_ID, self._make_packet(target, body))
-        return connection, await connection.read_head()
+        head = await connection.read_head()
+        self._note_era(head)
+        return connection, head
+
+    def _note_era(self, head: Head) -> None:
+        """Take the era that an answer tells, whatever else it says.
+
+        Raises
+        ------
+        PlatformError
+            If the answer is of an earlier era than one before it.
+
+        """
+        told = head.get(names.ERA)
+        # Counted from 1: without the header nothing is known of an era.
+        era = int(told) + 1 if told.isdigit() else self._era
+        if era < self._era:
+            self.close()
+            raise PlatformError(
+                'answer of an earlier era', step='read', peer=self._address
+            )
+        if 0 < self._era < era:
+            _logger.warning('store was restored', extra={'era': era})
+        self._era = era
 
     async def _finish(self, connection: Connection, head: Head) -> bytes:
         """Give the body of an answer, as long as it keeps coming."""
@@ -283,6 +355,11 @@
         self.name = name
         self._store = store
 
+    @property
+    def era(self) -> int:
+        """How often the store was restored, as far as known; 0 if not."""
+        return self._store.era
+
     async def read_all(self) -> Page:
         """Read all rows."""
         return await self._store.read(self.name)
@@ -309,11 +386,11 @@
     return {'table': table, 'part': '', names.KEY: key}
 
 
-def _read_row(row: Mapping[str, Any]) -> Row:
+def _read_row(row: Mapping[str, Any], era: int) -> Row:
     return Row(
         row[names.KEY],
         base64.b64decode(row.get('value') or ''),
-        int(row.get('ver', 0)),
+        make_version(era, int(row.get('ver', 0))),
         is_gone=bool(row.get('gone')),
     )
 
--- a/seampond/platform/tests/rows.py
+++ b/seampond/platform/tests/rows.py
@@ -123,8 +123,9 @@
 
 
 def is_gateway_gone(store: StandInStore, name: str) -> bool:
-    """Tell whether the row of a gateway was removed."""
-    return bool(store.rows[(names.GATEWAYS_TABLE, name)].get('gone'))
+    """Tell whether the row of a gateway is not there."""
+    row = store.rows.get((names.GATEWAYS_TABLE, name), {'gone': True})
+    return bool(row.get('gone'))
 
 
 def put_order(
--- a/seampond/quarantine/tests/test_trials.py
+++ b/seampond/quarantine/tests/test_trials.py
@@ -8,7 +8,7 @@
 from seampond.errors import ConflictError, UnknownOutcomeError
 from seampond.quarantine.models import TrialRow
 from seampond.quarantine.trials import TRIAL_PAUSES_MS, Trials
-from seampond.watches import Page, StoreTime
+from seampond.watches import Page, StoreTime, make_version
 
 _REQUEST = 7
 
@@ -19,6 +19,7 @@
     def __init__(self) -> None:
         """Start empty."""
         self.rows: dict[int, TrialRow] = {}
+        self.era = 0
         self.is_down = False
         self.loses_answers = False
         self._version = 0
@@ -36,7 +37,8 @@
         if known.version != row.version:
             raise ConflictError('changed', step='t')
         self._version += 1
-        self.rows[request] = TrialRow(row.trials, row.at_ms, self._version)
+        version = make_version(self.era, self._version)
+        self.rows[request] = TrialRow(row.trials, row.at_ms, version)
         self._check(is_down=self.loses_answers)
 
     async def drop_trial(self, request: int, version: int) -> None:
@@ -88,6 +90,23 @@
         self.assertFalse(await self.gateways[1].claim(_REQUEST))
         self.assertEqual(self.gateways[1].wait_ms(_REQUEST), TRIAL_PAUSES_MS[1])
 
+    async def test_what_a_restore_has_lost_stays_tried(self) -> None:
+        """The rows are gone, or tell less; the next trial writes them anew."""
+        first = self.gateways[0]
+        self.assertTrue(await first.claim(_REQUEST))
+        earlier = self.table.rows.copy()
+        self.clock.advance(TRIAL_PAUSES_MS[1])
+        self.assertTrue(await first.claim(_REQUEST))
+        for rows in ({}, earlier):
+            self.table.rows = dict(rows)
+            self.table.era += 1
+            await first.read()
+            self.assertEqual(first.wait_ms(_REQUEST), TRIAL_PAUSES_MS[2])
+        self.clock.advance(TRIAL_PAUSES_MS[2])
+        self.assertTrue(await first.claim(_REQUEST))
+        self.assertEqual(self.table.rows[_REQUEST].trials, 3)
+        self.assertIsNone(first.wait_ms(_REQUEST))
+
     async def test_no_leave_without_an_answer(self) -> None:
         """The write may be done: it counts, and nobody sends."""
         self.table.loses_answers = True
--- a/seampond/quarantine/trials.py
+++ b/seampond/quarantine/trials.py
@@ -9,13 +9,14 @@
 import asyncio
 import logging
 from collections.abc import Iterable, Mapping
+from dataclasses import replace
 from typing import Protocol
 
 from seampond.clock import MS_PER_DAY, MS_PER_MINUTE, MS_PER_SECOND, Clock
 from seampond.errors import ConflictError, PlatformError
 from seampond.quarantine.fingerprints import show
 from seampond.quarantine.models import TrialRow
-from seampond.watches import StoreTime
+from seampond.watches import StoreTime, era_of
 
 # How long after the trial before it each may be made, the first at once: a
 # sound request that two servers have ended under is served by it.  More than
@@ -30,6 +31,10 @@
 class TrialTable(Protocol):
     """The table of trials, with rows by fingerprint."""
 
+    @property
+    def era(self) -> int:
+        """How often the store was restored, as far as known."""
+
     async def read_trials(self) -> Mapping[int, TrialRow]:
         """Read all rows."""
 
@@ -126,11 +131,30 @@
 
         """
         if self.table is not None:
-            rows = await self.table.read_trials()
+            rows = dict(await self.table.read_trials())
+            rows.update(self._list_lost(rows, self.table.era))
             newest = sorted(rows.items(), key=lambda row: row[1].version)
             self._rows = dict(newest[-_ROWS_MAX:])
             self.is_known = True
 
+    def _list_lost(
+        self, rows: Mapping[int, TrialRow], era: int
+    ) -> dict[int, TrialRow]:
+        """Give the rows of which a restore of the store has lost something.
+
+        Explanation
+        -----------
+        What was tried stays tried: without them a request would get leave
+        anew for each restore, and end a server each time.  The next trial
+        writes its row again.
+        """
+        lost: dict[int, TrialRow] = {}
+        for request, known in self._rows.items():
+            told = rows.get(request, TrialRow())
+            if era_of(known.version) < era and told.trials < known.trials:
+                lost[request] = replace(known, version=told.version)
+        return lost
+
     def _row(self, request: int) -> TrialRow:
         """Give what is known of the trials of a request, of a day at most.
 
--- a/seampond/sharing/exchange.py
+++ b/seampond/sharing/exchange.py
@@ -154,6 +154,8 @@
     if page.is_whole:
         # A removal that was missed shows only by the row that is not there.
         listed |= dict.fromkeys(peers.names - latest.keys(), '')
+        if peers.own_version and peers.name not in latest:
+            peers.is_unlisted.set()
     peers.take_rows(listed.items())
     own = latest.get(peers.name)
     if own is not None and not own.is_gone:
@@ -165,18 +167,20 @@
 
 
 async def register(
-    writer: RowWriter, name: str, address: str, clock: Clock
+    writer: RowWriter, peers: Peers, address: str, clock: Clock
 ) -> None:
-    """Write our own row; try until the store has taken it."""
+    """Write our own row, and again whenever the store has lost it."""
     content = write_gateway(address)
     while True:
+        peers.is_unlisted.clear()
         try:
-            await writer.put(name, content)
+            await writer.put(peers.name, content)
         except PlatformError as error:
             _logger.warning('not registered', extra={'reason': error.message})
             await clock.sleep(_REGISTER_AGAIN_MS)
         else:
-            return
+            # A restore of the store from an older copy may lose it.
+            await peers.is_unlisted.wait()
 
 
 async def unregister(writer: RowWriter, peers: Peers) -> None:
--- a/seampond/sharing/peers.py
+++ b/seampond/sharing/peers.py
@@ -1,5 +1,6 @@
 """The other gateways: who they are and when each was last heard."""
 
+import asyncio
 import logging
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
@@ -110,10 +111,16 @@
     name : str
         This gateway's own name.
 
+    Attributes
+    ----------
+    is_unlisted : asyncio.Event
+        Set where the table that names the gateways has lost us.
+
     """
 
     def __init__(self, name: str, clock: Clock) -> None:
         """Start knowing nobody."""
+        self.is_unlisted = asyncio.Event()
         self.is_listed = False
         self.own_version = 0
         self.name = name
--- a/seampond/testing/store.py
+++ b/seampond/testing/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import bisect
 import json
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, suppress
@@ -30,6 +31,8 @@
         The oldest version that feeds still know.
     bytes_per_s : int
         How fast answers go out, 0 for any speed: a narrow link of the caller.
+    era : int
+        How often it was restored from an older copy of itself.
 
     """
 
@@ -40,9 +43,11 @@
     is_down: bool = False
     oldest: int = 0
     bytes_per_s: int = 0
+    era: int = 0
     rows: dict[tuple[str, str], dict[str, object]] = field(default_factory=dict)
     calls: list[str] = field(default_factory=list)
     _history: list[dict[str, object]] = field(default_factory=list)
+    _written_ms: list[int] = field(default_factory=list)
     _changed: asyncio.Event = field(default_factory=asyncio.Event)
 
     def put(self, table: str, key: str, content: object) -> None:
@@ -60,9 +65,23 @@
         self.oldest = self.version
         self._wake()
 
+    def go_back(self, since_ms: int) -> None:
+        """Be restored from a copy of a moment; later writes are lost."""
+        kept = bisect.bisect_right(self._written_ms, since_ms)
+        self._history = self._history[:kept]
+        self._written_ms = self._written_ms[:kept]
+        self.rows = {
+            (str(row['table']), str(row[names.KEY])): row
+            for row in self._history
+        }
+        newest = self._history[-1] if self._history else {}
+        self.version = int(str(newest.get('ver', 1)))
+        self.era += 1
+        self._wake()
+
     def answer(self, request: Received, content: object) -> bytes:
         """Give the bytes of a good answer."""
-        return write_answer(200, {}, json.dumps(content).encode())
+        return self._stamp(200, json.dumps(content).encode())
 
     async def handle(
         self, request: Received, writer: asyncio.StreamWriter
@@ -71,7 +90,7 @@
         parts = urlsplit(request.target.decode())
         self.calls.append(parts.path)
         if self.is_down:
-            writer.write(write_answer(503, {}))
+            writer.write(self._stamp(503))
             return
         query = {name: text[0] for name, text in parse_qs(parts.query).items()}
         late_ms = self.late_ms
@@ -83,10 +102,10 @@
         elif self._transact(json.loads(request.body)):
             content = {}
         else:
-            writer.write(write_answer(412, {}))
+            writer.write(self._stamp(412))
             return
         if content is None:
-            writer.write(write_answer(410, {}))
+            writer.write(self._stamp(410))
             return
         stamped = {
             'ver': self.version,
@@ -95,6 +114,10 @@
         await asyncio.sleep(late_ms / MS_PER_SECOND)
         await self._send(writer, self.answer(request, stamped))
 
+    def _stamp(self, status: int, body: bytes = b'') -> bytes:
+        headers = {names.ERA.decode(): str(self.era)} if self.era else {}
+        return write_answer(status, headers, body)
+
     async def _send(self, writer: asyncio.StreamWriter, answer: bytes) -> None:
         """Send an answer at the speed of the link."""
         if not self.bytes_per_s:
@@ -109,8 +132,10 @@
     async def _feed(self, query: dict[str, str]) -> dict[str, object] | None:
         since = int(query[names.SINCE])
         until_ms = self.clock.now() + int(query[names.WAIT])
+        era = self.era
         while True:
-            if since < self.oldest:
+            is_known = self.oldest <= since <= self.version
+            if era != self.era or not is_known:
                 return None
             content = self._changes(query['table'], since)
             left_ms = until_ms - self.clock.now()
@@ -156,6 +181,7 @@
         row = {'table': table, names.KEY: key, 'ver': self.version} | part
         self.rows[(table, key)] = row
         self._history.append(row)
+        self._written_ms.append(self.clock.now())
         self._wake()
 
     def _wake(self) -> None:
--- a/seampond/watches/__init__.py
+++ b/seampond/watches/__init__.py
@@ -7,5 +7,8 @@
 from seampond.watches.rows import Page as Page
 from seampond.watches.rows import Row as Row
 from seampond.watches.rows import TableSource as TableSource
+from seampond.watches.rows import era_of as era_of
+from seampond.watches.rows import make_version as make_version
+from seampond.watches.rows import number_of as number_of
 from seampond.watches.store_time import StoreTime as StoreTime
 from seampond.watches.watch import Watch as Watch
--- a/seampond/watches/currency.py
+++ b/seampond/watches/currency.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 
 from seampond.clock import MS_PER_SECOND, Clock
-from seampond.watches.rows import Page
+from seampond.watches.rows import Page, era_of
 from seampond.watches.store_time import StoreTime
 
 # Four gateways follow the store and tell a proof with each heartbeat, 13 a
@@ -138,6 +138,9 @@
         """Take what another process knows."""
         if not self.version:
             return
+        if era_of(proof.changed) < era_of(self.version):
+            # What was newest before a restore of the store may be lost.
+            return
         if proof.changed <= self.version:
             # A whole read does not show what was removed: others may know.
             self._changed = max(self._changed, proof.changed)
--- a/seampond/watches/rows.py
+++ b/seampond/watches/rows.py
@@ -5,6 +5,61 @@
 
 from seampond.errors import PlatformError
 
+_ERA_BITS = 40
+
+
+def make_version(era: int, number: int) -> int:
+    """Give the version of a row or a table, comparable over eras.
+
+    Explanation
+    -----------
+    A store that is restored from an older copy of itself gives its numbers out
+    again, for other contents, and a new era begins.  A version holds both, the
+    era above the number, so whatever is compared, passed on between gateways
+    or given as a condition is of its own era: nothing of an earlier one is
+    newer than what is read after the restore.
+
+    Parameters
+    ----------
+    era : int
+        How often the store was restored.
+    number : int
+        The store's own version.
+
+    Examples
+    --------
+    >>> make_version(0, 7)
+    7
+    >>> make_version(1, 3) > make_version(0, 900)
+    True
+
+    """
+    return (era << _ERA_BITS) | number
+
+
+def era_of(version: int) -> int:
+    """Give the era of a version.
+
+    Examples
+    --------
+    >>> era_of(make_version(2, 9))
+    2
+
+    """
+    return version >> _ERA_BITS
+
+
+def number_of(version: int) -> int:
+    """Give the store's own number of a version.
+
+    Examples
+    --------
+    >>> number_of(make_version(2, 9))
+    9
+
+    """
+    return version & ((1 << _ERA_BITS) - 1)
+
 
 class HistoryGoneError(PlatformError):
     """The store no longer knows what changed since; read the table whole."""
@@ -12,7 +67,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Row:
-    """One row; `is_gone` where it was removed."""
+    """One row; `is_gone` where it was removed.
+
+    Parameters
+    ----------
+    version : int
+        As :func:`make_version` gives it.
+
+    """
 
     key: str
     content: bytes
@@ -32,7 +94,7 @@
     Parameters
     ----------
     version : int
-        The newest version that the store knew of.
+        The newest version that the store knew of, with its era.
     store_ms : int
         The store's steady clock at the answer.
     sent_ms, received_ms : int
--- a/seampond/watches/watch.py
+++ b/seampond/watches/watch.py
@@ -10,7 +10,7 @@
 from seampond.errors import CutAnswerError, PlatformError
 from seampond.watches.currency import Currency
 from seampond.watches.failures import FailureLog
-from seampond.watches.rows import HistoryGoneError, Page, TableSource
+from seampond.watches.rows import HistoryGoneError, Page, TableSource, number_of
 
 _FIRST_PAUSE_MS = 100
 # How long who need not follow waits until it looks again, and how long after a
@@ -356,7 +356,7 @@
             event,
             extra={
                 'table': self.source.name,
-                'version': self.currency.version,
+                'version': number_of(self.currency.version),
                 'detail': detail,
                 **figures,
             },
