--- a/seampond/gateway/tests/test_soak.py
+++ b/seampond/gateway/tests/test_soak.py
@@ -14,6 +14,7 @@
 
 _SEED = 1
 _SECONDS = 6
+_LATER_SECONDS = 10
 
 
 class SoakTest(unittest.TestCase):
@@ -25,3 +26,12 @@
             report = asyncio.run(soak(Path(folder), _SEED, _SECONDS))
         self.assertEqual(report.wrong, [])
         self.assertTrue(report.faults)
+
+    def test_promises_hold_where_servers_speak_of_themselves(self) -> None:
+        """And where the store comes back older."""
+        with tempfile.TemporaryDirectory() as folder:
+            report = asyncio.run(
+                soak(Path(folder), _SEED, _LATER_SECONDS, is_later=True)
+            )
+        self.assertEqual(report.wrong, [])
+        self.assertTrue(report.faults)
--- a/seampond/testing/crashing.py
+++ b/seampond/testing/crashing.py
@@ -95,6 +95,11 @@
     _open: set[asyncio.StreamWriter] = field(default_factory=set)
     _tasks: set['asyncio.Task[None]'] = field(default_factory=set)
 
+    @property
+    def is_up(self) -> bool:
+        """Whether it lives just now."""
+        return self._listening is not None
+
     async def start(self) -> None:
         """Listen, at the same address in each life, and say so."""
         port = int(self._address.rpartition(':')[2] or 0)
--- a/seampond/testing/gateway_soak.py
+++ b/seampond/testing/gateway_soak.py
@@ -22,18 +22,20 @@
 from seampond.backing.http import make_client
 from seampond.clock import MS_PER_SECOND, Clock
 from seampond.demo.fleet import free_ports
-from seampond.platform.names import READY_PATH, SERVERS_TABLE
+from seampond.platform.names import (
+    DRAINING,
+    READY,
+    READY_PATH,
+    SERVERS_TABLE,
+)
 from seampond.platform.tests.rows import (
     IDEMPOTENT,
     ONCE,
     ConfigurationRow,
     put_configuration,
 )
-from seampond.testing.crashing import (
-    CRASHING_BODY,
-    CrashingFleet,
-    run_crashing,
-)
+from seampond.testing.crashing import CRASHING_BODY
+from seampond.testing.saying import SayingFleet, run_saying
 from seampond.testing.store import StandInStore, run_store
 
 GATEWAYS = 3
@@ -44,6 +46,11 @@
 _LATE_SENDS_MAX = 3
 _ATTEMPTS_MAX = 2
 _SERVED_PART = 0.9
+_DRAIN_MS = 2000
+_UNWANTED_MAX = 2
+# How long a server says that it leaves before its row does, and after it.
+_LEAVE_MS = 2500
+_ROW_PART = 0.7
 _SETTINGS = """[gateway]
 name = "{name}"
 zone = "a"
@@ -98,23 +105,31 @@
     """What faults may strike."""
 
     gateways: Sequence[GatewayProcess]
-    fleet: CrashingFleet
+    fleet: SayingFleet
     store: StandInStore
     rng: random.Random
     clock: Clock
     until_ms: int
+    configuration: ConfigurationRow
+    kinds: 'Sequence[Fault]'
     faults: Counter[str] = field(default_factory=Counter)
 
+    def strike(self, gateway: GatewayProcess, number: signal.Signals) -> None:
+        """Send a gateway a signal, and note when that was."""
+        struck_ms = self.fleet.struck_ms.setdefault(gateway.ports[0], [])
+        struck_ms.append(self.clock.now())
+        gateway.signal(number)
+
 
 async def _kill(scene: Scene) -> None:
     gateway = scene.rng.choice(scene.gateways)
-    gateway.signal(signal.SIGKILL)
+    scene.strike(gateway, signal.SIGKILL)
     await _come_back(scene, gateway)
 
 
 async def _stop(scene: Scene) -> None:
     gateway = scene.rng.choice(scene.gateways)
-    gateway.signal(signal.SIGTERM)
+    scene.strike(gateway, signal.SIGTERM)
     await _come_back(scene, gateway)
 
 
@@ -129,14 +144,14 @@
 
 async def _freeze(scene: Scene) -> None:
     gateway = scene.rng.choice(scene.gateways)
-    gateway.signal(signal.SIGSTOP)
+    scene.strike(gateway, signal.SIGSTOP)
     await scene.clock.sleep(scene.rng.uniform(300, 4000))
-    gateway.signal(signal.SIGCONT)
+    scene.strike(gateway, signal.SIGCONT)
 
 
 async def _kill_all(scene: Scene) -> None:
     for gateway in scene.gateways:
-        gateway.signal(signal.SIGKILL)
+        scene.strike(gateway, signal.SIGKILL)
     backs = [_come_back(scene, killed) for killed in scene.gateways]
     await asyncio.gather(*backs)
 
@@ -157,6 +172,43 @@
         scene.store.put(SERVERS_TABLE, f'bad-{number}', content)
 
 
+async def _leave(scene: Scene) -> None:
+    """Let a server say that it leaves, with its row or without, and end."""
+    server = scene.rng.choice(scene.fleet.saying)
+    born_ms = server.born_ms
+    server.leaves = True
+    await scene.clock.sleep(scene.rng.uniform(0, _LEAVE_MS))
+    if scene.rng.random() < _ROW_PART and server.born_ms == born_ms:
+        server.put_row(state=DRAINING)
+    await scene.clock.sleep(_LEAVE_MS)
+    if server.born_ms == born_ms:
+        server.crash()
+
+
+async def _want_rest(scene: Scene) -> None:
+    """Let a server turn all away and ask for rest, which it may exceed."""
+    server = scene.rng.choice(scene.fleet.saying)
+    server.rest = str(round(scene.rng.uniform(0.5, 3), 2))
+    server.is_full = True
+    await scene.clock.sleep(scene.rng.uniform(300, 4000))
+    server.is_full = False
+
+
+async def _restore_store(scene: Scene) -> None:
+    """Let the store come back older; what others wrote comes again."""
+    scene.store.is_down = True
+    await scene.clock.sleep(scene.rng.uniform(100, 1000))
+    lost_ms = scene.rng.uniform(500, 3000)
+    scene.store.go_back(round(scene.clock.now() - lost_ms))
+    scene.store.is_down = False
+    await scene.clock.sleep(scene.rng.uniform(0, 1000))
+    put_configuration(scene.store, scene.configuration)
+    for server in scene.fleet.saying:
+        if server.is_up:
+            state = DRAINING if server.has_told_row else READY
+            server.put_row(state=state)
+
+
 Fault = Callable[[Scene], Awaitable[None]]
 _FAULTS: tuple[Fault, ...] = (
     _kill,
@@ -171,12 +223,24 @@
 )
 
 
+# The same, servers that speak of themselves, a store that comes back older.
+# Apart, so that a seed of the first stays the run that it was.
+_LATER_FAULTS: tuple[Fault, ...] = (
+    *_FAULTS,
+    _leave,
+    _leave,
+    _want_rest,
+    _want_rest,
+    _restore_store,
+)
+
+
 async def _inject(scene: Scene) -> None:
     """Let faults come in series that overlap, until the time is over."""
     async with asyncio.TaskGroup() as group:
         while scene.clock.now() < scene.until_ms:
             await scene.clock.sleep(scene.rng.uniform(200, 2500))
-            fault = scene.rng.choice(_FAULTS)
+            fault = scene.rng.choice(scene.kinds)
             scene.faults[fault.__name__] += 1
             group.create_task(fault(scene))  # type: ignore[arg-type]
 
@@ -193,23 +257,38 @@
     wrong: list[str] = field(default_factory=list)
 
 
-def _find_wrong(
-    fleet: CrashingFleet, kind: str, calm_ms: int, report: SoakReport
-) -> list[str]:
-    """Hold what callers and servers have seen against the promises."""
-    runs = Counter(one.body for one in fleet.sent)
+def _find_wrong_requests(fleet: SayingFleet, kind: str) -> list[str]:
+    """Hold each request against what its caller was told."""
+    sends = Counter(one.body for one in fleet.sent)
+    # What a server has turned away may go to another one.
+    runs = fleet.count_runs()
     most = 1 if kind == ONCE else _ATTEMPTS_MAX
     wrong = []
     for one in fleet.asked:
         if one.status == 200 and one.content != b'whole':
             wrong.append(f'{one.body!r}: answered {one.content!r}')
-        is_single = one.body.startswith(b'sound')
-        if is_single and runs[one.body] > most:
-            wrong.append(f'{one.body!r}: sent more than {most} times')
-        if is_single and one.status in (429, 503) and runs[one.body]:
-            wrong.append(f'{one.body!r}: told not run, and sent')
+        if not one.body.startswith(b'sound'):
+            continue
+        if runs[one.body] > most:
+            wrong.append(f'{one.body!r}: run more than {most} times')
+        if sends[one.body] > _ATTEMPTS_MAX:
+            wrong.append(f'{one.body!r}: sent more than {_ATTEMPTS_MAX} times')
+        if one.status in (429, 503) and runs[one.body]:
+            wrong.append(f'{one.body!r}: told not run, and run')
+    return wrong
+
+
+def _find_wrong(
+    fleet: SayingFleet, kind: str, calm_ms: int, report: SoakReport
+) -> list[str]:
+    """Hold what callers and servers have seen against the promises."""
+    wrong = _find_wrong_requests(fleet, kind)
     if report.late_sends > _LATE_SENDS_MAX:
         wrong.append(f'{report.late_sends} late sends of what ends servers')
+    if fleet.count_sends_to_leaving(_DRAIN_MS):
+        wrong.append('sends to a server that had said that it leaves')
+    if fleet.count_unwanted_sends() > _UNWANTED_MAX:
+        wrong.append('sends to a server that wanted rest')
     served = fleet.served_part(calm_ms)
     if served < _SERVED_PART:
         wrong.append(f'served {served:.2f} after the faults')
@@ -313,11 +392,15 @@
             )
 
 
-async def soak(folder: Path, seed: int, seconds: float) -> SoakReport:
+async def soak(
+    folder: Path, seed: int, seconds: float, *, is_later: bool = False
+) -> SoakReport:
     """Run gateways under faults for some seconds, then in calm.
 
     Parameters
     ----------
+    is_later : bool
+        Whether servers speak of themselves and the store comes back older.
     seed : int
         Decides the kind of route and the faults; the interleaving is the
         machine's.
@@ -329,12 +412,22 @@
     for_ms = round(seconds * MS_PER_SECOND)
     async with (
         run_store() as store,
-        run_crashing(store, _SERVERS) as fleet,
+        run_saying(store, _SERVERS, CRASHING_BODY.__eq__) as fleet,
         _run_gateways(folder, store) as gateways,
     ):
-        put_configuration(store, ConfigurationRow(kind=kind))
+        configuration = ConfigurationRow(kind=kind)
+        put_configuration(store, configuration)
         await _wait_ready(gateways, make_client(GATEWAYS, reuses=False))
-        scene = Scene(gateways, fleet, store, rng, clock, clock.now() + for_ms)
+        scene = Scene(
+            gateways,
+            fleet,
+            store,
+            rng,
+            clock,
+            clock.now() + for_ms,
+            configuration,
+            _LATER_FAULTS if is_later else _FAULTS,
+        )
         await _play(scene, [one.ports[0] for one in gateways], for_ms)
         report = _report(scene, kind)
         report.wrong.extend(_read_logs(gateways))
@@ -347,11 +440,14 @@
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--seconds', type=float, default=20)
     parser.add_argument('--folder', type=Path)
+    parser.add_argument('--later', action='store_true')
     options = parser.parse_args()
     with tempfile.TemporaryDirectory() as scratch:
         folder = options.folder or Path(scratch)
         folder.mkdir(parents=True, exist_ok=True)
-        report = asyncio.run(soak(folder, options.seed, options.seconds))
+        report = asyncio.run(
+            soak(folder, options.seed, options.seconds, is_later=options.later)
+        )
     sys.stdout.write(f'seed {options.seed}: {report}\n')
     return int(bool(report.wrong))
 
--- a/seampond/testing/saying.py
+++ b/seampond/testing/saying.py
@@ -2,14 +2,14 @@
 
 import asyncio
 import itertools
-import math
-from collections.abc import AsyncIterator, Iterator
+from collections import Counter
+from collections.abc import AsyncIterator, Callable, Iterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from typing import Any
 
 from seampond.clock import MS_PER_SECOND, Clock
-from seampond.platform.names import HEADERS
+from seampond.platform.names import DRAINING, HEADERS
 from seampond.platform.tests.rows import ID_HEADER, STAMP_HEADER
 from seampond.testing.crashing import (
     EVENT,
@@ -51,6 +51,8 @@
         for none.
     told_leave : list[Sent]
         Sends that were answered with a word of its leave.
+    not_run : list[Sent]
+        Sends that it has turned away.
 
     """
 
@@ -59,10 +61,32 @@
     rest: str = ''
     turned_away: list[TurnedAway] = field(default_factory=list)
     told_leave: list[Sent] = field(default_factory=list)
+    not_run: list[Sent] = field(default_factory=list)
+    _row_left: int = -1
+
+    @property
+    def has_told_row(self) -> bool:
+        """Whether the row of this life has said that it leaves."""
+        return self._row_left == self.born_ms
+
+    async def start(self) -> None:
+        """Begin a life in which nothing has been said."""
+        self.leaves = False
+        self.is_full = False
+        await super().start()
+
+    def put_row(self, **changes: Any) -> None:
+        """Write its row, and keep in mind what it said."""
+        if changes.get('state') == DRAINING:
+            self._row_left = self.born_ms
+        super().put_row(**changes)
 
     async def _answer(
         self, request: Received, writer: asyncio.StreamWriter
     ) -> None:
+        if self.is_deadly(request.body):
+            await super()._answer(request, writer)
+            return
         sent = self._note(request)
         headers = {ID_HEADER: request.get(ID_HEADER)}
         if self.leaves:
@@ -78,6 +102,7 @@
         self, sent: Sent, headers: dict[str, str], writer: asyncio.StreamWriter
     ) -> None:
         headers[_NOT_RUN_HEADER] = '1'
+        self.not_run.append(sent)
         if self.rest:
             headers[_RETRY_AFTER] = self.rest
             rest_ms = round(float(self.rest) * MS_PER_SECOND)
@@ -99,9 +124,18 @@
 
 @dataclass
 class SayingFleet(CrashingFleet):
-    """Such servers, their callers, and what both have seen."""
+    """Such servers, their callers, and what both have seen.
+
+    Parameters
+    ----------
+    struck_ms : dict[str, list[int]]
+        When a gateway was killed, stopped, frozen or thawed, by its address:
+        what it had been told before binds it no more.
+
+    """
 
     saying: list[SayingServer] = field(default_factory=list)
+    struck_ms: dict[str, list[int]] = field(default_factory=dict)
 
     def count_sends_to_leaving(self, drain_ms: int) -> int:
         """Count the sends that came so long after a word of a leave.
@@ -112,18 +146,29 @@
         server; what counts is when a caller sent the request.
         """
         asked = {one.request_id: one for one in self.asked}
-        told: dict[tuple[str, str, int], int] = {}
+        told: dict[tuple[str, str, int], list[int]] = {}
         for server in self.saying:
             for sent in server.told_leave:
                 key = _binding(sent, asked[sent.request_id].gateway)
-                told.setdefault(key, sent.at_ms)
+                told.setdefault(key, []).append(sent.at_ms)
         late = 0
         for sent in self.sent:
             one = asked[sent.request_id]
-            told_ms = told.get(_binding(sent, one.gateway), math.inf)
-            late += one.at_ms > told_ms + drain_ms
+            late += any(
+                one.at_ms > told_ms + drain_ms
+                and not self._was_struck(one.gateway, told_ms, sent.at_ms)
+                for told_ms in told.get(_binding(sent, one.gateway), ())
+            )
         return late
 
+    def count_runs(self) -> Counter[bytes]:
+        """Count the sends of each body that were not turned away."""
+        lists = (server.not_run for server in self.saying)
+        not_run = Counter(
+            one.body for one in itertools.chain.from_iterable(lists)
+        )
+        return Counter(one.body for one in self.sent) - not_run
+
     def count_unwanted_sends(self) -> int:
         """Give the most sends from one gateway inside one time of rest."""
         return max(self._unwanted(), default=0)
@@ -139,31 +184,47 @@
             gateway = gateways[turned.sent.request_id]
             since_ms = turned.sent.at_ms + _CROSSING_MS
             until_ms = turned.sent.at_ms + turned.rest_ms
+            binding = _binding(turned.sent, gateway)
             yield sum(
                 since_ms < sent.at_ms < until_ms
-                and sent.server == turned.sent.server
-                and gateways[sent.request_id] == gateway
+                and _binding(sent, gateways[sent.request_id]) == binding
+                and not self._was_struck(gateway, since_ms, sent.at_ms)
                 for sent in self.sent
             )
 
+    def _was_struck(self, gateway: str, since_ms: int, until_ms: int) -> bool:
+        struck_ms = self.struck_ms.get(gateway, ())
+        # A request may have been under way when the gateway was struck.
+        return any(
+            since_ms - _CROSSING_MS <= at_ms <= until_ms for at_ms in struck_ms
+        )
+
 
 def _binding(sent: Sent, gateway: str) -> tuple[str, str, int]:
     return gateway, sent.server, sent.life
 
 
+def _never(body: bytes) -> bool:
+    """End under nothing."""
+    return False
+
+
 @asynccontextmanager
 async def run_saying(
-    store: StandInStore, count: int, **row: Any
+    store: StandInStore,
+    count: int,
+    is_deadly: Callable[[bytes], bool] = _never,
+    **row: Any,
 ) -> AsyncIterator[SayingFleet]:
     """Run such servers until the end of the `with`."""
     clock = Clock()
-    fleet = SayingFleet(store, clock)
+    fleet = SayingFleet(store, clock, deadly=is_deadly)
     fleet.saying.extend(
         SayingServer(
             f'i-{number}',
             store,
             clock,
-            lambda body: False,
+            is_deadly,
             fleet.sent.append,
             row=row,
         )
--- a/seampond/testing/scripted.py
+++ b/seampond/testing/scripted.py
@@ -132,5 +132,10 @@
     lines = ['HTTP/1.1 200 OK', 'Transfer-Encoding: chunked']
     lines.extend(f'{name}: {text}' for name, text in headers.items())
     parts = ['\r\n'.join(lines).encode(), _END]
-    parts.extend(b'%x\r\n%b\r\n' % (len(chunk), chunk) for chunk in chunks)
+    parts.extend(map(make_chunk, chunks))
     return b''.join(parts)
+
+
+def make_chunk(chunk: bytes) -> bytes:
+    """Give the bytes of one chunk; an empty one ends an answer."""
+    return b'%x\r\n%b\r\n' % (len(chunk), chunk)
