--- a/seampond/gateway/tests/test_versions.py
+++ b/seampond/gateway/tests/test_versions.py
@@ -7,6 +7,7 @@
 """
 
 import unittest
+from dataclasses import replace
 
 from seampond.clock import ManualClock
 from seampond.forwarding.backend import Backend
@@ -19,9 +20,11 @@
 from seampond.sharing import key_of
 from seampond.testing.gateways import (
     POOL,
+    build_backends,
     build_job,
     build_route,
     build_server,
+    pick,
 )
 from seampond.testing.rollouts import NEW, OLD, build_order, build_places
 
@@ -29,6 +32,38 @@
 _SEEN_MS = (63, 63, 58, 44, 62, 62)
 
 
+class LivesTest(unittest.TestCase):
+    """A server of the old version that starts again, while it has work."""
+
+    def count_open(self, version: str) -> int:
+        """Give the open work on the old version after the start."""
+        clock = ManualClock(1000)
+        first = build_server('i-1', version=OLD, born_ms=100)
+        other = build_server('i-2', version=NEW, born_ms=100)
+        backends = build_backends([first, other], clock)
+        rollouts = Rollouts(
+            Limits(0.1, 50),
+            lambda: 1,
+            backends.all_of_pool,
+            lambda pool: True,
+            list,
+            key_of,
+        )
+        rollouts.take_orders([build_order()], [], 1000, is_start=False)
+        earlier = pick(backends, 'i-1')
+        earlier.note_place()
+        self.assertEqual(rollouts.count_open_old(POOL), 1)
+        later = replace(first, version=version, born_ms=200)
+        backends.take([later], [])
+        earlier.note_release()
+        return rollouts.count_open_old(POOL)
+
+    def test_work_of_an_earlier_life_is_not_open(self) -> None:
+        """It ended with that life, whatever the version of the next."""
+        for version in (OLD, NEW):
+            self.assertEqual(self.count_open(version), 0)
+
+
 class VersionsTest(unittest.TestCase):
     """A new version beside an old one that takes 20 ms."""
 
