Read, log, count and show the limits that servers name

A limit is read from any answer of the server itself; it changes no decision yet. What cannot be read is none; of several the lowest counts.

After: a line at each change, a counter for each answer, a field of /status.

--- a/seampond/forwarding/models.py
+++ b/seampond/forwarding/models.py
@@ -176,6 +176,7 @@
     load: bytes
     not_run: bytes
     leaving: bytes
+    limit: bytes
     tokens: bytes
     prompt: bytes
     last_event: bytes
--- a/seampond/forwarding/notices.py
+++ b/seampond/forwarding/notices.py
@@ -37,6 +37,8 @@
         Until when it wants nothing from us.
     is_unproved : bool
         Whether no request has ended there since it wanted rest.
+    limit : float or None
+        The requests a second that it takes from all gateways together.
 
     """
 
@@ -45,6 +47,7 @@
     serves_until_ms: int = 0
     rest_until_ms: int = 0
     is_unproved: bool = False
+    limit: float | None = None
 
     def wants_rest(self, now_ms: int) -> bool:
         """Whether it has asked to be left alone now."""
@@ -127,6 +130,17 @@
             until_ms = now_ms + words.rest_ms
             notice.is_unproved = True
             notice.rest_until_ms = max(notice.rest_until_ms, until_ms)
+        if words.limit is not None:
+            self._count('limit')
+        if words.is_own and words.limit != notice.limit:
+            _tell(
+                'server names a limit',
+                server,
+                limit=words.limit,
+                before=notice.limit,
+            )
+            notice.limit = words.limit
+            self._keep(server.id, notice)
         if words.leaves or words.rest_ms:
             self._keep(server.id, notice)
 
--- a/seampond/forwarding/tests/test_words.py
+++ b/seampond/forwarding/tests/test_words.py
@@ -8,14 +8,17 @@
 
 from seampond.forwarding.heads import Head
 from seampond.forwarding.words import (
+    LIMIT_MAX,
     REST_MAX_MS,
     Words,
+    parse_limit,
     parse_retry_after_ms,
     read_words,
 )
-from seampond.testing.gateways import LEAVING_HEADER, NAMES
+from seampond.testing.gateways import LEAVING_HEADER, LIMIT_HEADER, NAMES
 
 _LEAVING = LEAVING_HEADER.encode()
+_LIMIT = LIMIT_HEADER.encode()
 _RETRY_AFTER = b'retry-after'
 _NOW_S = 1_000_000_000
 _LATER = 'Sun, 09 Sep 2001 01:46:45 GMT'
@@ -43,6 +46,27 @@
     ('Sun, 09 Sep 99999999999 01:46:45 GMT', 0),
 )
 
+_LIMITS = (
+    ('1.5', 1.5),
+    (' 4 ', 4),
+    ('.2', 0.2),
+    ('3.', 3),
+    ('0', 0),
+    ('0.0', 0),
+    ('4, 2', 2),
+    ('nan, 2', 2),
+    ('9' * 400, LIMIT_MAX),
+    ('nan', None),
+    ('-1', None),
+    ('inf', None),
+    ('1e999', None),
+    ('0x2', None),
+    ('1_0', None),
+    ('٣', None),
+    ('few', None),
+    ('', None),
+)
+
 
 class RetryAfterTest(unittest.TestCase):
     """The time that a server asks for."""
@@ -97,3 +121,38 @@
         for text in (b'', b'0', b'no', b'11'):
             head = Head(200, [(_LEAVING, text)])
             self.assertFalse(read_words(head, NAMES).leaves)
+
+
+class LimitTest(unittest.TestCase):
+    """The requests a second that a server takes."""
+
+    def test_limits(self) -> None:
+        """What cannot be read is none, and nothing is raised."""
+        for text, expected in _LIMITS:
+            with self.subTest(text=text[:40]):
+                self.assertEqual(parse_limit(text), expected)
+
+    @settings(derandomize=True, max_examples=300)
+    @given(st.text(max_size=80))
+    def test_whatever_is_written(self, text: str) -> None:
+        """It is none, or a number inside the bounds."""
+        read = parse_limit(text)
+        self.assertTrue(read is None or 0 <= read <= LIMIT_MAX)
+
+    def test_the_lowest_of_several_counts(self) -> None:
+        """Each of them was named; one that cannot be read is none."""
+        for texts, expected in (
+            ((b'3', b'1.5'), 1.5),
+            ((b'few', b'2'), 2),
+            ((b'few',), None),
+        ):
+            head = Head(200, [(_LIMIT, text) for text in texts])
+            self.assertEqual(read_words(head, NAMES).limit, expected)
+
+    def test_any_answer_of_that_server_counts(self) -> None:
+        """A misdirected request is answered by another."""
+        for status in (200, 301, 404, 429, 500, 503):
+            head = Head(status, [(_LIMIT, b'2')])
+            self.assertEqual(read_words(head, NAMES).limit, 2)
+        head = Head(HTTPStatus.MISDIRECTED_REQUEST, [(_LIMIT, b'2')])
+        self.assertEqual(read_words(head, NAMES), Words(is_own=False))
--- a/seampond/forwarding/words.py
+++ b/seampond/forwarding/words.py
@@ -13,9 +13,11 @@
 
 _RETRY_AFTER = b'retry-after'
 _YES = b'1'
-_SECONDS = re.compile(r'\d+\.?\d*|\.\d+', re.ASCII)
+_DECIMAL = re.compile(r'\d+\.?\d*|\.\d+', re.ASCII)
 # A longer time is a slip of its writer: it would shut a server out for good.
 REST_MAX_MS = 300_000
+# No server takes more: a number of some hundred digits is infinite.
+LIMIT_MAX = 1_000_000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,11 +30,17 @@
         Whether the server leaves.
     rest_ms : int
         For how long it wants nothing from us, 0 for no such wish.
+    limit : float or None
+        The requests a second that it takes from all gateways together.
+    is_own : bool
+        Whether that server has answered.
 
     """
 
     leaves: bool = False
     rest_ms: int = 0
+    limit: float | None = None
+    is_own: bool = True
 
 
 def read_words(head: Head, names: HeaderNames) -> Words:
@@ -51,7 +59,7 @@
 
     """
     if head.status == HTTPStatus.MISDIRECTED_REQUEST:
-        return Words()
+        return Words(is_own=False)
     leaves = any(
         name == names.leaving and text.strip() == _YES
         for name, text in head.headers
@@ -66,7 +74,7 @@
             ),
             default=0,
         )
-    return Words(leaves, rest_ms)
+    return Words(leaves, rest_ms, _read_limit(head, names.limit))
 
 
 def parse_retry_after_ms(text: str, now_s: float) -> int:
@@ -90,7 +98,7 @@
     stripped = text.strip()
     # Several headers of one name may have been joined on their way.
     parts = [part.strip() for part in stripped.split(',')]
-    if all(map(_SECONDS.fullmatch, parts)):
+    if all(map(_DECIMAL.fullmatch, parts)):
         seconds = max(map(float, parts))
     else:
         seconds = _seconds_until(stripped, now_s)
@@ -99,6 +107,32 @@
     return round(min(max(seconds, 0), most_s) * MS_PER_SECOND)
 
 
+def _read_limit(head: Head, wanted: bytes) -> float | None:
+    """Give the lowest limit that an answer names."""
+    limits = [
+        parse_limit(text.decode('latin-1'))
+        for name, text in head.headers
+        if name == wanted
+    ]
+    named = [limit for limit in limits if limit is not None]
+    return min(named, default=None)
+
+
+def parse_limit(text: str) -> float | None:
+    """Give the requests a second that a server takes, None where unreadable.
+
+    Examples
+    --------
+    >>> parse_limit(' 1.5 '), parse_limit('4, 2'), parse_limit('-1')
+    (1.5, 2.0, None)
+
+    """
+    # Several headers of one name may have been joined on their way.
+    parts = [part.strip() for part in text.split(',')]
+    named = [float(part) for part in parts if _DECIMAL.fullmatch(part)]
+    return min([*named, LIMIT_MAX]) if named else None
+
+
 def _seconds_until(date: str, now_s: float) -> float:
     try:
         moment = parsedate_to_datetime(date)
--- a/seampond/platform/names.py
+++ b/seampond/platform/names.py
@@ -16,6 +16,7 @@
     load=b'x-seampond-server-load',
     not_run=b'x-seampond-not-executed',
     leaving=b'server-leaving',
+    limit=b'server-limit',
     tokens=_TOKENS,
     prompt=_PROMPT,
     last_event=b'last-event-id',
