--- /dev/null
+++ b/seampond/gateway/tests/test_server_limits.py
@@ -0,0 +1,205 @@
+"""Servers that name the requests a second that they take from all gateways.
+
+Two model servers of nine named limits of 1.5 and 1.8 requests a second from
+8.0 s on and got 16 and 19 in 4 s from gateways that had passed such answers on
+(14 and 16 are allowed).  No gateway read the word: each placed by load as
+before.  One gateway alone sent 7 in 0.6 s to the one of 1.8, 2.6 s after it had
+passed on the first answer that named it (`request over`, tried there, 11.06 to
+11.66 s); three sent the other 4, 4 and 3 in 1.7 s, so a count that each keeps
+for itself would not have held either.  With a line for each word that comes
+(`server names a limit`) every gateway hears it with its first answer there.
+"""
+
+import asyncio
+from http import HTTPStatus
+from typing import Any
+
+from seampond.clock import MS_PER_SECOND, Clock
+from seampond.gateway.daemon import RunningGateway, run_gateway
+from seampond.gateway.tests.test_gateway import GatewayCase, build_settings
+from seampond.platform.tests.rows import (
+    IDEMPOTENT,
+    ONCE,
+    STREAM,
+    ConfigurationRow,
+    put_configuration,
+)
+from seampond.testing.gateways import until_true
+from seampond.testing.limited import Limited
+from seampond.testing.saying import SayingFleet, run_saying
+
+_SERVERS = 6
+# 40 requests a second, at the gateways in turn.
+_EVERY_MS = 25
+_RUN_MS = 9000
+_CONTACT_MS = 2500
+_RUNS_MS = 30
+_SERVED_PART = 0.97
+_USED_PART = 0.6
+# Some of those that could not be served may wait a quarter of the target.
+_SOON_MS = 300
+_UNREADABLE = ('nan', '-1', 'inf', '1e999', '0x2', 'few', '')
+
+
+class LimitCase(GatewayCase):
+    """Some gateways before six servers."""
+
+    async def open_fleet(
+        self, kind: str = IDEMPOTENT, gateways: int = 2, **row: Any
+    ) -> SayingFleet:
+        """Start the servers, then the gateways."""
+        put_configuration(self.store, ConfigurationRow(kind=kind))
+        fleet = await self.stack.enter_async_context(
+            run_saying(self.store, _SERVERS, **row)
+        )
+        for server in fleet.saying:
+            server.is_stream = kind == STREAM
+            server.run_ms = _RUNS_MS
+        self.fleet = fleet
+        self.limited = Limited(fleet, _CONTACT_MS)
+        names = [f'g{number}' for number in range(gateways)]
+        self.gateways = await asyncio.gather(*map(self.open_gateway, names))
+        await until_true(lambda: all(map(self._is_up, self.gateways)), 20)
+        return fleet
+
+    async def open_gateway(self, name: str) -> RunningGateway:
+        """Start a gateway, which ends with the test."""
+        settings = build_settings(self.store.address, name=name)
+        return await self.stack.enter_async_context(
+            run_gateway(settings, Clock())
+        )
+
+    async def drive(self, for_ms: int = _RUN_MS) -> int:
+        """Bring requests for a while; give when that began."""
+        since_ms = self.fleet.clock.now()
+        addresses = [one.parts.settings.listen for one in self.gateways]
+        await self.fleet.keep_asking(
+            addresses, lambda number: b'%d' % number, _EVERY_MS, for_ms
+        )
+        return since_ms
+
+    def check_returns(self, since_ms: int) -> None:
+        """Check that who was not served was told so soon, and when to come."""
+        for one in self.fleet.asked:
+            if one.at_ms >= since_ms and one.status != HTTPStatus.OK:
+                self.assertEqual(one.status, HTTPStatus.SERVICE_UNAVAILABLE)
+                self.assertLessEqual(one.head_ms - one.at_ms, _SOON_MS)
+                self.assertGreater(float(one.headers['retry-after']), 0)
+
+    def _is_up(self, gateway: RunningGateway) -> bool:
+        parts = gateway.parts
+        is_known = len(parts.backends) == _SERVERS
+        is_listed = parts.peers.count == len(self.gateways)
+        is_proved = parts.web.admission.is_proved
+        return parts.is_ready and is_proved and is_known and is_listed
+
+
+class OneOfSixTest(LimitCase):
+    """One server names a limit, the others have room."""
+
+    async def test_where_requests_may_be_repeated(self) -> None:
+        """They serve, and it gets no more than it takes."""
+        await self.open_fleet()
+        await self._check('1.5')
+
+    async def test_where_requests_may_run_once(self) -> None:
+        """The same."""
+        await self.open_fleet(ONCE)
+        await self._check('1.5')
+
+    async def test_on_streams(self) -> None:
+        """Named in the head, while the stream runs."""
+        await self.open_fleet(STREAM)
+        await self._check('1.5')
+
+    async def test_before_eight_gateways(self) -> None:
+        """Where one request of each would be too many."""
+        await self.open_fleet(gateways=8)
+        await self._check('0.2')
+
+    async def test_that_also_turns_requests_away(self) -> None:
+        """What is turned away counts as well."""
+        fleet = await self.open_fleet(gateways=4)
+        fleet.saying[0].full_every = 2
+        await self._check('1.5')
+
+    async def test_that_takes_nothing(self) -> None:
+        """Only what finds out whether that is over."""
+        await self.open_fleet()
+        await self._check('0')
+
+    async def test_limit_that_is_said_no_more(self) -> None:
+        """Four seconds later the server has its full share again."""
+        fleet = await self.open_fleet()
+        fleet.saying[0].limit = '1.5'
+        await self.drive(6000)
+        self.assertLessEqual(self.limited.worst_part(), 1)
+        fleet.saying[0].limit = ''
+        await self.drive(4000)
+        since_ms = await self.drive(3000)
+        got = sum(
+            one.sent.at_ms >= since_ms for one in fleet.saying[0].arrivals
+        )
+        sent = sum(one.at_ms >= since_ms for one in fleet.sent)
+        self.assertGreater(got, sent / _SERVERS / 2)
+
+    async def test_what_cannot_be_read_is_no_limit(self) -> None:
+        """The answer passes, and the server is used as before."""
+        fleet = await self.open_fleet()
+        for server, text in zip(fleet.saying, _UNREADABLE, strict=False):
+            server.limit = text
+            # So long that all places are needed.
+            server.run_ms = 500
+        since_ms = await self.drive(2000)
+        self.assertEqual(fleet.served_part(since_ms), 1)
+        for server in fleet.saying:
+            self.assertGreater(len(server.arrivals), 4)
+
+    async def _check(self, limit: str) -> None:
+        self.fleet.saying[0].limit = limit
+        since_ms = await self.drive()
+        self.assertLessEqual(self.limited.worst_part(), 1)
+        self.assertGreaterEqual(self.fleet.served_part(since_ms), _SERVED_PART)
+
+
+class AllSixTest(LimitCase):
+    """Each server of the pool names a limit."""
+
+    async def test_limit_is_used(self) -> None:
+        """Who cannot be served hears it soon, and when to come back."""
+        await self.open_fleet()
+        await self._check('3')
+
+    async def test_before_eight_gateways(self) -> None:
+        """Each may send less than one a second."""
+        await self.open_fleet(gateways=8)
+        await self._check('1')
+
+    async def test_on_streams(self) -> None:
+        """The same."""
+        await self.open_fleet(STREAM, gateways=8)
+        await self._check('3')
+
+    async def test_limits_that_change(self) -> None:
+        """Each falls to a quarter after some seconds."""
+        fleet = await self.open_fleet(gateways=4)
+        self._name('4')
+        await self.drive(4000)
+        self._name('1')
+        since_ms = await self.drive(_RUN_MS)
+        self.assertLessEqual(self.limited.worst_part(), 1)
+        used = self.limited.used_part(since_ms + _CONTACT_MS, fleet.clock.now())
+        self.assertGreaterEqual(used, _USED_PART)
+
+    def _name(self, limit: str) -> None:
+        for server in self.fleet.saying:
+            server.limit = limit
+
+    async def _check(self, limit: str) -> None:
+        self._name(limit)
+        since_ms = await self.drive()
+        self.assertLessEqual(self.limited.worst_part(), 1)
+        known_ms = since_ms + MS_PER_SECOND
+        used = self.limited.used_part(known_ms, since_ms + _RUN_MS)
+        self.assertGreaterEqual(used, _USED_PART)
+        self.check_returns(known_ms)
--- a/seampond/testing/saying.py
+++ b/seampond/testing/saying.py
@@ -1,4 +1,4 @@
-"""Servers that say in their answers that they leave or want rest."""
+"""Servers that say of themselves what they want, and what they then get."""
 
 import asyncio
 import itertools
@@ -22,6 +22,7 @@
 from seampond.testing.store import StandInStore
 
 LEAVING_HEADER = HEADERS.leaving.decode()
+LIMIT_HEADER = HEADERS.limit.decode()
 _NOT_RUN_HEADER = HEADERS.not_run.decode()
 _RETRY_AFTER = 'retry-after'
 # What is under way when a server asks for rest may still come.
@@ -36,6 +37,24 @@
     rest_ms: int
 
 
+@dataclass(slots=True)
+class Arrival:
+    """A send to a server, and the limit that the server named then.
+
+    Parameters
+    ----------
+    limit : str
+        As it stands in the header, empty for none.
+    answered_ms : int
+        When the head of its answer went out, 0 if none did.
+
+    """
+
+    sent: Sent
+    limit: str
+    answered_ms: int = 0
+
+
 @dataclass
 class SayingServer(CrashingServer):
     """One server, and what it says in its answers.
@@ -49,6 +68,12 @@
     rest : str
         The time that it then asks for, as it stands in the header; empty
         for none.
+    limit : str
+        The limit that it names, as it stands in the header; empty for none.
+    full_every : int
+        Of how many requests it turns one away, 0 for none.
+    arrivals : list[Arrival]
+        What reached it.
     told_leave : list[Sent]
         Sends that were answered with a word of its leave.
     not_run : list[Sent]
@@ -59,6 +84,9 @@
     leaves: bool = False
     is_full: bool = False
     rest: str = ''
+    limit: str = ''
+    full_every: int = 0
+    arrivals: list[Arrival] = field(default_factory=list)
     turned_away: list[TurnedAway] = field(default_factory=list)
     told_leave: list[Sent] = field(default_factory=list)
     not_run: list[Sent] = field(default_factory=list)
@@ -73,6 +101,7 @@
         """Begin a life in which nothing has been said."""
         self.leaves = False
         self.is_full = False
+        self.limit = ''
         await super().start()
 
     def put_row(self, **changes: Any) -> None:
@@ -92,12 +121,25 @@
         if self.leaves:
             headers[LEAVING_HEADER] = '1'
             self.told_leave.append(sent)
-        if self.is_full:
+        arrival = Arrival(sent, self.limit)
+        self.arrivals.append(arrival)
+        if self.limit:
+            headers[LIMIT_HEADER] = self.limit
+        if self._turns_away():
             self._turn_away(sent, headers, writer)
+        elif self.is_stream:
+            arrival.answered_ms = self.clock.now()
+            await self._serve_whole(headers, writer)
         else:
             await self._serve_whole(headers, writer)
+        arrival.answered_ms = arrival.answered_ms or self.clock.now()
         await writer.drain()
 
+    def _turns_away(self) -> bool:
+        if self.full_every and not len(self.arrivals) % self.full_every:
+            return True
+        return self.is_full
+
     def _turn_away(
         self, sent: Sent, headers: dict[str, str], writer: asyncio.StreamWriter
     ) -> None:
@@ -156,7 +198,7 @@
             one = asked[sent.request_id]
             late += any(
                 one.at_ms > told_ms + drain_ms
-                and not self._was_struck(one.gateway, told_ms, sent.at_ms)
+                and not self.was_struck(one.gateway, told_ms, sent.at_ms)
                 for told_ms in told.get(_binding(sent, one.gateway), ())
             )
         return late
@@ -178,8 +220,20 @@
         lists = (server.turned_away for server in self.saying)
         return list(itertools.chain.from_iterable(lists))
 
+    def gateways_by_request(self) -> dict[str, str]:
+        """Give the address of the gateway that each request was sent to."""
+        return {one.request_id: one.gateway for one in self.asked}
+
+    def was_struck(self, gateway: str, since_ms: int, until_ms: int) -> bool:
+        """Whether a gateway lost in a span what it had been told."""
+        struck_ms = self.struck_ms.get(gateway, ())
+        # A request may have been under way when the gateway was struck.
+        return any(
+            since_ms - _CROSSING_MS <= at_ms <= until_ms for at_ms in struck_ms
+        )
+
     def _unwanted(self) -> Iterator[int]:
-        gateways = {one.request_id: one.gateway for one in self.asked}
+        gateways = self.gateways_by_request()
         for turned in self.list_turned_away():
             gateway = gateways[turned.sent.request_id]
             since_ms = turned.sent.at_ms + _CROSSING_MS
@@ -188,17 +242,10 @@
             yield sum(
                 since_ms < sent.at_ms < until_ms
                 and _binding(sent, gateways[sent.request_id]) == binding
-                and not self._was_struck(gateway, since_ms, sent.at_ms)
+                and not self.was_struck(gateway, since_ms, sent.at_ms)
                 for sent in self.sent
             )
 
-    def _was_struck(self, gateway: str, since_ms: int, until_ms: int) -> bool:
-        struck_ms = self.struck_ms.get(gateway, ())
-        # A request may have been under way when the gateway was struck.
-        return any(
-            since_ms - _CROSSING_MS <= at_ms <= until_ms for at_ms in struck_ms
-        )
-
 
 def _binding(sent: Sent, gateway: str) -> tuple[str, str, int]:
     return gateway, sent.server, sent.life
