--- a/seampond/forwarding/attempt.py
+++ b/seampond/forwarding/attempt.py
@@ -97,8 +97,8 @@
             return self._fail(error)
         if not self._may_send():
             # The list or an answer has told of its leave while we connected,
-            # it has asked for rest, or a server has ended under another copy
-            # of the request.
+            # it has asked for rest or named a limit, or a server has ended
+            # under another copy of the request.
             self.backends.give_back(self.backend, connection, None)
             return Outcome.unreached
         keep_ms: int | None = None
@@ -118,9 +118,17 @@
         return outcome
 
     def _may_send(self) -> bool:
-        may_send = self.backend.may_send(self.clock.now())
+        now_ms = self.clock.now()
+        may_send = self.backend.may_send(now_ms) and self._is_permitted(now_ms)
         return may_send and self.quarantine.may_send(self.progress.job)
 
+    def _is_permitted(self, now_ms: int) -> bool:
+        """Whether the server has no limit, or we hold a permit."""
+        permit = self.progress.job.permit
+        if not self.backend.notice.limit.is_named:
+            return True
+        return permit is not None and permit.may_send(now_ms)
+
     def _send(self, connection: Connection) -> None:
         progress, job = self.progress, self.progress.job
         self._check_promises()
@@ -144,6 +152,7 @@
                 Rule.no_work_in_rest,
                 not self.backend.notice.wants_rest(now_ms),
             ),
+            (Rule.no_work_above_limit, self._is_permitted(now_ms)),
             (
                 Rule.single_dispatch,
                 job.route.may_repeat or not job.maybe_run,
@@ -162,7 +171,8 @@
         self._note_load(head)
         # The row that says the same may come late: by 12.7 s in an outage of
         # the store, in which the server got eleven more requests.
-        self.backends.note_words(self.backend, read_words(head, self.names))
+        words = read_words(head, self.names)
+        self.backends.note_words(self.backend, words, self.sent_ms)
         if self._is_rejection(head):
             job.maybe_run = had_run
             await connection.read_whole(_WHOLE_MAX_BYTES)
--- a/seampond/forwarding/backend.py
+++ b/seampond/forwarding/backend.py
@@ -124,6 +124,10 @@
         """Whether it may be sent to now, if only as a fallback."""
         return self.may_serve(now_ms) and not self.notice.wants_rest(now_ms)
 
+    def has_room_for_all(self, now_ms: int) -> bool:
+        """Whether nothing but its load closes its places."""
+        return self.may_send(now_ms) and not self.notice.limit.is_named
+
     def is_usable(self, now_ms: int) -> bool:
         """Whether to send to it now."""
         is_taken = self.notice.is_unproved and self.is_on_probe
--- a/seampond/forwarding/backends.py
+++ b/seampond/forwarding/backends.py
@@ -4,10 +4,12 @@
 import sys
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import replace
+from typing import Protocol
 
 from seampond.clock import Clock
 from seampond.forwarding.backend import Backend, OthersLoad
 from seampond.forwarding.exchange import Connection, open_connection
+from seampond.forwarding.limit import Limit
 from seampond.forwarding.notices import Notices
 from seampond.forwarding.server import Server
 from seampond.forwarding.speeds import PoolSpeed
@@ -26,6 +28,17 @@
     """Count no words."""
 
 
+def _tell_nobody(key: int, limit: Limit, *, is_other: bool) -> None:
+    """Tell nobody of a limit."""
+
+
+class NoteLimit(Protocol):
+    """Told of what an answer says of a limit."""
+
+    def __call__(self, key: int, limit: Limit, *, is_other: bool) -> None:
+        """Note it, by the key of the life."""
+
+
 class Backends:
     """All servers that a gateway knows, by their id.
 
@@ -43,6 +56,11 @@
     count_word : Callable[[str], None]
         Counts an answer with a word of its server on itself.
 
+    Attributes
+    ----------
+    note_limit : NoteLimit
+        Told of the limits of servers that have named one.
+
     """
 
     def __init__(
@@ -57,6 +75,7 @@
         """Start with none."""
         self.bound_connections = bound_connections
         self.grace_ms = grace_ms
+        self.note_limit: NoteLimit = _tell_nobody
         self._clock = clock
         self._id_header = id_header
         self._key_of = key_of
@@ -160,12 +179,44 @@
         names = {server.id for server in listed}.union(unreadable)
         self.take(listed, [name for name in self._by_id if name not in names])
 
-    def note_words(self, backend: Backend, words: Words) -> None:
-        """Take what a server says of itself in an answer."""
-        self._notices.take(backend.server, backend.notice, words, self.grace_ms)
+    def note_words(self, backend: Backend, words: Words, sent_ms: int) -> None:
+        """Take what a server says of itself in an answer.
+
+        Parameters
+        ----------
+        sent_ms : int
+            When the request was sent.
+
+        """
+        limit = backend.notice.limit
+        before = limit.rate
+        self._notices.take(
+            backend.server, backend.notice, words, self.grace_ms, sent_ms
+        )
+        if limit.said_ms == sent_ms:
+            key = self._key_of(backend.server.life)
+            self.note_limit(key, limit, is_other=limit.rate != before)
         if words.leaves:
             backend.drop_idle()
 
+    def take_limit(
+        self, key: int, rate: float | None, said_ms: int
+    ) -> Limit | None:
+        """Take what another gateway has heard of a limit; give what holds.
+
+        Parameters
+        ----------
+        key : int
+            Of the server's life.
+
+        """
+        backend = self._by_key.get(key)
+        if backend is None:
+            return None
+        notice = backend.notice
+        self._notices.take_limit(backend.server, notice, rate, said_ms)
+        return notice.limit
+
     async def connect(self, backend: Backend) -> Connection:
         """Give a connection to a server, a rested one if there is any.
 
--- a/seampond/forwarding/job.py
+++ b/seampond/forwarding/job.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from seampond.forwarding.limit import Permit
 from seampond.forwarding.models import Kind, Route, Tenant
 
 Headers = list[tuple[bytes, bytes]]
@@ -71,6 +72,9 @@
         Whether the same request is under way here and had no good answer.
     is_trial : bool
         Whether it has leave to be sent once although it is in quarantine.
+    permit : Permit or None
+        Its leave to be sent to the server where it has a place, if that one
+        has a limit.
 
     """
 
@@ -97,6 +101,7 @@
     strikes: int = 0
     is_unproved_copy: bool = False
     is_trial: bool = False
+    permit: Permit | None = None
 
     @property
     def session(self) -> str:
--- /dev/null
+++ b/seampond/forwarding/limit.py
@@ -0,0 +1,139 @@
+"""The limit that a server names, and our permits to send to it."""
+
+from dataclasses import dataclass, field
+
+# How long after it holds a permit may be taken up; the sum over gateways bears
+# what is late by so much.
+_PERMIT_MS = 500
+# How much later the request may go out: a connection may have to be made.
+_SEND_MS = 300
+# A word so old may have been taken back, and nobody has heard it yet.
+_WORD_AGE_MS = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class Permit:
+    """Leave to send one request.
+
+    Parameters
+    ----------
+    from_ms, until_ms : int
+        When it may be taken up.
+
+    """
+
+    from_ms: int
+    until_ms: int
+
+    def holds(self, now_ms: int) -> bool:
+        """Whether it may be taken up now."""
+        return self.from_ms <= now_ms < self.until_ms
+
+    def may_send(self, now_ms: int) -> bool:
+        """Whether a request that has taken it up may still go out."""
+        return now_ms < self.until_ms + _SEND_MS
+
+
+@dataclass(slots=True)
+class Limit:
+    """What one life of a server takes, and what we may send of it.
+
+    Parameters
+    ----------
+    rate : float or None
+        The requests a second that it takes from all gateways together.
+    said_ms : int or None
+        When the request was sent whose answer said so, None if it has never
+        named a limit.
+    permits : list[Permit]
+        Those that nobody has taken up yet.
+    asked_ms : int or None
+        Since when we wait for an answer to our asking for one.
+    number : int
+        Of the latest time that we asked.
+    opens_ms : int
+        Before this there is no other permit for us, as far as we know.
+    tries_ms : int
+        Before this we do not ask only to hear whether the limit holds on.
+
+    """
+
+    rate: float | None = None
+    said_ms: int | None = None
+    permits: list[Permit] = field(default_factory=list)
+    asked_ms: int | None = None
+    number: int = 0
+    opens_ms: int = 0
+    tries_ms: int = 0
+
+    @property
+    def is_named(self) -> bool:
+        """Whether there is a limit."""
+        return self.rate is not None
+
+    def take_word(self, rate: float | None, said_ms: int) -> bool:
+        """Take what an answer says; tell whether it is another limit.
+
+        Explanation
+        -----------
+        An answer to an older request is no newer word.  Of two as old as
+        each other the one with a limit counts.
+        """
+        if self.said_ms is None:
+            if rate is None:
+                return False
+        elif said_ms < self.said_ms:
+            return False
+        elif rate is None and said_ms == self.said_ms:
+            return False
+        is_other = rate != self.rate
+        self.rate = rate
+        self.said_ms = said_ms
+        if is_other:
+            self.opens_ms = 0
+        if rate is None:
+            self.permits.clear()
+            self.asked_ms = None
+        return is_other
+
+    def is_stale(self, now_ms: int) -> bool:
+        """Whether the last word is so old that it may not hold any more."""
+        said_ms = self.said_ms
+        return said_ms is not None and now_ms - said_ms >= _WORD_AGE_MS
+
+    def has_permit(self, now_ms: int) -> bool:
+        """Whether a request may be sent now."""
+        return any(permit.holds(now_ms) for permit in self.permits)
+
+    def add_permit(self, now_ms: int, asked_ms: int, wait_ms: int) -> None:
+        """Keep a permit that holds after a wait.
+
+        Parameters
+        ----------
+        asked_ms : int
+            When we asked, which was before it was given.
+
+        """
+        until_ms = asked_ms + wait_ms + _PERMIT_MS
+        self.permits.append(Permit(now_ms + wait_ms, until_ms))
+
+    def take_permit(self, now_ms: int) -> Permit | None:
+        """Take up the permit that ends first, if there is one."""
+        self.drop_old(now_ms)
+        held = [permit for permit in self.permits if permit.holds(now_ms)]
+        if not held:
+            return None
+        first = min(held, key=lambda permit: permit.until_ms)
+        self.permits.remove(first)
+        return first
+
+    def drop_old(self, now_ms: int) -> None:
+        """Forget permits that have ended."""
+        self.permits = [
+            permit for permit in self.permits if now_ms < permit.until_ms
+        ]
+
+    def count_coming(self, now_ms: int) -> int:
+        """Count the permits that hold now or later, and that are asked for."""
+        held = sum(now_ms < permit.until_ms for permit in self.permits)
+        return held + (self.asked_ms is not None)
--- a/seampond/forwarding/notices.py
+++ b/seampond/forwarding/notices.py
@@ -6,9 +6,10 @@
 
 import logging
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from seampond.clock import Clock
+from seampond.forwarding.limit import Limit
 from seampond.forwarding.server import Server
 from seampond.forwarding.words import Words
 
@@ -37,8 +38,8 @@
         Until when it wants nothing from us.
     is_unproved : bool
         Whether no request has ended there since it wanted rest.
-    limit : float or None
-        The requests a second that it takes from all gateways together.
+    limit : Limit
+        What it takes from all gateways together.
 
     """
 
@@ -47,7 +48,7 @@
     serves_until_ms: int = 0
     rest_until_ms: int = 0
     is_unproved: bool = False
-    limit: float | None = None
+    limit: Limit = field(default_factory=Limit)
 
     def wants_rest(self, now_ms: int) -> bool:
         """Whether it has asked to be left alone now."""
@@ -103,7 +104,12 @@
             self._keep(server.id, notice)
 
     def take(
-        self, server: Server, notice: Notice, words: Words, grace_ms: int
+        self,
+        server: Server,
+        notice: Notice,
+        words: Words,
+        grace_ms: int,
+        sent_ms: int,
     ) -> None:
         """Take what a server has said in an answer.
 
@@ -113,6 +119,8 @@
             Of the life that has answered.
         grace_ms : int
             How long after its word of a leave a server may be sent to.
+        sent_ms : int
+            When the request was sent.
 
         """
         now_ms = self._clock.now()
@@ -132,18 +140,26 @@
             notice.rest_until_ms = max(notice.rest_until_ms, until_ms)
         if words.limit is not None:
             self._count('limit')
-        if words.is_own and words.limit != notice.limit:
-            _tell(
-                'server names a limit',
-                server,
-                limit=words.limit,
-                before=notice.limit,
-            )
-            notice.limit = words.limit
-            self._keep(server.id, notice)
+        if words.is_own:
+            self.take_limit(server, notice, words.limit, sent_ms)
         if words.leaves or words.rest_ms:
             self._keep(server.id, notice)
 
+    def take_limit(
+        self,
+        server: Server,
+        notice: Notice,
+        rate: float | None,
+        said_ms: int,
+    ) -> bool:
+        """Take a word on a limit, by whomever; tell whether it changes it."""
+        before = notice.limit.rate
+        if not notice.limit.take_word(rate, said_ms):
+            return False
+        _tell('server names a limit', server, limit=rate, before=before)
+        self._keep(server.id, notice)
+        return True
+
     def _keep(self, server_id: str, notice: Notice) -> None:
         kept = self._by_id.get(server_id)
         if kept is not None and kept.born_ms > notice.born_ms:
--- /dev/null
+++ b/seampond/forwarding/openings.py
@@ -0,0 +1,156 @@
+"""Servers that rest or name a limit, and those that wait for them to open."""
+
+import random
+from collections.abc import Iterable, Sequence
+
+from seampond.clock import Clock
+from seampond.forwarding.backend import Backend
+from seampond.forwarding.limit import Permit
+from seampond.forwarding.permits import NO_PERMITS, Permits
+from seampond.forwarding.queues import Queue, Waiter
+
+# What a request leaves to more urgent ones of its time to wait, for each part
+# of a server's places that it leaves free: in the order of asking, those that
+# wait less get nothing while others wait longer.
+_LEAVES = 2.0
+
+
+class Openings:
+    """When the servers of a pool open that are closed to us.
+
+    Attributes
+    ----------
+    permits : Permits
+        Gives leave to send to servers that name a limit.
+
+    """
+
+    def __init__(self, clock: Clock, rng: random.Random) -> None:
+        """Start without anybody who gives permits."""
+        self.permits: Permits = NO_PERMITS
+        self._clock = clock
+        self._rng = rng
+
+    def is_open(self, backend: Backend) -> bool:
+        """Whether a server takes a request that has a place there now."""
+        if not backend.notice.limit.is_named:
+            return True
+        if self.permits.may_send(backend):
+            return True
+        self.permits.find_out(backend)
+        return False
+
+    def take(self, backend: Backend) -> Permit | None:
+        """Take up a permit, where a server names a limit."""
+        if backend.notice.limit.is_named:
+            return self.permits.take(backend)
+        return None
+
+    def opens_ms(self, backend: Backend) -> int:
+        """Give when a server opens that rests or names a limit."""
+        opens_ms = backend.notice.rest_until_ms
+        if backend.notice.limit.is_named:
+            opens_ms = max(opens_ms, self.permits.opens_ms(backend))
+        return opens_ms
+
+    def first_ms(self, known: Iterable[Backend]) -> int | None:
+        """Give when the first of some servers opens.
+
+        Returns
+        -------
+        int or None
+            None if one takes requests now, or if there is none.
+
+        """
+        now_ms = self._clock.now()
+        closed = []
+        for backend in known:
+            if backend.leaves or not backend.may_serve(now_ms):
+                continue
+            if backend.has_room_for_all(now_ms):
+                return None
+            closed.append(backend)
+        first_ms = min(map(self.opens_ms, closed), default=None)
+        return None if first_ms is None or first_ms <= now_ms else first_ms
+
+    def ask(self, queue: Queue, known: Sequence[Backend]) -> None:
+        """Ask for permits for those that wait and have none coming.
+
+        Parameters
+        ----------
+        known : Sequence[Backend]
+            The servers that have a place.
+
+        """
+        now_ms = self._clock.now()
+        limited = [one for one in known if one.notice.limit.is_named]
+        if not limited:
+            return
+        for waiter in _without(queue.waiters, _count_coming(limited, now_ms)):
+            patience_ms = self._bear_ms(queue, waiter, now_ms)
+            best = self._choose(limited, waiter, now_ms + patience_ms)
+            if best is not None:
+                self.permits.ask(best, patience_ms)
+
+    def list_hopeless(
+        self, queue: Queue, known: Sequence[Backend]
+    ) -> list[Waiter]:
+        """Give those that wait for what cannot come in time."""
+        now_ms = self._clock.now()
+        serving = [
+            one for one in known if one.may_serve(now_ms) and not one.leaves
+        ]
+        if not serving or any(one.has_room_for_all(now_ms) for one in serving):
+            return []
+        first_ms = min(map(self.opens_ms, serving))
+        coming = _count_coming(serving, now_ms)
+        return [
+            waiter
+            for waiter in _without(queue.waiters, coming)
+            if first_ms > now_ms + self._bear_ms(queue, waiter, now_ms)
+        ]
+
+    def next_ms(self, known: Iterable[Backend]) -> int | None:
+        """Give when the next permit that we have holds, None without one."""
+        now_ms = self._clock.now()
+        return min(
+            (
+                permit.from_ms
+                for backend in known
+                for permit in backend.notice.limit.permits
+                if permit.from_ms > now_ms
+            ),
+            default=None,
+        )
+
+    def _choose(
+        self, limited: Iterable[Backend], waiter: Waiter, latest_ms: int
+    ) -> Backend | None:
+        """Give the server that opens first of those that do in time."""
+        best: tuple[int, float, Backend] | None = None
+        for backend in limited:
+            limit = backend.notice.limit
+            if limit.asked_ms is not None:
+                continue
+            if backend.server.id in waiter.avoid:
+                continue
+            opens_ms = self.permits.opens_ms(backend)
+            drawn = (opens_ms, self._rng.random(), backend)
+            if opens_ms <= latest_ms and (best is None or drawn < best):
+                best = drawn
+        return best[2] if best else None
+
+    def _bear_ms(self, queue: Queue, waiter: Waiter, now_ms: int) -> int:
+        """Give how long a request waits for a permit at the most."""
+        part = 1 - _LEAVES * queue.headroom.give_part(waiter.job)
+        return round(max(0, waiter.until_ms - now_ms) * part)
+
+
+def _count_coming(limited: Iterable[Backend], now_ms: int) -> int:
+    return sum(one.notice.limit.count_coming(now_ms) for one in limited)
+
+
+def _without(waiters: Sequence[Waiter], first: int) -> list[Waiter]:
+    """Give those that wait, but for the first of them."""
+    waiting = [waiter for waiter in waiters if not waiter.place.done()]
+    return waiting[first:]
--- a/seampond/forwarding/queues.py
+++ b/seampond/forwarding/queues.py
@@ -18,12 +18,15 @@
         Servers that it was already sent to.
     due_ms : float
         When its answer should begin.
+    until_ms : int
+        Until when it waits.
 
     """
 
     job: Job
     avoid: set[str]
     due_ms: float
+    until_ms: int
     place: 'asyncio.Future[Backend]'
 
 
@@ -39,12 +42,13 @@
         """The lowest rank of a tenant that waits, 0 if nobody does."""
         return max((known.job.priority for known in self.waiters), default=0)
 
-    def enter(self, job: Job, avoid: set[str]) -> Waiter:
+    def enter(self, job: Job, avoid: set[str], until_ms: int) -> Waiter:
         """Let a request wait in its order."""
         waiter = Waiter(
             job,
             avoid,
             job.arrived_ms + job.route.target_ms,
+            until_ms,
             asyncio.get_running_loop().create_future(),
         )
         self.waiters.append(waiter)
--- a/seampond/forwarding/rating.py
+++ b/seampond/forwarding/rating.py
@@ -38,7 +38,7 @@
     cost_ms = rate_backend(backend, job, pool, zone, now_ms, first_ms)
     return (
         not backend.takes_work,
-        _rate_probe(backend, job),
+        _rate_probe(backend, job, now_ms),
         _rate_risk(backend, job, load),
         cost_ms,
     )
@@ -65,7 +65,7 @@
     return int(is_apart)
 
 
-def _rate_probe(backend: Backend, job: Job) -> int:
+def _rate_probe(backend: Backend, job: Job, now_ms: int) -> int:
     """Rate a server that has not answered since it wanted rest; 0 is least.
 
     Explanation
@@ -73,8 +73,12 @@
     One request at a time finds out whether it is well: of the places that it
     has, all would be tried at the end of its rest.  What it turns away goes to
     another server, so it is done by who may still be sent there.
+
+    Whether a limit holds on is told by answers alone, also where other servers
+    are faster.
     """
     if not backend.notice.is_unproved:
-        return 1
+        limit = backend.notice.limit
+        return 0 if limit.is_named and limit.is_stale(now_ms) else 1
     may_go_on = not job.attempts and job.route.attempts > 1
     return 0 if may_go_on and not job.strikes else 2
--- a/seampond/forwarding/refusals.py
+++ b/seampond/forwarding/refusals.py
@@ -24,6 +24,7 @@
     no_server = 'no-server'
     overload = 'overload'
     resting = 'servers-resting'
+    limited = 'servers-limited'
     waited = 'waited-too-long'
     not_run = 'not-run'
     quarantined = 'quarantined'
--- a/seampond/forwarding/room.py
+++ b/seampond/forwarding/room.py
@@ -35,6 +35,12 @@
     free_part: float
     extra: int
 
+    def takes(self, backend: Backend, now_ms: int) -> bool:
+        """Whether a server is used and has a place for one more of ours."""
+        if not backend.is_usable(now_ms):
+            return False
+        return self.has_place(backend, backend.load(now_ms))
+
     def has_place(self, backend: Backend, load: int) -> bool:
         """Whether a server has a place for one more of ours."""
         if backend.in_flight >= self.bound:
--- a/seampond/forwarding/scheduler.py
+++ b/seampond/forwarding/scheduler.py
@@ -8,6 +8,7 @@
 from seampond.forwarding.backend import Backend
 from seampond.forwarding.backends import Backends
 from seampond.forwarding.job import Job
+from seampond.forwarding.openings import Openings
 from seampond.forwarding.queues import Queue, Waiter
 from seampond.forwarding.rating import Rate, rate
 from seampond.forwarding.refusals import Cause, Refusal
@@ -53,6 +54,11 @@
         After how long who is turned away should come back, by the request,
         the time and a number drawn from 0 to 1.
 
+    Attributes
+    ----------
+    openings : Openings
+        Tells when servers that rest or name a limit take requests.
+
     """
 
     def __init__(
@@ -75,6 +81,7 @@
         self._give_return_ms = give_return_ms
         self._queues: dict[str, Queue] = {}
         self._rng = random.Random()
+        self.openings = Openings(clock, self._rng)
 
     @property
     def waiting(self) -> int:
@@ -87,7 +94,9 @@
         if queue is not None and queue.waiters:
             return False
         now_ms = self._clock.now()
-        known = [one for one in self._draw(pool) if one.may_send(now_ms)]
+        known = [
+            one for one in self._draw(pool) if one.has_room_for_all(now_ms)
+        ]
         slots = sum(backend.server.slots for backend in known)
         loads = (backend.load(now_ms) for backend in known)
         return sum(loads) < slots * _ROOM_PART
@@ -116,8 +125,8 @@
         if not queue.waiters:
             backend = self._find(job, avoid)
             if backend is not None:
-                return self._occupy(backend)
-        waiter = queue.enter(job, avoid)
+                return self._occupy(backend, job)
+        waiter = queue.enter(job, avoid, self._give_patience(job))
         self._shed_last(queue)
         try:
             return await self._wait(waiter)
@@ -150,29 +159,46 @@
             backend = self._find(waiter.job, waiter.avoid, known)
             if backend is not None:
                 queue.waiters.remove(waiter)
-                waiter.place.set_result(self._occupy(backend))
+                waiter.place.set_result(self._occupy(backend, waiter.job))
 
     def hand_out_all(self) -> None:
         """Look at every queue again, after the servers have changed."""
         for pool in self._queues:
-            self.hand_out(pool)
+            self.look_again(pool)
+
+    def look_again(self, pool: str) -> None:
+        """Ask for permits, give free places, end waits that are in vain."""
+        queue = self._queues.get(pool)
+        if queue is None or not queue.waiters:
+            return
+        now_ms = self._clock.now()
+        known = self._draw(pool)
+        room = self._measure_room(pool, 0)
+        self.openings.ask(
+            queue,
+            [backend for backend in known if room.takes(backend, now_ms)],
+        )
+        self.hand_out(pool)
+        for waiter in self.openings.list_hopeless(queue, known):
+            self._end_wait(queue, waiter)
 
     def retry_after_ms(self, job: Job) -> int:
         """Give when a request that is turned away should come back.
 
         Explanation
         -----------
-        Where all servers want rest, not before the first of them has had it:
-        who came sooner would be turned away once more.  They come back spread
-        over the target, as they do elsewhere.
+        Where all servers rest or have given what their limits allow, not
+        before the first of them opens: who came sooner would be turned away
+        once more.  They come back spread over the target, as they do elsewhere.
         """
         now_ms, draw = self._clock.now(), self._rng.random()
-        rested_ms = self._rested_ms(job.pool)
-        if rested_ms is not None:
-            return rested_ms - now_ms + round(draw * job.route.target_ms)
+        opens_ms = self.openings.first_ms(self._draw(job.pool))
+        if opens_ms is not None:
+            return opens_ms - now_ms + round(draw * job.route.target_ms)
         return self._give_return_ms(job, now_ms, draw)
 
-    def _occupy(self, backend: Backend) -> Backend:
+    def _occupy(self, backend: Backend, job: Job) -> Backend:
+        job.permit = self.openings.take(backend)
         backend.note_place()
         self._versions.note_placed(backend)
         return backend
@@ -206,9 +232,9 @@
         best: Rate | None = None
         found = None
         for backend in known:
-            if backend.server.id in avoid or not backend.is_usable(now_ms):
+            if backend.server.id in avoid or not room.takes(backend, now_ms):
                 continue
-            if not room.has_place(backend, backend.load(now_ms)):
+            if not self.openings.is_open(backend):
                 continue
             rated = rate(backend, job, speed, self._zone, now_ms)
             if rated and (best is None or rated < best):
@@ -248,8 +274,7 @@
         return [
             backend
             for backend in self._draw(pool)
-            if backend.is_usable(now_ms)
-            and room.has_place(backend, backend.load(now_ms))
+            if room.takes(backend, now_ms) and self.openings.is_open(backend)
         ]
 
     def _free_part(self, job: Job) -> float:
@@ -258,7 +283,7 @@
     def _measure_room(self, pool: str, free_part: float) -> Room:
         now_ms = self._clock.now()
         known = self._backends.of_pool(pool)
-        known = [backend for backend in known if backend.may_send(now_ms)]
+        known = [one for one in known if one.has_room_for_all(now_ms)]
         gateways = max(1, self._count_gateways())
         places = sum(backend.server.slots for backend in known)
         own = sum(backend.in_flight for backend in known)
@@ -286,26 +311,43 @@
                     self._refusal(Cause.overload, victim.job)
                 )
 
-    async def _wait(self, waiter: Waiter) -> Backend:
-        job = waiter.job
+    def _give_patience(self, job: Job) -> int:
+        """Give until when a request waits for a place."""
         patience_ms = _PATIENCE * job.route.target_ms
         if job.has_begun:
             patience_ms = _RESUME_PATIENCE_MS
-        until_ms = min(job.end_ms, self._clock.now() + patience_ms)
+        return min(job.end_ms, self._clock.now() + round(patience_ms))
+
+    async def _wait(self, waiter: Waiter) -> Backend:
+        pool = waiter.job.pool
         while True:
-            rested_ms = self._rested_ms(job.pool)
-            if rested_ms is not None and rested_ms > until_ms:
-                # No place can come free in time.
-                raise self._refusal(Cause.resting, job)
-            left_ms = until_ms - self._clock.now()
+            # A pause of a server may have ended, or a report grown old.
+            self.look_again(pool)
+            left_ms = waiter.until_ms - self._clock.now()
             if left_ms <= 0 and not waiter.place.done():
-                raise self._give_up(job)
-            step_ms = max(1, min(left_ms, _LOOK_AGAIN_MS))
+                raise self._give_up(waiter.job)
+            step_ms = max(1, min(left_ms, self._next_look_ms(pool)))
             await asyncio.wait((waiter.place,), timeout=step_ms / MS_PER_SECOND)
             if waiter.place.done():
                 return waiter.place.result()
-            # A pause of a server may have ended, or a report grown old.
-            self.hand_out(job.pool)
+
+    def _next_look_ms(self, pool: str) -> int:
+        """Give after how long a place may be free that nobody tells of."""
+        next_ms = self.openings.next_ms(self._backends.of_pool(pool))
+        if next_ms is None:
+            return _LOOK_AGAIN_MS
+        return min(_LOOK_AGAIN_MS, next_ms - self._clock.now())
+
+    def _end_wait(self, queue: Queue, waiter: Waiter) -> None:
+        """Turn away at once who waits in vain, and who ranks below it."""
+        if waiter.place.done():
+            return
+        job = waiter.job
+        self._shed(queue, lambda known: known.job.priority > job.priority)
+        known = self._backends.of_pool(job.pool)
+        is_limited = any(one.notice.limit.is_named for one in known)
+        cause = Cause.limited if is_limited else Cause.resting
+        waiter.place.set_exception(self._refusal(cause, job))
 
     def _give_up(self, job: Job) -> Refusal:
         """End the wait of a request; who ranks below it waits no longer."""
@@ -319,26 +361,6 @@
         cause = Cause.waited if has_server else Cause.no_server
         return self._refusal(cause, job)
 
-    def _rested_ms(self, pool: str) -> int | None:
-        """Give when the first server of a pool has had its rest.
-
-        Returns
-        -------
-        int or None
-            None if one may be asked now, or if there is none.
-
-        """
-        now_ms = self._clock.now()
-        first_ms: int | None = None
-        for backend in self._backends.of_pool(pool):
-            if backend.leaves or not backend.may_serve(now_ms):
-                continue
-            if backend.may_send(now_ms):
-                return None
-            rested_ms = backend.notice.rest_until_ms
-            first_ms = min(rested_ms, first_ms or rested_ms)
-        return first_ms
-
     def _refusal(self, cause: Cause, job: Job) -> Refusal:
         return Refusal(
             cause, step=_STEP, retry_after_ms=self.retry_after_ms(job)
--- a/seampond/forwarding/tests/test_forwarder.py
+++ b/seampond/forwarding/tests/test_forwarder.py
@@ -235,7 +235,7 @@
         """Another request may have been told so while we connect."""
         await self._check_not_sent(
             lambda backends: backends.note_words(
-                pick(backends, 'i-1'), Words(rest_ms=3000)
+                pick(backends, 'i-1'), Words(rest_ms=3000), 0
             )
         )
 
--- a/seampond/forwarding/tests/test_notices.py
+++ b/seampond/forwarding/tests/test_notices.py
@@ -43,7 +43,7 @@
 
     def say(self, words: Words) -> None:
         """Let the server say something of itself."""
-        self.backends.note_words(self.backend, words)
+        self.backends.note_words(self.backend, words, 0)
 
     def check_used(self, *, expected: bool) -> None:
         """Check whether the server is used."""
@@ -103,7 +103,7 @@
         earlier = self.backend
         self.backends.take([replace(self.row, born_ms=200)], [])
         self.check_used(expected=True)
-        self.backends.note_words(earlier, _LEAVES)
+        self.backends.note_words(earlier, _LEAVES, 0)
         self.backends.take([], ['i-1'])
         self.backends.take([replace(self.row, born_ms=200)], [])
         self.check_used(expected=True)
@@ -161,6 +161,6 @@
                 server = build_server(f'i-{number}')
                 self.backends.take([server], [])
                 backend = pick(self.backends, server.id)
-                self.backends.note_words(backend, _LEAVES)
+                self.backends.note_words(backend, _LEAVES, 0)
         kept = self.backends._notices._by_id  # noqa: SLF001
         self.assertEqual(list(kept), ['i-3', 'i-4'])
--- a/seampond/gateway/daemon.py
+++ b/seampond/gateway/daemon.py
@@ -171,12 +171,14 @@
         parts.is_urgent,
         clock,
         lambda kind: parts.metrics.dropped.labels(kind).inc(),
+        parts.take_permit,
     )
     async with (
         open_table(settings.store.address, GATEWAYS_TABLE, clock) as table,
-        share(settings.peer_listen, sharing),
+        share(settings.peer_listen, sharing) as send_permit,
         run_tasks(register(table, parts.peers, settings.peer_listen, clock)),
     ):
+        parts.desk.send = send_permit
         yield
         await unregister(table, parts.peers)
 
--- a/seampond/gateway/parts.py
+++ b/seampond/gateway/parts.py
@@ -22,6 +22,8 @@
 )
 from seampond.gateway.rollouts import RolloutFollower
 from seampond.metrics.gateway import GatewayMetrics
+from seampond.permits.desk import Desk
+from seampond.permits.messages import Ask, Reply
 from seampond.promises import Promises
 from seampond.quarantine.quarantine import Quarantine
 from seampond.settings.gateway import GatewaySettings
@@ -63,6 +65,7 @@
     servers: ServerFollower
     rollouts: RolloutFollower
     quarantine: Quarantine
+    desk: Desk
     watches: dict[str, Watch] = field(default_factory=dict)
     _pages: list[ToldPage] = field(default_factory=list)
 
@@ -109,6 +112,7 @@
             heartbeat.name, heartbeat.incarnation, heartbeat.rollouts
         )
         self.quarantine.take(heartbeat.ends, heartbeat.good)
+        self.desk.take_told(heartbeat.limits)
         # Before the proofs, which ask for what is missing.
         for told in heartbeat.pages:
             self._take_page(told)
@@ -124,8 +128,16 @@
             }
         )
 
+    def take_permit(self, message: Ask | Reply) -> None:
+        """Take what another gateway asks or answers on permits."""
+        if isinstance(message, Ask):
+            self.desk.take_ask(message)
+        else:
+            self.desk.take_reply(message)
+
     def make_heartbeat(self, sequence: int) -> Heartbeat:
         """Give what the other gateways are told."""
+        self.desk.look_after()
         self.metrics.peers.set(self.peers.count)
         return Heartbeat(
             self.settings.name,
@@ -143,6 +155,8 @@
             rollouts=self.rollouts.rollouts.make_reports(),
             ends=tuple(self.quarantine.suspects.tell_ends()),
             good=self.quarantine.suspects.tell_good(),
+            limits=self.desk.tell(),
+            gives_permits=True,
         )
 
     def note_told(self) -> None:
--- a/seampond/gateway/status.py
+++ b/seampond/gateway/status.py
@@ -15,7 +15,7 @@
             'takes_work': backend.takes_work,
             'leaves': backend.leaves,
             'wants_rest': backend.notice.wants_rest(now_ms),
-            'limit': backend.notice.limit,
+            'limit': backend.notice.limit.rate,
             'in_flight': backend.in_flight,
             'load': backend.load(now_ms),
             'gap_ms': round(backend.speed.gap_ms, 1),
--- a/seampond/gateway/tests/test_suspension.py
+++ b/seampond/gateway/tests/test_suspension.py
@@ -221,7 +221,7 @@
         clock = gateway.parts.clock
         for seconds in _JUMPS_S:
             gateway.parts.backends.note_words(
-                backend, Words(rest_ms=seconds * MS_PER_SECOND)
+                backend, Words(rest_ms=seconds * MS_PER_SECOND), clock.now()
             )
             self.assertFalse(backend.may_send(clock.now()))
             self.sleeper.suspend(seconds)
--- a/seampond/gateway/wiring.py
+++ b/seampond/gateway/wiring.py
@@ -24,6 +24,7 @@
 from seampond.gateway.rollouts import RolloutFollower
 from seampond.gateway.versions import RolloutVersions
 from seampond.metrics.gateway import GatewayMetrics
+from seampond.permits.desk import Desk
 from seampond.platform import HEADERS
 from seampond.platform.names import (
     CONFIGURATION_TABLE,
@@ -139,6 +140,10 @@
     store_time = StoreTime()
     rollouts = make_rollouts(bounds, belief, backends, peers, store_time)
     versions = RolloutVersions(rollouts, clock)
+    desk = Desk(
+        peers, clock, backends.take_limit, is_urgent.set, random.Random()
+    )
+    backends.note_limit = desk.note_heard
     scheduler = Scheduler(
         backends,
         settings.zone,
@@ -147,6 +152,8 @@
         promises,
         versions,
     )
+    scheduler.openings.permits = desk
+    desk.note_reply = scheduler.hand_out_all
     budget = RetryBudget(
         bounds.retry_ratio,
         bounds.retry_allowance,
@@ -224,4 +231,5 @@
         servers=ServerFollower(backends, scheduler),
         rollouts=RolloutFollower(rollouts, clock),
         quarantine=quarantine,
+        desk=desk,
     )
--- a/seampond/metrics/gateway.py
+++ b/seampond/metrics/gateway.py
@@ -34,7 +34,7 @@
         )
         self.words = self.count(
             'seampond_server_words',
-            'Answers in which a server said that it leaves, wants rest, has a limit.',
+            'Words of servers on themselves: a leave, rest, a limit.',
             'word',
         )
         self.trials = self.count(
--- /dev/null
+++ b/seampond/permits/desk.py
@@ -0,0 +1,323 @@
+"""Who gives the permits for a server with a limit, and how we come by them."""
+
+import itertools
+import random
+from collections.abc import Callable, Mapping
+from typing import Protocol
+
+from seampond.clock import Clock
+from seampond.forwarding.backend import Backend
+from seampond.forwarding.limit import Limit, Permit
+from seampond.permits.ledger import Ledger
+from seampond.permits.messages import Ask, Reply, Word
+from seampond.sharing.keys import key_of
+
+# Of a server that takes nothing, somebody has to hear when that is over.
+_LEAST_RATE = 0.25
+# Some times what a datagram takes to the owner and back between halls.
+_REPLY_MS = 150
+# By then gateways agree again who owns a limit.
+_ASK_AGAIN_MS = 300
+# How often all gateways together ask only to hear whether a limit holds on,
+# and how many of them do.
+_TRY_MS = 1000
+_TRIERS = 8
+_SPREAD = (0.5, 1.5)
+# Some heartbeats, of which some may be lost.
+_TOLD_BEATS = 3
+_TOLD_MS = 1000
+_TOLD_MAX = 32
+_NUMBER_BITS = 48
+
+
+class Gateways(Protocol):
+    """The gateways that share the limits."""
+
+    name: str
+
+    @property
+    def givers(self) -> tuple[str, ...]:
+        """The others that give permits."""
+
+    @property
+    def count(self) -> int:
+        """How many gateways there may be."""
+
+    @property
+    def all_heard(self) -> bool:
+        """Whether each that may be serving was heard of late."""
+
+    @property
+    def heard_part(self) -> float:
+        """The part of all gateways that is heard, this one among them."""
+
+    @property
+    def beat_ms(self) -> int:
+        """How long after one heartbeat the next is due."""
+
+
+class Desk:
+    """Gives permits where we own a limit, and asks the owner elsewhere.
+
+    Explanation
+    -----------
+    The bound on a limit is one over all gateways, and may be less than one
+    request of each.  So one gateway keeps the only bucket of a server's life
+    and hands out what is in it: the one that comes first for that life by key
+    among those that are heard.  All work it out alike.  Where they do not for
+    a moment, each new owner begins at nothing; and while somebody is silent,
+    who may be an owner elsewhere, those that hear each other give their part.
+
+    Parameters
+    ----------
+    take_word : Callable[[int, float | None, int], Limit | None]
+        Takes what another gateway knows of a limit, by the key of the life;
+        gives what holds, None for a server that is not known.
+    note_urgent : Callable[[], None]
+        Called where the others should hear of us at once.
+
+    Attributes
+    ----------
+    send : Callable[[str, Ask | Reply], None]
+        Sends to a gateway, by its name.
+    note_reply : Callable[[], None]
+        Called when an owner has answered.
+
+    """
+
+    def __init__(
+        self,
+        gateways: Gateways,
+        clock: Clock,
+        take_word: Callable[[int, float | None, int], Limit | None],
+        note_urgent: Callable[[], None],
+        rng: random.Random,
+    ) -> None:
+        """Start owning nothing."""
+        self.send: Callable[[str, Ask | Reply], None] = _send_nothing
+        self.note_reply: Callable[[], None] = _note_nothing
+        self._gateways = gateways
+        self._clock = clock
+        self._take_word = take_word
+        self._note_urgent = note_urgent
+        self._rng = rng
+        self._ledger = Ledger(clock)
+        self._owners: dict[int, str] = {}
+        self._owned_among: tuple[str, ...] = ()
+        self._numbers = itertools.count(rng.getrandbits(_NUMBER_BITS))
+        # By key of the life: what an answer to us has said, and since when.
+        self._heard: dict[int, tuple[Limit, int]] = {}
+        self._asked: dict[int, Limit] = {}
+
+    def may_send(self, backend: Backend) -> bool:
+        """Whether a request may be sent to a server with a limit now."""
+        limit = backend.notice.limit
+        if limit.has_permit(self._clock.now()):
+            return True
+        key = key_of(backend.server.life)
+        return self._is_ours(key) and not self._own_wait_ms(key, limit)
+
+    def take(self, backend: Backend) -> Permit | None:
+        """Take up a permit to send now."""
+        limit, now_ms = backend.notice.limit, self._clock.now()
+        permit = limit.take_permit(now_ms)
+        if permit is None and self._is_ours(key_of(backend.server.life)):
+            self.ask(backend, 0)
+            permit = limit.take_permit(now_ms)
+        return permit
+
+    def ask(self, backend: Backend, patience_ms: int) -> None:
+        """Ask for a permit that holds after so long at the latest."""
+        limit, now_ms = backend.notice.limit, self._clock.now()
+        key = key_of(backend.server.life)
+        limit.drop_old(now_ms)
+        if self._is_ours(key):
+            rate = self._share(limit.rate)
+            wait_ms = self._ledger.give(key, rate, patience_ms)
+            if wait_ms is not None:
+                limit.add_permit(now_ms, now_ms, wait_ms)
+            return
+        limit.asked_ms = now_ms
+        limit.number = next(self._numbers)
+        self._asked[limit.number] = limit
+        word = self._word(limit)
+        name = self._gateways.name
+        self.send(
+            self._owner_of(key), Ask(name, key, limit.number, word, patience_ms)
+        )
+
+    def opens_ms(self, backend: Backend) -> int:
+        """Give the time before which there is no other permit for us."""
+        limit, now_ms = backend.notice.limit, self._clock.now()
+        key = key_of(backend.server.life)
+        if self._is_ours(key):
+            return now_ms + self._own_wait_ms(key, limit)
+        self._drop_lost(limit, now_ms)
+        return limit.opens_ms
+
+    def find_out(self, backend: Backend) -> None:
+        """Ask now and then, for a request that tells if the limit holds on.
+
+        Explanation
+        -----------
+        The owner may have no requests for that server.  Asked for by each of
+        many gateways, its permits would cost more words than they are worth.
+        """
+        limit, now_ms = backend.notice.limit, self._clock.now()
+        self._drop_lost(limit, now_ms)
+        is_due = limit.is_stale(now_ms) and now_ms >= limit.tries_ms
+        if not is_due or limit.asked_ms is not None:
+            return
+        spread = max(1, self._gateways.count / _TRIERS)
+        pause_ms = _TRY_MS * spread * self._rng.uniform(*_SPREAD)
+        # Where all hear at once that a limit is old, not all should ask.
+        is_first = not limit.tries_ms
+        limit.tries_ms = now_ms + round(pause_ms)
+        if is_first and spread > 1:
+            return
+        self.ask(backend, 0)
+
+    def take_ask(self, ask: Ask) -> None:
+        """Answer a gateway that asks for a permit."""
+        now_ms = self._clock.now()
+        limit = self._take_word(
+            ask.life, ask.word.rate, now_ms - ask.word.said_ago_ms
+        )
+        rate = ask.word.rate if limit is None else limit.rate
+        word = ask.word if limit is None else self._word(limit)
+        wait_ms: int | None = None
+        later_ms = _ASK_AGAIN_MS
+        if rate is None:
+            later_ms = 0
+        elif self._is_ours(ask.life):
+            shared = self._share(rate)
+            wait_ms = self._ledger.give(ask.life, shared, ask.patience_ms)
+            later_ms = self._ledger.wait_ms(ask.life, shared)
+        self.send(
+            ask.name,
+            Reply(
+                self._gateways.name,
+                ask.life,
+                ask.number,
+                word,
+                wait_ms is not None,
+                later_ms if wait_ms is None else wait_ms,
+            ),
+        )
+
+    def take_reply(self, reply: Reply) -> None:
+        """Take an owner's answer."""
+        limit = self._asked.pop(reply.number, None)
+        if limit is None:
+            return
+        now_ms = self._clock.now()
+        self._take_word(
+            reply.life, reply.word.rate, now_ms - reply.word.said_ago_ms
+        )
+        if limit.number == reply.number and limit.asked_ms is not None:
+            if reply.is_given:
+                limit.add_permit(now_ms, limit.asked_ms, reply.wait_ms)
+            else:
+                limit.opens_ms = now_ms + reply.wait_ms
+            limit.asked_ms = None
+        self.note_reply()
+
+    def note_heard(self, key: int, limit: Limit, *, is_other: bool) -> None:
+        """Note that an answer to us has spoken of a limit."""
+        now_ms = self._clock.now()
+        since_ms = now_ms if is_other else self._heard.get(key, (limit, 0))[1]
+        self._heard[key] = (limit, since_ms)
+        self._begin(key, limit)
+        if is_other:
+            self._note_urgent()
+
+    def tell(self) -> Mapping[int, Word]:
+        """Give what answers to us have said of late, by key of the life."""
+        now_ms = self._clock.now()
+        told_ms = max(_TOLD_MS, _TOLD_BEATS * self._gateways.beat_ms)
+        self._heard = {
+            key: (limit, since_ms)
+            for key, (limit, since_ms) in self._heard.items()
+            if _last_ms(limit, since_ms) >= now_ms - told_ms
+        }
+        newest = sorted(
+            self._heard.items(), key=lambda known: -_last_ms(*known[1])
+        )
+        return {
+            key: self._word(limit) for key, (limit, _) in newest[:_TOLD_MAX]
+        }
+
+    def take_told(self, words: Mapping[int, Word]) -> None:
+        """Take what another gateway has heard."""
+        now_ms = self._clock.now()
+        for key, word in words.items():
+            limit = self._take_word(key, word.rate, now_ms - word.said_ago_ms)
+            if limit is not None:
+                self._begin(key, limit)
+
+    def look_after(self) -> None:
+        """Forget what others own now, and asks that nobody has answered."""
+        self._ledger.keep_only(self._is_ours)
+        now_ms = self._clock.now()
+        for limit in list(self._asked.values()):
+            self._drop_lost(limit, now_ms)
+
+    def _begin(self, key: int, limit: Limit) -> None:
+        if limit.is_named and self._is_ours(key):
+            self._ledger.begin(key, self._share(limit.rate))
+
+    def _word(self, limit: Limit) -> Word:
+        said_ms = limit.said_ms
+        now_ms = self._clock.now()
+        return Word(limit.rate, max(0, now_ms - (said_ms or now_ms)))
+
+    def _share(self, rate: float | None) -> float:
+        """Give the permits a second that we may give of a limit."""
+        least = max(_LEAST_RATE, rate or 0)
+        gateways = self._gateways
+        return least if gateways.all_heard else least * gateways.heard_part
+
+    def _own_wait_ms(self, key: int, limit: Limit) -> int:
+        return self._ledger.wait_ms(key, self._share(limit.rate))
+
+    def _drop_lost(self, limit: Limit, now_ms: int) -> None:
+        """Wait no longer for an owner that has not answered."""
+        if limit.asked_ms is None or now_ms < limit.asked_ms + _REPLY_MS:
+            return
+        self._asked.pop(limit.number, None)
+        limit.asked_ms = None
+        limit.opens_ms = now_ms + _ASK_AGAIN_MS
+
+    def _is_ours(self, key: int) -> bool:
+        return self._owner_of(key) == self._gateways.name
+
+    def _owner_of(self, key: int) -> str:
+        """Give who owns the limit of a life.
+
+        Explanation
+        -----------
+        Also one that is about to stop: where all do so at once, each would
+        take the limits for its own.
+        """
+        among = (*self._gateways.givers, self._gateways.name)
+        if among != self._owned_among:
+            self._owners.clear()
+            self._owned_among = among
+        owner = self._owners.get(key)
+        if owner is None:
+            owner = max(among, key=lambda name: key_of(f'{name} {key}'))
+            self._owners[key] = owner
+        return owner
+
+
+def _last_ms(limit: Limit, since_ms: int) -> int:
+    """Give when there was last anything to tell of a limit."""
+    return (limit.said_ms or 0) if limit.is_named else since_ms
+
+
+def _send_nothing(name: str, message: Ask | Reply) -> None:
+    """Send nothing."""
+
+
+def _note_nothing() -> None:
+    """Note nothing."""
--- /dev/null
+++ b/seampond/permits/messages.py
@@ -0,0 +1,159 @@
+"""How gateways ask each other for permits, to bytes and back."""
+
+import functools
+import math
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import capnp
+
+from seampond.errors import ForeignMessageError
+
+# No heartbeat begins so; a gateway of an earlier build drops what does.
+_START = b'PMT1'
+_SCHEMA_FILE = 'permits.capnp'
+_NO_RATE = -1.0
+_MAX_UINT32 = 4_294_967_295
+_FAILURES = (capnp.KjException, ValueError, AttributeError)
+
+
+@dataclass(frozen=True, slots=True)
+class Word:
+    """What a gateway knows of a limit.
+
+    Parameters
+    ----------
+    rate : float or None
+        The requests a second that the server takes, None for no limit.
+    said_ago_ms : int
+        How long ago the request was sent whose answer said so.
+
+    """
+
+    rate: float | None
+    said_ago_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """One gateway asks the owner of a limit for a permit.
+
+    Parameters
+    ----------
+    name : str
+        Who asks.
+    life : int
+        The key of the server's life.
+    number : int
+        Tells this from other asks.
+    patience_ms : int
+        After how long the permit has to hold at the latest.
+
+    """
+
+    name: str
+    life: int
+    number: int
+    word: Word
+    patience_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """The owner's answer.
+
+    Parameters
+    ----------
+    wait_ms : int
+        After how long the permit holds; where none is given, after how long
+        there may be one.
+
+    """
+
+    name: str
+    life: int
+    number: int
+    word: Word
+    is_given: bool
+    wait_ms: int
+
+
+@functools.cache
+def _schema() -> Any:
+    return capnp.load(str(Path(__file__).with_name(_SCHEMA_FILE)))
+
+
+def is_permit(packet: bytes) -> bool:
+    """Whether a datagram is about permits."""
+    return packet.startswith(_START)
+
+
+def encode_permit(message: Ask | Reply) -> bytes:
+    """Encode one datagram.
+
+    Examples
+    --------
+    >>> ask = Ask('g1', 7, 3, Word(1.5, 20), 200)
+    >>> decode_permit(encode_permit(ask)) == ask
+    True
+
+    """
+    fields: dict[str, Any] = {
+        'name': message.name,
+        'life': message.life,
+        'number': message.number,
+        'rate': encode_rate(message.word.rate),
+        'saidAgoMs': min(message.word.said_ago_ms, _MAX_UINT32),
+    }
+    if isinstance(message, Ask):
+        fields['ask'] = {'patienceMs': message.patience_ms}
+    else:
+        fields['reply'] = {
+            'isGiven': message.is_given,
+            'waitMs': min(message.wait_ms, _MAX_UINT32),
+        }
+    packed: bytes = _schema().Message.new_message(**fields).to_bytes_packed()
+    return _START + packed
+
+
+def _read(reader: Any) -> Ask | Reply:
+    word = Word(decode_rate(reader.rate), reader.saidAgoMs)
+    common = (reader.name, reader.life, reader.number, word)
+    if reader.which() == 'ask':
+        return Ask(*common, reader.ask.patienceMs)
+    return Reply(*common, reader.reply.isGiven, reader.reply.waitMs)
+
+
+def decode_permit(packet: bytes, *, peer: str = '') -> Ask | Reply:
+    """Decode one datagram.
+
+    Raises
+    ------
+    ForeignMessageError
+        If the bytes are no such message.
+
+    """
+    try:
+        return _read(_schema().Message.from_bytes_packed(packet[len(_START) :]))
+    except _FAILURES as error:
+        raise ForeignMessageError(
+            f'no permit: {type(error).__name__}', step='decode', peer=peer
+        ) from error
+
+
+def encode_rate(rate: float | None) -> float:
+    """Give the number that tells a rate, or that there is none."""
+    return _NO_RATE if rate is None else rate
+
+
+def decode_rate(told: float) -> float | None:
+    """Give the rate that a number tells, None for no limit.
+
+    Examples
+    --------
+    >>> decode_rate(0.5), decode_rate(-1), decode_rate(math.nan)
+    (0.5, None, None)
+
+    """
+    return told if math.isfinite(told) and told >= 0 else None
--- /dev/null
+++ b/seampond/permits/permits.capnp
@@ -0,0 +1,24 @@
+@0xb6d0a7f1c2943e58;
+# How gateways ask each other for permits to send to servers with a limit, one
+# datagram each.  A rate below zero says that there is no limit.
+
+struct Message {
+  name @0 :Text;
+  life @1 :UInt64;
+  number @2 :UInt64;
+  rate @3 :Float64;
+  saidAgoMs @4 :UInt32;
+  union {
+    ask @5 :Ask;
+    reply @6 :Reply;
+  }
+}
+
+struct Ask {
+  patienceMs @0 :UInt32;
+}
+
+struct Reply {
+  isGiven @0 :Bool;
+  waitMs @1 :UInt32;
+}
--- a/seampond/promises/rules.py
+++ b/seampond/promises/rules.py
@@ -22,6 +22,7 @@
     single_claim = 'single-claim'
     no_work_when_leaving = 'no-work-when-leaving'
     no_work_in_rest = 'no-work-in-rest'
+    no_work_above_limit = 'no-work-above-limit'
     drain = 'drain'
     generation_upwards = 'generation-upwards'
     bounded_attempts = 'bounded-attempts'
--- a/seampond/sharing/exchange.py
+++ b/seampond/sharing/exchange.py
@@ -10,6 +10,13 @@
 
 from seampond.clock import MS_PER_SECOND, Clock
 from seampond.errors import ForeignMessageError, PlatformError
+from seampond.permits.messages import (
+    Ask,
+    Reply,
+    decode_permit,
+    encode_permit,
+    is_permit,
+)
 from seampond.platform.gateways import read_gateway, write_gateway
 from seampond.sharing.heartbeats import Heartbeat, decode, encode
 from seampond.sharing.peers import Peers
@@ -53,7 +60,9 @@
     is_urgent : asyncio.Event
         Set where the others should hear of us at once.
     count_dropped : Callable[[str], None]
-        Counts a datagram that is no heartbeat.
+        Counts a datagram that cannot be read.
+    take_permit : Callable[[Ask | Reply], None]
+        Takes what another gateway asks or answers on permits.
 
     """
 
@@ -64,6 +73,7 @@
     is_urgent: asyncio.Event
     clock: Clock
     count_dropped: Callable[[str], None]
+    take_permit: Callable[[Ask | Reply], None]
 
 
 class _Endpoint(asyncio.DatagramProtocol):
@@ -83,6 +93,9 @@
     def datagram_received(self, packet: bytes, addr: tuple[str, int]) -> None:
         """Take one heartbeat; answer one that has just started."""
         sharing = self._sharing
+        if is_permit(packet):
+            self._take_permit(packet, addr[0])
+            return
         try:
             heartbeat = decode(packet, peer=addr[0])
         except ForeignMessageError:
@@ -94,6 +107,14 @@
         if heartbeat.uptime_ms < _NEWCOMER_MS and not heartbeat.is_gone:
             self._greet(heartbeat.name)
 
+    def send_permit(self, name: str, message: Ask | Reply) -> None:
+        """Send one gateway what it asks or is asked for."""
+        address = self._sharing.peers.address_of(name)
+        if self._transport is None or not address:
+            return
+        host, _, port = address.rpartition(':')
+        self._transport.sendto(encode_permit(message), (host, int(port)))
+
     def tell_all(self) -> None:
         """Send a heartbeat to all others."""
         sharing = self._sharing
@@ -126,6 +147,15 @@
             told = self._sharing.make_heartbeat(self._next_sequence())
             self._send(told, [peers.address_of(name)])
 
+    def _take_permit(self, packet: bytes, peer: str) -> None:
+        try:
+            message = decode_permit(packet, peer=peer)
+        except ForeignMessageError:
+            self._sharing.count_dropped('permit')
+            return
+        if message.name in self._sharing.peers.names:
+            self._sharing.take_permit(message)
+
     def _next_sequence(self) -> int:
         self._sequence += 1
         return self._sequence
@@ -210,8 +240,17 @@
 
 
 @asynccontextmanager
-async def share(address: str, sharing: Sharing) -> AsyncIterator[None]:
-    """Exchange heartbeats until the end of the `with`."""
+async def share(
+    address: str, sharing: Sharing
+) -> AsyncIterator[Callable[[str, Ask | Reply], None]]:
+    """Exchange heartbeats until the end of the `with`.
+
+    Returns
+    -------
+    Callable[[str, Ask | Reply], None]
+        Sends a gateway, by its name, what is said of permits.
+
+    """
     host, _, port = address.rpartition(':')
     loop = asyncio.get_running_loop()
     transport, endpoint = await loop.create_datagram_endpoint(
@@ -219,7 +258,7 @@
     )
     try:
         async with run_tasks(_send_heartbeats(sharing, endpoint)):
-            yield
+            yield endpoint.send_permit
         endpoint.tell_end()
     finally:
         transport.close()
--- a/seampond/sharing/heartbeat.capnp
+++ b/seampond/sharing/heartbeat.capnp
@@ -32,6 +32,10 @@
   endsProven @24 :List(Bool);
   goodRequests @25 :List(UInt64);
   goodAgoMs @26 :List(UInt32);
+  limitLives @27 :List(UInt64);
+  limitRates @28 :List(Float64);
+  limitSaidAgoMs @29 :List(UInt32);
+  givesPermits @30 :Bool;
 }
 
 struct Rollout {
--- a/seampond/sharing/heartbeats.py
+++ b/seampond/sharing/heartbeats.py
@@ -10,6 +10,7 @@
 import capnp
 
 from seampond.errors import ForeignMessageError
+from seampond.permits.messages import Word, decode_rate, encode_rate
 from seampond.quarantine.models import ToldEnd
 from seampond.rollouts.models import Report, Stage, Tally, TallyKey
 from seampond.watches import Proof, Row
@@ -97,6 +98,10 @@
     good : Mapping[int, int]
         By fingerprint, how long ago a request got a good answer that speaks
         against such ends.
+    limits : Mapping[int, Word]
+        By key of a server's life, what it has heard of its limit.
+    gives_permits : bool
+        Whether it may own limits.
 
     """
 
@@ -116,6 +121,8 @@
     rollouts: tuple[Report, ...] = ()
     ends: tuple[ToldEnd, ...] = ()
     good: Mapping[int, int] = field(default_factory=dict)
+    limits: Mapping[int, Word] = field(default_factory=dict)
+    gives_permits: bool = False
 
 
 @functools.cache
@@ -246,6 +253,14 @@
         endsProven=[end.is_proven for end in heartbeat.ends],
         goodRequests=list(heartbeat.good),
         goodAgoMs=[_fit(ago_ms) for ago_ms in heartbeat.good.values()],
+        limitLives=list(heartbeat.limits),
+        limitRates=[
+            encode_rate(word.rate) for word in heartbeat.limits.values()
+        ],
+        limitSaidAgoMs=[
+            _fit(word.said_ago_ms) for word in heartbeat.limits.values()
+        ],
+        givesPermits=heartbeat.gives_permits,
     )
     packed: bytes = message.to_bytes_packed()
     return packed
@@ -285,6 +300,15 @@
             tuple(_read_report(report) for report in reader.rollouts),
             _read_ends(reader),
             _join(reader.goodRequests, reader.goodAgoMs),
+            _join(
+                reader.limitLives,
+                map(
+                    Word,
+                    map(decode_rate, reader.limitRates),
+                    reader.limitSaidAgoMs,
+                ),
+            ),
+            reader.givesPermits,
         )
     except _FAILURES as error:
         raise ForeignMessageError(
--- a/seampond/sharing/peers.py
+++ b/seampond/sharing/peers.py
@@ -74,6 +74,8 @@
         Whether one that is heard has just started.
     before : int
         How many that are heard and reach the store come before us.
+    givers : tuple[str, ...]
+        Those that are heard and give permits.
 
     """
 
@@ -83,6 +85,7 @@
     has_ready: bool = False
     has_young: bool = False
     before: int = 0
+    givers: tuple[str, ...] = ()
 
 
 def give_beat_ms(gateways: int) -> int:
@@ -224,6 +227,11 @@
         """
         return self._census.before < _FOLLOWERS
 
+    @property
+    def givers(self) -> tuple[str, ...]:
+        """The others that are heard and give permits."""
+        return self._census.givers
+
     @property
     def has_young(self) -> bool:
         """Whether some other gateway has just started."""
@@ -315,14 +323,10 @@
             len(heard),
             any(not told.is_stopping for told in heard),
             any(told.uptime_ms < _YOUNG_MS for told in heard),
-            sum(map(self._is_before, heard)),
+            sum(_is_before(told, self.name) for told in heard),
+            tuple(told.name for told in heard if told.gives_permits),
         )
 
-    def _is_before(self, told: Heartbeat) -> bool:
-        if told.is_stopping or told.is_cut:
-            return False
-        return key_of(told.name) < key_of(self.name)
-
     def _count_loads(self, peer: Peer, loads: Mapping[int, Load]) -> None:
         self.loads.replace(peer.counted, loads)
         peer.counted = loads
@@ -344,3 +348,9 @@
             return True
         silent_ms = self._clock.now() - peer.seen_ms
         return silent_ms > _SILENT_BEATS * self.beat_ms
+
+
+def _is_before(told: Heartbeat, name: str) -> bool:
+    if told.is_stopping or told.is_cut:
+        return False
+    return key_of(told.name) < key_of(name)
