Callers turned away by limits come back at times of their own

With twice as many callers as the limits of all servers allow, those that came back as told were turned away again half of the time, and took what there was from nearly all that came for the first time: all were told about the same second. Each now gets a time that nobody else is told, no faster than a part of the limits; while some are to come back first tries wait less.

--- a/seampond/forwarding/openings.py
+++ b/seampond/forwarding/openings.py
@@ -13,6 +13,8 @@
 # of a server's places that it leaves free: in the order of asking, those that
 # wait less get nothing while others wait longer.
 _LEAVES = 2.0
+# The same for those that were told to come back now.
+_FRESH_PART = 0.25
 
 
 class Openings:
@@ -59,7 +61,7 @@
         Returns
         -------
         int or None
-            None if one takes requests now, or if there is none.
+            None if one is not closed, or if there is none.
 
         """
         now_ms = self._clock.now()
@@ -70,8 +72,13 @@
             if backend.has_room_for_all(now_ms):
                 return None
             closed.append(backend)
-        first_ms = min(map(self.opens_ms, closed), default=None)
-        return None if first_ms is None or first_ms <= now_ms else first_ms
+        if not closed:
+            return None
+        return max(now_ms, min(map(self.opens_ms, closed)))
+
+    def sum_rates(self, known: Iterable[Backend]) -> float:
+        """Give what servers take together by their limits, 0 without any."""
+        return sum(backend.notice.limit.rate or 0 for backend in known)
 
     def ask(self, queue: Queue, known: Sequence[Backend]) -> None:
         """Ask for permits for those that wait and have none coming.
@@ -143,6 +150,8 @@
     def _bear_ms(self, queue: Queue, waiter: Waiter, now_ms: int) -> int:
         """Give how long a request waits for a permit at the most."""
         part = 1 - _LEAVES * queue.headroom.give_part(waiter.job)
+        if not waiter.job.is_repeat and queue.returns.is_long(now_ms):
+            part *= _FRESH_PART
         return round(max(0, waiter.until_ms - now_ms) * part)
 
 
--- a/seampond/forwarding/queues.py
+++ b/seampond/forwarding/queues.py
@@ -6,6 +6,7 @@
 from seampond.forwarding.backend import Backend
 from seampond.forwarding.headroom import Headroom
 from seampond.forwarding.job import Job
+from seampond.forwarding.returning import ReturnTimes
 
 
 @dataclass(slots=True)
@@ -36,6 +37,7 @@
 
     headroom: Headroom = field(default_factory=Headroom)
     waiters: list[Waiter] = field(default_factory=list)
+    returns: ReturnTimes = field(default_factory=ReturnTimes)
 
     @property
     def lowest_tier(self) -> int:
--- a/seampond/forwarding/returning.py
+++ b/seampond/forwarding/returning.py
@@ -4,6 +4,9 @@
 asks a second time at the most.
 """
 
+from dataclasses import dataclass
+
+from seampond.clock import MS_PER_SECOND
 from seampond.forwarding.job import Job
 
 # Parts of the target between which those that were turned away are spread, so
@@ -16,6 +19,11 @@
 _MOST_PART = 0.9
 # A caller heeds no later time.
 _LEFT_PART = 0.3
+# Of what limits allow, what is kept for those that were told to come back.
+_KEPT_PART = 0.35
+_LATEST_MS = 60_000
+# With so many booked, first tries no longer wait for what these will take.
+_FEW = 3
 
 
 def return_in_time(job: Job, now_ms: int, draw: float) -> int:
@@ -31,3 +39,57 @@
     part = _LEAST_PART + (_MOST_PART - _LEAST_PART) * draw
     wait_ms = min(left_ms * _LEFT_PART, job.route.target_ms * part)
     return max(1, round(wait_ms))
+
+
+@dataclass(slots=True)
+class ReturnTimes:
+    """When callers of a pool whose servers all name limits may come back.
+
+    Explanation
+    -----------
+    Told a time soon, as elsewhere, all come back together to what the limits
+    do not allow: of twice as many callers as two gateways may send, half of
+    those that came back were turned away once more, and of those that came for
+    the first time nearly all.
+
+    Parameters
+    ----------
+    next_ms : int
+        The first time that nobody was told.
+    rate : float
+        The requests a second by which the times were told.
+
+    """
+
+    next_ms: int = 0
+    rate: float = 0
+
+    def is_long(self, now_ms: int) -> bool:
+        """Whether more callers will come back than may come at once."""
+        told_ms = self.next_ms - now_ms
+        return told_ms * self.rate * _KEPT_PART > _FEW * MS_PER_SECOND
+
+    def book(self, opens_ms: int, rate: float) -> int:
+        """Give a time that no other caller is told.
+
+        Parameters
+        ----------
+        opens_ms : int
+            The first moment at which a request may be sent.
+        rate : float
+            The requests a second that we may send, more than none.
+
+        Examples
+        --------
+        >>> times = ReturnTimes()
+        >>> [times.book(1000, 4), times.book(1000, 4), times.book(1200, 4)]
+        [1000, 1714, 2428]
+
+        """
+        if rate != self.rate:
+            self.rate = rate
+            self.next_ms = opens_ms
+        booked_ms = max(opens_ms, self.next_ms)
+        booked_ms = min(booked_ms, opens_ms + _LATEST_MS)
+        self.next_ms = booked_ms + round(MS_PER_SECOND / (rate * _KEPT_PART))
+        return booked_ms
--- a/seampond/forwarding/scheduler.py
+++ b/seampond/forwarding/scheduler.py
@@ -189,13 +189,21 @@
         -----------
         Where all servers rest or have given what their limits allow, not
         before the first of them opens: who came sooner would be turned away
-        once more.  They come back spread over the target, as they do elsewhere.
+        once more.  From a rest they come back spread over the target, as they
+        do elsewhere; with limits no faster than these allow.
         """
         now_ms, draw = self._clock.now(), self._rng.random()
-        opens_ms = self.openings.first_ms(self._draw(job.pool))
-        if opens_ms is not None:
-            return opens_ms - now_ms + round(draw * job.route.target_ms)
-        return self._give_return_ms(job, now_ms, draw)
+        known = self._backends.of_pool(job.pool)
+        opens_ms = self.openings.first_ms(known)
+        if opens_ms is None:
+            return self._give_return_ms(job, now_ms, draw)
+        rate = self.openings.sum_rates(known) / max(1, self._count_gateways())
+        if rate:
+            queue = self._queues.setdefault(job.pool, Queue())
+            later_ms = queue.returns.book(opens_ms, rate) - now_ms
+        else:
+            later_ms = opens_ms - now_ms + round(draw * job.route.target_ms)
+        return max(1, later_ms)
 
     def _occupy(self, backend: Backend, job: Job) -> Backend:
         job.permit = self.openings.take(backend)
--- a/seampond/permits/tests/test_fleet.py
+++ b/seampond/permits/tests/test_fleet.py
@@ -21,6 +21,10 @@
 _FAULT_GAP_MS = 1500
 _FAULTS = 12
 _USED_PART = 0.6
+# Of those that come back when they were told to.
+_KEPT_PART = 0.8
+# Of twice as many callers as the limits allow.
+_FIRST_PART = 0.3
 _LOST_PART = 0.05
 _SEEDS = 20
 # As many callers as the limits allow, and twice as many.
@@ -98,6 +102,29 @@
 
         play(work)
 
+    def test_times_to_come_back_hold(self) -> None:
+        """Who comes back as told is served, and others at their first try."""
+        for gateways in (2, 8):
+            with self.subTest(gateways=gateways):
+                self._check_returns(gateways)
+
+    def _check_returns(self, gateways: int) -> None:
+        async def work(clock: Clock) -> None:
+            fleet = LimitedFleet(clock, random.Random(6), gateways, 6)
+            fleet.come_back = True
+            await clock.sleep(_START_MS)
+            await _name(fleet, 3, 2)
+            await fleet.drive(_rate(fleet, 3, 2), _CALM_MS)
+            await clock.sleep(_CONTACT_MS * 2)
+            await fleet.close()
+            self.assertGreater(fleet.came_back, 0)
+            kept = fleet.served_later / fleet.came_back
+            self.assertGreaterEqual(kept, _KEPT_PART)
+            first = fleet.served / fleet.asked
+            self.assertGreaterEqual(first, _FIRST_PART)
+
+        play(work)
+
     def _check(
         self, gateways: int, servers: int, limit: float, load: float
     ) -> None:
--- a/seampond/testing/limited_fleet.py
+++ b/seampond/testing/limited_fleet.py
@@ -29,6 +29,8 @@
 _DELAY_MS = (1, 4)
 _LEAST_BEAT_PART = 0.1
 _SLOTS = 10
+# No caller waits longer before it comes back.
+_HEEDED_MS = 4000
 
 
 @dataclass
@@ -181,14 +183,21 @@
         else:
             self.desk.take_reply(message)
 
-    async def serve(self, request_id: str) -> bool:
-        """Carry a request through; tell whether it was served."""
+    async def serve(self, request_id: str, *, is_repeat: bool) -> int | None:
+        """Carry a request through.
+
+        Returns
+        -------
+        int or None
+            None where it was served, else when to come back.
+
+        """
         clock = self.fleet.clock
-        job = build_job(request_id, arrived_ms=clock.now())
+        job = build_job(request_id, arrived_ms=clock.now(), is_repeat=is_repeat)
         try:
             backend = await self.scheduler.place(job, set())
-        except Refusal:
-            return False
+        except Refusal as refusal:
+            return refusal.retry_after_ms
         sent_ms = clock.now()
         server = self.fleet.by_id[backend.server.id]
         server.note_sent(sent_ms, self.incarnation)
@@ -200,7 +209,7 @@
             words = Words(limit=limit)
             self.backends.note_words(backend, words, sent_ms)
             self.scheduler.release(backend)
-        return True
+        return None
 
     def _tell_all(self) -> None:
         self.desk.look_after()
@@ -247,6 +256,9 @@
         self.gateways: dict[str, LimitedGateway] = {}
         self.served = 0
         self.asked = 0
+        self.come_back = False
+        self.came_back = 0
+        self.served_later = 0
         self.waits_ms: list[int] = []
         self._ids: Iterator[int] = itertools.count()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -315,10 +327,18 @@
             return
         since_ms = self.clock.now()
         self.asked += 1
-        is_served = await gateway.serve(f'r{next(self._ids)}')
-        self.served += is_served
-        if is_served:
+        later_ms = await gateway.serve(f'r{next(self._ids)}', is_repeat=False)
+        if later_ms is None:
+            self.served += 1
             self.waits_ms.append(self.clock.now() - since_ms - _RUN_MS)
+        elif self.come_back and later_ms <= _HEEDED_MS:
+            self.came_back += 1
+            await self.clock.sleep(later_ms)
+            gateway = self.gateways[self.rng.choice(self.names)]
+            later_ms = await gateway.serve(
+                f'r{next(self._ids)}', is_repeat=True
+            )
+            self.served_later += later_ms is None
 
     def _spawn(self, work: Any) -> None:
         task = asyncio.create_task(work)
