A good version is not judged slow by what the gateway saw late

Callers had their roll-out of a good version rolled back: on a busy machine answers of both versions took 140 to 260 ms in one burst, eight in ten of them the new one's, and it was refused for bad answers while all were 200.

The time that an answer waited in our own socket, since the process did not run, counted as the server's. While an order runs the process now notes by how much its own timers are late, and takes that off; of a stream's pauses it says nothing then. A version that is slow beyond that is found as before.

--- a/seampond/gateway/daemon.py
+++ b/seampond/gateway/daemon.py
@@ -14,6 +14,7 @@
 from seampond.forwarding.web import CallerProtocol
 from seampond.gateway.parts import GatewayParts
 from seampond.gateway.rollouts import carry_out
+from seampond.gateway.stalls import watch_stalls
 from seampond.gateway.status import show_status
 from seampond.gateway.wiring import make_gateway
 from seampond.pages import Pages, RenderedPage, render_page
@@ -215,6 +216,7 @@
         open_table(address, STATUS_TABLE, clock) as table,
         run_tasks(
             _follow_states(parts),
+            watch_stalls(parts.stalls, parts.rollouts.is_wanted, clock),
             carry_out(
                 parts.rollouts,
                 table,
--- a/seampond/gateway/parts.py
+++ b/seampond/gateway/parts.py
@@ -21,6 +21,7 @@
     make_margin,
 )
 from seampond.gateway.rollouts import RolloutFollower
+from seampond.gateway.stalls import Stalls
 from seampond.metrics.gateway import GatewayMetrics
 from seampond.permits.desk import Desk
 from seampond.permits.messages import Ask, Reply
@@ -66,6 +67,7 @@
     rollouts: RolloutFollower
     quarantine: Quarantine
     desk: Desk
+    stalls: Stalls
     watches: dict[str, Watch] = field(default_factory=dict)
     _pages: list[ToldPage] = field(default_factory=list)
 
--- a/seampond/gateway/tests/test_versions.py
+++ b/seampond/gateway/tests/test_versions.py
@@ -30,6 +30,7 @@
 
 _USUAL_MS = 20
 _SEEN_MS = (63, 63, 58, 44, 62, 62)
+_LATE_SEEN_MS = (140, 180, 200, 220, 240, 250, 260, 260)
 
 
 class LivesTest(unittest.TestCase):
@@ -105,6 +106,18 @@
         route = build_route(target_ms=1000)
         self.assertEqual(self.count_bad(route, *_SEEN_MS), 0)
 
+    def test_process_that_did_not_run_saw_it_late(self) -> None:
+        """In one burst eight of ten answers were the new version's."""
+        self.versions.stalls.note(740, 980)
+        route = build_route(target_ms=1000)
+        self.assertEqual(self.count_bad(route, *_LATE_SEEN_MS), 0)
+
+    def test_slow_beyond_what_was_seen_late(self) -> None:
+        """What is left is several times as long as usual."""
+        self.versions.stalls.note(900, 980)
+        route = build_route(target_ms=1000)
+        self.assertEqual(self.count_bad(route, 260, 200, 180), 3)
+
     def test_much_longer_is_slow(self) -> None:
         """Four times as long, and more than callers take for the same."""
         route = build_route(target_ms=1000)
--- a/seampond/gateway/versions.py
+++ b/seampond/gateway/versions.py
@@ -8,6 +8,7 @@
 from seampond.forwarding.backend import Backend
 from seampond.forwarding.job import Job
 from seampond.forwarding.progress import Outcome, Try
+from seampond.gateway.stalls import Stalls
 from seampond.rollouts import Rollouts
 from seampond.rollouts.slowness import LEAST_SLOWER_MS, Pace
 from seampond.sharing import key_of
@@ -28,6 +29,7 @@
 
     rollouts: Rollouts
     clock: Clock
+    stalls: Stalls = field(default_factory=Stalls)
     rng: random.Random = field(default_factory=random.Random)
 
     def group(
@@ -47,6 +49,7 @@
         if tried.outcome == Outcome.unreached.value:
             return
         now_ms = self.clock.now()
+        stalled_ms = self.stalls.sum_ms(now_ms - tried.took_ms, now_ms)
         is_bad = tried.outcome in _BAD
         # A cold server has said that it would be slow.
         is_cold = now_ms < backend.cold_until_ms
@@ -54,18 +57,23 @@
             backend.server.pool,
             key_of(job.route.name),
             backend.server.version,
-            None if is_bad or is_cold else _measure(job, tried),
+            None if is_bad or is_cold else _measure(job, tried, stalled_ms),
             now_ms,
             is_bad=is_bad,
             is_answer=is_bad or tried.first_ms >= 0,
         )
 
 
-def _measure(job: Job, tried: Try) -> Pace:
-    """Give what tells best how fast an answer was."""
+def _measure(job: Job, tried: Try, stalled_ms: int) -> Pace | None:
+    """Give what tells best how fast an answer was.
+
+    Explanation
+    -----------
+    What we did not see in time says nothing of the pauses of a stream.
+    """
     if job.is_stream and tried.gap_ms:
-        return Pace('gap', tried.gap_ms)
+        return None if stalled_ms else Pace('gap', tried.gap_ms)
     kind = 'first' if job.is_stream else 'answer'
     took_ms = tried.first_ms if tried.first_ms >= 0 else tried.took_ms
     slower_ms = max(LEAST_SLOWER_MS, _NOTICED_PART * job.route.target_ms)
-    return Pace(kind, took_ms, slower_ms)
+    return Pace(kind, max(0, took_ms - stalled_ms), slower_ms)
--- a/seampond/gateway/wiring.py
+++ b/seampond/gateway/wiring.py
@@ -22,6 +22,7 @@
 )
 from seampond.gateway.parts import GatewayParts
 from seampond.gateway.rollouts import RolloutFollower
+from seampond.gateway.stalls import Stalls
 from seampond.gateway.versions import RolloutVersions
 from seampond.metrics.gateway import GatewayMetrics
 from seampond.permits.desk import Desk
@@ -139,7 +140,8 @@
     )
     store_time = StoreTime()
     rollouts = make_rollouts(bounds, belief, backends, peers, store_time)
-    versions = RolloutVersions(rollouts, clock)
+    stalls = Stalls()
+    versions = RolloutVersions(rollouts, clock, stalls)
     desk = Desk(
         peers,
         clock,
@@ -237,4 +239,5 @@
         rollouts=RolloutFollower(rollouts, clock),
         quarantine=quarantine,
         desk=desk,
+        stalls=stalls,
     )
