A gateway that is there and not understood keeps its part of what all share

Beside a build whose heartbeats have another layout neither understood the other; after 20 s of silence each counted itself alone, and quotas, allowances of retries, exposure and limits were given twice. A datagram that cannot be read, from the address of a listed gateway, now keeps it counted, though not heard: those that hear each other give their part. One log line tells of it.

--- a/seampond/sharing/exchange.py
+++ b/seampond/sharing/exchange.py
@@ -100,6 +100,7 @@
             heartbeat = decode(packet, peer=addr[0])
         except ForeignMessageError:
             sharing.count_dropped('heartbeat')
+            sharing.peers.note_unread(f'{addr[0]}:{addr[1]}')
             return
         if not sharing.peers.take_heartbeat(heartbeat):
             return
--- a/seampond/sharing/peers.py
+++ b/seampond/sharing/peers.py
@@ -42,6 +42,8 @@
         When it was first known or last heard.
     heartbeat : Heartbeat or None
         The newest that came from it.
+    unread_ms : int
+        When something last came from it that cannot be read, 0 for never.
     is_silent : bool
         Whether it was not heard of late.
     counted : Mapping[int, Load]
@@ -53,6 +55,7 @@
     address: str
     seen_ms: int
     heartbeat: Heartbeat | None = None
+    unread_ms: int = 0
     is_silent: bool = True
     counted: Mapping[int, Load] = field(default_factory=dict)
 
@@ -61,6 +64,11 @@
         """Whether it has ended a planned stop."""
         return self.heartbeat is not None and self.heartbeat.is_gone
 
+    def count_loads(self, sums: LoadSums, loads: Mapping[int, Load]) -> None:
+        """Put its loads into sums in the place of those before."""
+        sums.replace(self.counted, loads)
+        self.counted = loads
+
 
 @dataclass(frozen=True, slots=True)
 class Census:
@@ -272,7 +280,7 @@
             return False
         peer.heartbeat = heartbeat
         peer.seen_ms = self._clock.now()
-        self._count_loads(peer, {} if peer.is_gone else heartbeat.loads)
+        peer.count_loads(self.loads, {} if peer.is_gone else heartbeat.loads)
         is_other = last and last.is_cut != heartbeat.is_cut
         if not is_same_life or is_other or peer.is_silent or peer.is_gone:
             self._counted = None
@@ -281,13 +289,31 @@
             _logger.info('gateway heard', extra={'peer': peer.name})
         return True
 
+    def note_unread(self, address: str) -> None:
+        """Note that what came from an address cannot be read.
+
+        Explanation
+        -----------
+        A gateway of another build may be there, which uses up its part of
+        what all share.  It counts, though it is not heard.
+        """
+        for peer in self._peers.values():
+            if peer.address != address:
+                continue
+            if not peer.unread_ms:
+                self._counted = None
+                _logger.warning(
+                    'gateway not understood', extra={'peer': peer.name}
+                )
+            peer.unread_ms = self._clock.now()
+
     def note_silence(self) -> None:
         """Note and log who has fallen silent."""
         for peer in self._peers.values():
             if self._is_silent(peer) and not peer.is_silent:
                 peer.is_silent = True
                 self._counted = None
-                self._count_loads(peer, {})
+                peer.count_loads(self.loads, {})
                 _logger.warning(
                     'gateway silent',
                     extra={
@@ -309,7 +335,8 @@
         alive = [
             peer
             for peer in self._peers.values()
-            if peer.seen_ms >= oldest_ms and not peer.is_gone
+            if max(peer.seen_ms, peer.unread_ms) >= oldest_ms
+            and not peer.is_gone
         ]
         silent_ms = _SILENT_BEATS * give_beat_ms(len(alive) + 1)
         heard = [
@@ -327,10 +354,6 @@
             tuple(told.name for told in heard if told.gives_permits),
         )
 
-    def _count_loads(self, peer: Peer, loads: Mapping[int, Load]) -> None:
-        self.loads.replace(peer.counted, loads)
-        peer.counted = loads
-
     def _take_row(self, name: str, address: str) -> None:
         known = self._peers.get(name)
         if address and known is not None:
@@ -339,7 +362,7 @@
             self._peers[name] = Peer(name, address, self._clock.now())
             _logger.info('gateway known', extra={'peer': name})
         elif known is not None:
-            self._count_loads(known, {})
+            known.count_loads(self.loads, {})
             self._peers.pop(name)
             _logger.info('gateway gone', extra={'peer': name})
 
--- /dev/null
+++ b/seampond/sharing/tests/schemas/landing-2.capnp
@@ -0,0 +1,38 @@
+@0xd1c3a1b58f7e2a65;
+# What gateways tell each other, one datagram each.  Servers, tenants and
+# tables are told by the keys of their names.  A table is told by its columns:
+# a list of numbers is read at once, a list of structs field by field, which
+# takes three times as long.
+
+struct Heartbeat {
+  name @0 :Text;
+  incarnation @1 :UInt64;
+  sequence @2 :UInt64;
+  version @3 :UInt64;
+  uptimeMs @4 :UInt64;
+  isStopping @5 :Bool;
+  isGone @6 :Bool;
+  spentTenants @7 :List(UInt64);
+  spentUnits @8 :List(UInt64);
+  loadServers @9 :List(UInt64);
+  loadRunning @10 :List(UInt16);
+  loadUnread @11 :List(UInt32);
+  proofTables @12 :List(UInt64);
+  proofChanged @13 :List(UInt64);
+  proofStoreMs @14 :List(UInt64);
+  levelTenants @15 :List(UInt64);
+  levelUnits @16 :List(Int64);
+  isCut @17 :Bool;
+  pages @18 :List(Page);
+}
+
+struct Page {
+  table @0 :UInt64;
+  since @1 :UInt64;
+  version @2 :UInt64;
+  storeMs @3 :UInt64;
+  rowKeys @4 :List(Text);
+  rowContents @5 :List(Data);
+  rowVersions @6 :List(UInt64);
+  rowsGone @7 :List(Bool);
+}
