Soak: servers that name limits, gateways of an earlier build replaced one by one

Limits and upgrades had no run of real processes under faults. What a limit allows is summed over gateways from outside, by life and by span of naming.

--- /dev/null
+++ b/seampond/testing/gateway_processes.py
@@ -0,0 +1,152 @@
+"""Gateways as processes, of this build or of an earlier one."""
+
+import asyncio
+import io
+import os
+import signal
+import subprocess
+import sys
+import tarfile
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from itertools import islice
+from pathlib import Path
+
+import aiosonic
+
+from seampond.demo.fleet import free_ports
+from seampond.platform.names import READY_PATH
+from seampond.testing.store import StandInStore
+
+GATEWAYS = 3
+_PORTS = 4
+_READY_S = 30
+_SETTINGS = """[gateway]
+name = "{name}"
+zone = "a"
+linger_ms = 50
+listen = "{ports[0]}"
+ready_listen = "{ports[1]}"
+metrics_listen = "{ports[2]}"
+peer_listen = "{ports[3]}"
+[gateway.store]
+address = "{store}"
+[gateway.bounds]
+stop_ms = 3000
+[gateway.logs]
+level = "INFO"
+"""
+
+
+@dataclass
+class GatewayProcess:
+    """One gateway, started again whenever it has ended.
+
+    Parameters
+    ----------
+    build : Path or None
+        Where the program lies that it runs, None for this one.
+
+    """
+
+    name: str
+    ports: tuple[str, ...]
+    path: Path
+    build: Path | None = None
+    process: asyncio.subprocess.Process | None = None
+
+    async def start(self) -> None:
+        """Start it; its log goes on where the earlier one ended."""
+        environment = dict(os.environ)
+        if self.build is not None:
+            environment['PYTHONPATH'] = str(self.build)
+        with self.path.with_suffix('.log').open('ab') as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                'seampond.gateway',
+                str(self.path),
+                stdout=log,
+                stderr=log,
+                env=environment,
+                cwd=self.build,
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send it a signal, if it is there."""
+        if self.process is not None and self.process.returncode is None:
+            os.kill(self.process.pid, number)
+
+    async def wait(self) -> None:
+        """Wait until it has ended."""
+        if self.process is not None:
+            await self.process.wait()
+
+
+async def wait_ready(
+    gateways: Sequence[GatewayProcess], client: aiosonic.HTTPClient
+) -> None:
+    """Wait until all of them say that they are ready."""
+    async with asyncio.timeout(_READY_S):
+        for gateway in gateways:
+            url = f'http://{gateway.ports[1]}{READY_PATH}'
+            while not await _is_ready(client, url):
+                await asyncio.sleep(0.1)
+
+
+async def _is_ready(client: aiosonic.HTTPClient, url: str) -> bool:
+    try:
+        response = await client.get(url)
+    except Exception:  # noqa: BLE001 - it is not up yet, however that shows.
+        return False
+    return response.status_code == 200
+
+
+@asynccontextmanager
+async def run_gateways(
+    folder: Path, store: StandInStore, build: Path | None = None
+) -> AsyncIterator[list[GatewayProcess]]:
+    """Run gateways until the end of the `with`."""
+    gateways = []
+    # Of a range of their own: a port of a gateway that is down stays free.
+    ports = free_ports()
+    for number in range(GATEWAYS):
+        name = f'g{number}'
+        own = tuple(f'127.0.0.1:{port}' for port in islice(ports, _PORTS))
+        path = folder / f'{name}.toml'
+        path.write_text(
+            _SETTINGS.format(name=name, ports=own, store=store.address)
+        )
+        gateways.append(GatewayProcess(name, own, path, build))
+    try:
+        for gateway in gateways:
+            await gateway.start()
+        yield gateways
+    finally:
+        for gateway in gateways:
+            gateway.signal(signal.SIGCONT)
+            gateway.signal(signal.SIGKILL)
+            await gateway.wait()
+
+
+def unpack_build(commit: str, folder: Path) -> Path:
+    """Give the program of an earlier commit of this repository.
+
+    Raises
+    ------
+    subprocess.CalledProcessError
+        If the repository does not hold it.
+
+    """
+    root = Path(__file__).resolve().parent.parent.parent
+    packed = subprocess.run(
+        ['git', 'archive', commit, 'seampond'],
+        cwd=root,
+        check=True,
+        capture_output=True,
+    ).stdout
+    folder.mkdir(parents=True)
+    with tarfile.open(fileobj=io.BytesIO(packed)) as archive:
+        archive.extractall(folder, filter='data')
+    return folder
--- a/seampond/testing/limited.py
+++ b/seampond/testing/limited.py
@@ -1,7 +1,6 @@
 """What servers that name a limit get from all gateways, seen from outside."""
 
 import itertools
-from collections import defaultdict
 from dataclasses import dataclass
 
 from seampond.clock import MS_PER_SECOND
@@ -97,7 +96,23 @@
 
 
 def _split_lives(server: SayingServer) -> list[list[Arrival]]:
-    lives: dict[int, list[Arrival]] = defaultdict(list)
+    """Give what came in each life while a limit was named.
+
+    Explanation
+    -----------
+    One that is named anew, after answers without any, binds anew.
+    """
+    spans: list[list[Arrival]] = []
+    before: Arrival | None = None
     for arrival in server.arrivals:
-        lives[arrival.sent.life].append(arrival)
-    return list(lives.values())
+        is_first = before is None or not before.limit
+        if arrival.limit and (is_first or _is_other_life(before, arrival)):
+            spans.append([])
+        if arrival.limit:
+            spans[-1].append(arrival)
+        before = arrival
+    return spans
+
+
+def _is_other_life(before: Arrival | None, arrival: Arrival) -> bool:
+    return before is None or before.sent.life != arrival.sent.life
