--- /dev/null
+++ b/seampond/forwarding/tests/test_openings.py
@@ -0,0 +1,176 @@
+"""How requests wait for servers whose limits let few of them in."""
+
+import asyncio
+import unittest
+
+from seampond.clock import Clock
+from seampond.forwarding.backend import Backend
+from seampond.forwarding.backends import Backends
+from seampond.forwarding.limit import Permit
+from seampond.forwarding.refusals import Cause, Refusal
+from seampond.forwarding.scheduler import Scheduler
+from seampond.forwarding.words import Words
+from seampond.testing.builders import build_promises
+from seampond.testing.gateways import (
+    NAMES,
+    POOL,
+    ZONE,
+    build_job,
+    build_route,
+    build_server,
+    pick,
+)
+
+_LATER_MS = 60_000
+_SOON_S = 0.05
+
+
+class _Giver:
+    """Gives permits when a test says so."""
+
+    def __init__(self) -> None:
+        self.given = 0
+        self.opens_at_ms = 0
+        self.asked: list[str] = []
+
+    def may_send(self, backend: Backend) -> bool:
+        """Whether there is one."""
+        return self.given > 0
+
+    def take(self, backend: Backend) -> Permit:
+        """Take one."""
+        self.given -= 1
+        return Permit(0, 1 << 60)
+
+    def ask(self, backend: Backend, patience_ms: int) -> None:
+        """Note who is asked, and wait for the answer."""
+        self.asked.append(backend.server.id)
+        backend.notice.limit.asked_ms = Clock().now()
+
+    def opens_ms(self, backend: Backend) -> int:
+        """Give what the test says."""
+        return self.opens_at_ms
+
+    def find_out(self, backend: Backend) -> None:
+        """Do not."""
+
+
+class OpeningsTest(unittest.IsolatedAsyncioTestCase):
+    """One pool of servers, of which some name limits."""
+
+    def setUp(self) -> None:
+        """Know two servers with limits."""
+        self.clock = Clock()
+        self.backends = Backends(self.clock, NAMES.request_id)
+        self.backends.keep_only(build_server(f'i-{one}') for one in (1, 2))
+        self.scheduler = Scheduler(
+            self.backends, ZONE, self.clock, lambda: 1, build_promises()
+        )
+        self.giver = _Giver()
+        self.scheduler.openings.permits = self.giver
+        for backend in self.backends:
+            self.say(backend, Words(limit=2))
+
+    def say(self, backend: Backend, words: Words) -> None:
+        """Let a server say something of itself."""
+        self.backends.note_words(backend, words, self.clock.now())
+
+    def place(self, request_id: str, **changes: int) -> 'asyncio.Task[Backend]':
+        """Let a request wait for a place."""
+        job = build_job(request_id, **changes)
+        return asyncio.create_task(self.scheduler.place(job, set()))
+
+    def answer(self, given: int) -> None:
+        """Let the owner answer all that were asked."""
+        for backend in self.backends:
+            backend.notice.limit.asked_ms = None
+        self.giver.given = given
+        self.scheduler.look_again(POOL)
+
+    async def check_refused(self, task: 'asyncio.Task[Backend]') -> Refusal:
+        """Check that a request was turned away for the limits, and soon."""
+        with self.assertRaises(Refusal) as caught:
+            async with asyncio.timeout(_SOON_S):
+                await task
+        self.assertIs(caught.exception.cause, Cause.limited)
+        return caught.exception
+
+    async def test_limited_servers_are_no_room(self) -> None:
+        """For what a workspace asks beyond its rate."""
+        self.assertFalse(self.scheduler.has_room(POOL))
+        # Later than the word of the limit.
+        await asyncio.sleep(_SOON_S)
+        self.say(pick(self.backends, 'i-1'), Words())
+        self.assertTrue(self.scheduler.has_room(POOL))
+
+    async def test_each_that_waits_asks_once(self) -> None:
+        """As long as no answer has come."""
+        tasks = [self.place(f'r{one}') for one in range(3)]
+        await asyncio.sleep(_SOON_S)
+        self.assertEqual(sorted(self.giver.asked), ['i-1', 'i-2'])
+        self.giver.opens_at_ms = self.clock.now() + _LATER_MS
+        self.answer(0)
+        for task in tasks:
+            await self.check_refused(task)
+
+    async def test_most_urgent_gets_the_permit(self) -> None:
+        """Whoever came first; the other hears when there is one."""
+        route = build_route(priority=0)
+        plain = self.place('r1')
+        urgent = asyncio.create_task(
+            self.scheduler.place(build_job('r2', route=route), set())
+        )
+        await asyncio.sleep(_SOON_S / 2)
+        self.giver.opens_at_ms = self.clock.now() + _LATER_MS
+        self.answer(1)
+        await urgent
+        refusal = await self.check_refused(plain)
+        self.assertGreaterEqual(refusal.retry_after_ms, _LATER_MS - 100)
+
+    async def test_wait_that_cannot_end_is_no_wait(self) -> None:
+        """It is known before that no permit comes in time."""
+        self.giver.opens_at_ms = self.clock.now() + _LATER_MS
+        await self.check_refused(self.place('r1'))
+        self.assertEqual(self.giver.asked, [])
+
+    async def test_a_server_without_a_limit_is_waited_for(self) -> None:
+        """It is full, and may have a place in time."""
+        self.backends.keep_only(build_server(f'i-{one}') for one in (1, 2, 3))
+        full = pick(self.backends, 'i-3')
+        full.in_flight = full.server.slots
+        self.giver.opens_at_ms = self.clock.now() + _LATER_MS
+        task = self.place('r1')
+        await asyncio.sleep(_SOON_S)
+        self.assertFalse(task.done())
+        self.scheduler.release(full)
+        self.assertEqual((await task).server.id, 'i-3')
+
+    async def test_rest_goes_beside_a_limit(self) -> None:
+        """Neither a permit nor the end of the rest is enough alone."""
+        for backend in self.backends:
+            self.say(backend, Words(limit=2, rest_ms=_LATER_MS))
+        self.giver.given = 5
+        await self.check_refused(self.place('r1'))
+
+    async def test_server_that_leaves_needs_a_permit_too(self) -> None:
+        """Where all others have gone, for a part of the time to drain."""
+        self.backends.grace_ms = _LATER_MS
+        for backend in self.backends:
+            self.say(backend, Words(limit=2, leaves=True))
+        job = build_job('r1')
+        waiting = asyncio.create_task(self.scheduler.place(job, set()))
+        await asyncio.sleep(_SOON_S / 2)
+        self.assertFalse(waiting.done())
+        self.answer(1)
+        await waiting
+        self.assertIsNotNone(job.permit)
+
+    async def test_request_without_a_limit_has_no_permit(self) -> None:
+        """Nor does it keep one of an earlier place."""
+        job = build_job('r1')
+        self.giver.given = 1
+        await self.scheduler.place(job, set())
+        self.assertIsNotNone(job.permit)
+        self.backends.keep_only([build_server('i-9')])
+        await self.scheduler.place(job, set())
+        self.assertIsNone(job.permit)
