Tests of servers that speak share one case; soon is measured on virtual time

Two files of tests held the same start of fleets, and two builders the same start of servers; each stands once now.

`test_before_eight_gateways` failed at a load of 23 on 8 cores: one refusal came after 332 ms, 300 were allowed. How soon a refusal comes was measured against the wall clock, with 14 parties in one process. It is measured on virtual time now, more strictly (250 ms, a quarter of the target, at 2 to 30 gateways); real gateways are held to the route's target, as with rests.

--- /dev/null
+++ b/seampond/gateway/tests/saying_case.py
@@ -0,0 +1,72 @@
+"""Gateways before servers that say something of themselves in their answers."""
+
+import asyncio
+from http import HTTPStatus
+from typing import Any
+
+from seampond.clock import Clock
+from seampond.gateway.daemon import RunningGateway, run_gateway
+from seampond.gateway.tests.test_gateway import GatewayCase, build_settings
+from seampond.platform.tests.rows import (
+    IDEMPOTENT,
+    STREAM,
+    ConfigurationRow,
+    put_configuration,
+)
+from seampond.testing.gateways import until_true
+from seampond.testing.saying import SayingFleet, run_saying
+
+SERVERS = 6
+# 40 requests a second, at the gateways in turn.
+_EVERY_MS = 25
+_UP_S = 20
+
+
+class SayingCase(GatewayCase):
+    """Some gateways before six servers."""
+
+    async def open_fleet(
+        self, kind: str = IDEMPOTENT, gateways: int = 2, **row: Any
+    ) -> SayingFleet:
+        """Start the servers, then the gateways."""
+        put_configuration(self.store, ConfigurationRow(kind=kind))
+        self.saying = await self.stack.enter_async_context(
+            run_saying(self.store, SERVERS, **row)
+        )
+        for server in self.saying.saying:
+            server.is_stream = kind == STREAM
+        names = [f'g{number}' for number in range(gateways)]
+        self.gateways = await asyncio.gather(*map(self.open_gateway, names))
+        await until_true(lambda: all(map(self._is_up, self.gateways)), _UP_S)
+        return self.saying
+
+    async def open_gateway(self, name: str) -> RunningGateway:
+        """Start a gateway, which ends with the test."""
+        settings = build_settings(self.store.address, name=name)
+        return await self.stack.enter_async_context(
+            run_gateway(settings, Clock())
+        )
+
+    async def drive(self, for_ms: int) -> int:
+        """Bring requests for a while; give when that began."""
+        since_ms = self.saying.clock.now()
+        addresses = [one.parts.settings.listen for one in self.gateways]
+        await self.saying.keep_asking(
+            addresses, lambda number: b'%d' % number, _EVERY_MS, for_ms
+        )
+        return since_ms
+
+    def check_returns(self, since_ms: int, soon_ms: int) -> None:
+        """Check that who was not served was told so soon, and when to come."""
+        for one in self.saying.asked:
+            if one.at_ms >= since_ms and one.status != HTTPStatus.OK:
+                self.assertEqual(one.status, HTTPStatus.SERVICE_UNAVAILABLE)
+                self.assertLessEqual(one.head_ms - one.at_ms, soon_ms)
+                self.assertGreater(float(one.headers['retry-after']), 0)
+
+    def _is_up(self, gateway: RunningGateway) -> bool:
+        parts = gateway.parts
+        is_known = len(parts.backends) == SERVERS
+        is_listed = parts.peers.count == len(self.gateways)
+        is_proved = parts.web.admission.is_proved
+        return parts.is_ready and is_proved and is_known and is_listed
--- a/seampond/permits/tests/test_fleet.py
+++ b/seampond/permits/tests/test_fleet.py
@@ -21,6 +21,8 @@
 _FAULT_GAP_MS = 1500
 _FAULTS = 12
 _USED_PART = 0.6
+# A quarter of the target: a refusal that comes so soon costs callers little.
+_SOON_MS = 250
 # Of those that come back when they were told to.
 _KEPT_PART = 0.8
 # Of twice as many callers as the limits allow.
@@ -141,6 +143,7 @@
             self.assertLessEqual(worst, 1)
             used = fleet.used_part(since_ms, clock.now())
             self.assertGreaterEqual(used, _USED_PART)
+            self.assertLessEqual(max(fleet.refused_ms, default=0), _SOON_MS)
 
         play(work)
 
--- a/seampond/testing/crashing.py
+++ b/seampond/testing/crashing.py
@@ -325,10 +325,17 @@
         )
         for number in range(count)
     )
-    for server in fleet.servers:
+    async with run_servers(fleet.servers):
+        yield fleet
+
+
+@asynccontextmanager
+async def run_servers(servers: Sequence[CrashingServer]) -> AsyncIterator[None]:
+    """Run servers until the end of the `with`."""
+    for server in servers:
         await server.start()
     try:
-        yield fleet
+        yield
     finally:
-        for server in fleet.servers:
+        for server in servers:
             await server.stop()
--- a/seampond/testing/limited_fleet.py
+++ b/seampond/testing/limited_fleet.py
@@ -260,6 +260,7 @@
         self.came_back = 0
         self.served_later = 0
         self.waits_ms: list[int] = []
+        self.refused_ms: list[int] = []
         self._ids: Iterator[int] = itertools.count()
         self._tasks: set[asyncio.Task[None]] = set()
         for name in self.names:
@@ -331,7 +332,9 @@
         if later_ms is None:
             self.served += 1
             self.waits_ms.append(self.clock.now() - since_ms - _RUN_MS)
-        elif self.come_back and later_ms <= _HEEDED_MS:
+            return
+        self.refused_ms.append(self.clock.now() - since_ms)
+        if self.come_back and later_ms <= _HEEDED_MS:
             self.came_back += 1
             await self.clock.sleep(later_ms)
             gateway = self.gateways[self.rng.choice(self.names)]
--- a/seampond/testing/saying.py
+++ b/seampond/testing/saying.py
@@ -17,6 +17,7 @@
     CrashingFleet,
     CrashingServer,
     Sent,
+    run_servers,
 )
 from seampond.testing.scripted import Received, write_answer, write_chunks
 from seampond.testing.store import StandInStore
@@ -278,10 +279,5 @@
         for number in range(count)
     )
     fleet.servers.extend(fleet.saying)
-    for server in fleet.saying:
-        await server.start()
-    try:
+    async with run_servers(fleet.servers):
         yield fleet
-    finally:
-        for server in fleet.saying:
-            await server.stop()
