Soak: what a gateway learns while it stops is gone with it; replacements end in time

The log of one: g1 is told to stop at 37.792, hears `server wants rest i-0 2920` at 37.852, while it lingers, and has ended at 38.050; its next life is ready at 39.153 and knows nothing of it. A restart since then excuses it, by the rule; the check knew only the moment of the signal. It now also notes when the process has ended. Sends in the same life are counted as before.

None begins after the time of the faults now.

--- a/seampond/testing/soak_faults.py
+++ b/seampond/testing/soak_faults.py
@@ -20,6 +20,7 @@
 _ROW_PART = 0.7
 # How many gateways are set back to the earlier build once.
 _BACK_PART = 0.3
+_BETWEEN_MS = 800
 _LIMITS = (0, 0.2, 0.7, 1.5, 4)
 
 Fault = Callable[['Scene'], Awaitable[None]]
@@ -42,9 +43,13 @@
 
     def strike(self, gateway: GatewayProcess, number: signal.Signals) -> None:
         """Send a gateway a signal, and note when that was."""
+        self.note_struck(gateway)
+        gateway.signal(number)
+
+    def note_struck(self, gateway: GatewayProcess) -> None:
+        """Note that a gateway has lost now what it was told."""
         struck_ms = self.fleet.struck_ms.setdefault(gateway.ports[0], [])
         struck_ms.append(self.clock.now())
-        gateway.signal(number)
 
 
 async def _kill(scene: Scene) -> None:
@@ -62,6 +67,8 @@
 async def _come_back(scene: Scene, gateway: GatewayProcess) -> None:
     process = gateway.process
     await gateway.wait()
+    # Until then it serves, and learns; what it has learned is gone with it.
+    scene.note_struck(gateway)
     await scene.clock.sleep(scene.rng.uniform(100, 1000))
     # Another fault may have started it meanwhile.
     if gateway.process is process:
@@ -190,15 +197,16 @@
 
 
 async def replace_builds(scene: Scene) -> None:
-    """Replace gateways of an earlier build one by one, sometimes back."""
-    calm_ms = scene.until_ms - scene.clock.now()
+    """Replace gateways of an earlier build one by one, sometimes back.
+
+    Explanation
+    -----------
+    Where the time is over before all are replaced, the rest stays as it is.
+    """
     for gateway in scene.gateways:
-        await scene.clock.sleep(calm_ms / (2 * len(scene.gateways)))
         await _replace(scene, gateway, None)
         if scene.rng.random() < _BACK_PART:
-            await scene.clock.sleep(scene.rng.uniform(500, 1500))
             await _replace(scene, gateway, scene.earlier)
-            await scene.clock.sleep(scene.rng.uniform(500, 1500))
             await _replace(scene, gateway, None)
 
 
@@ -206,6 +214,9 @@
     scene: Scene, gateway: GatewayProcess, build: Path | None
 ) -> None:
     """Stop a gateway, and start it anew from another build."""
+    await scene.clock.sleep(scene.rng.uniform(0, _BETWEEN_MS))
+    if scene.clock.now() >= scene.until_ms:
+        return
     scene.faults['replaced'] += 1
     gateway.build = build
     scene.strike(gateway, signal.SIGTERM)
