Soak: two faults that wait for one gateway start it once

Two faults had waited for the same end; both saw the old process while the first one's start was under way. The process is taken away before the new one is started.

--- a/seampond/testing/gateway_processes.py
+++ b/seampond/testing/gateway_processes.py
@@ -58,6 +58,8 @@
 
     async def start(self) -> None:
         """Start it; its log goes on where the earlier one ended."""
+        # Who else waits for the end of the one before starts no second one.
+        self.process = None
         environment = dict(os.environ)
         if self.build is not None:
             environment['PYTHONPATH'] = str(self.build)
