--- a/seampond/testing/limited_fleet.py
+++ b/seampond/testing/limited_fleet.py
@@ -222,7 +222,8 @@
             limits=self.desk.tell(),
             gives_permits=True,
         )
-        for name in self.peers.names:
+        # A set of names has another order in each process, a seed must not.
+        for name in sorted(self.peers.names):
             self.fleet.tell(self.name, name, told)
 
     def _send_permit(self, name: str, message: Ask | Reply) -> None:
