--- a/bin/run_tests.py
+++ b/bin/run_tests.py
@@ -1,4 +1,7 @@
-"""Run doctests and unit tests; pass over what KNOWN-RED.txt lists."""
+"""Run doctests and unit tests; pass over what KNOWN-RED.txt lists.
+
+With --known-red run only the listed tests and tell which still fail.
+"""
 
 import argparse
 import doctest
@@ -8,21 +11,20 @@
 import pkgutil
 import sys
 import unittest
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from pathlib import Path
 
 import seampond
+from seampond.testing.known_red import Verdict, parse_list, run_listed
 
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / 'KNOWN-RED.txt'
 MAX_SECONDS = 1800
 
 
-def list_known_red() -> dict[str, str]:
+def list_known_red() -> Mapping[str, str]:
     """Give the known red tests: id and the rest of its line."""
-    lines = KNOWN_RED.read_text(encoding='utf-8').splitlines()
-    rows = [line.partition(',') for line in lines if line.strip()]
-    return {name.strip(): rest.strip() for name, _, rest in rows}
+    return parse_list(KNOWN_RED.read_text(encoding='utf-8'))
 
 
 def flatten(suite: unittest.TestSuite) -> Iterator[unittest.TestCase]:
@@ -55,7 +57,7 @@
 
 
 def split_red(
-    suite: unittest.TestSuite, known: dict[str, str]
+    suite: unittest.TestSuite, known: Mapping[str, str]
 ) -> unittest.TestSuite:
     """Print the known red tests and give the others."""
     kept = unittest.TestSuite()
@@ -68,24 +70,53 @@
     return kept
 
 
-def main() -> int:
-    """Run, print the closing line, and give the exit status."""
+def close(passed: int, failed: int) -> int:
+    """Print the closing line and give the exit status."""
+    print(f'{passed} passed, {failed} failed')
+    return int(failed > 0 or passed == 0)
+
+
+def run_known_red(pattern: str, known: Mapping[str, str], times: int) -> int:
+    """Run the listed tests whose id holds `pattern`; give the exit status."""
+    listed = [test_id for test_id in known if pattern in test_id]
+    tallies = run_listed(listed, flatten(collect(pattern)), times)
+    print(*tallies, sep='\n')
+    passing = sum(tally.verdict is Verdict.passing for tally in tallies)
+    return close(passing, len(tallies) - passing)
+
+
+def run_others(pattern: str, known: Mapping[str, str]) -> int:
+    """Run all tests that are not listed; give the exit status."""
+    suite = split_red(collect(pattern), known)
+    runner = unittest.TextTestRunner(verbosity=2 if pattern else 1)
+    outcome = runner.run(suite)
+    failed = len(outcome.failures) + len(outcome.errors)
+    failed += len(outcome.unexpectedSuccesses)
+    return close(outcome.testsRun - failed, failed)
+
+
+def parse_arguments() -> argparse.Namespace:
+    """Read the command line."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('pattern', nargs='?', default='')
-    known = list_known_red()
+    parser.add_argument('--known-red', action='store_true')
+    parser.add_argument('--times', type=int, default=1, metavar='N')
     options = parser.parse_args()
+    if options.times < 1:
+        parser.error('--times: run each test once at least')
+    return options
+
+
+def main() -> int:
+    """Run what was asked for; give the exit status."""
+    options = parse_arguments()
+    known = list_known_red()
     logging.getLogger('asyncio').setLevel(logging.ERROR)
-    suite = split_red(collect(options.pattern), known)
     # A hung test ends the run with a traceback, never in silence.
     faulthandler.dump_traceback_later(MAX_SECONDS, exit=True)
-    runner = unittest.TextTestRunner(verbosity=2 if options.pattern else 1)
-    outcome = runner.run(suite)
-    faulthandler.cancel_dump_traceback_later()
-    failed = len(outcome.failures) + len(outcome.errors)
-    failed += len(outcome.unexpectedSuccesses)
-    passed = outcome.testsRun - failed
-    print(f'{passed} passed, {failed} failed')
-    return int(failed > 0 or outcome.testsRun == 0)
+    if options.known_red:
+        return run_known_red(options.pattern, known, options.times)
+    return run_others(options.pattern, known)
 
 
 if __name__ == '__main__':
