Checks of answers tell what came; logs of failed process tests stay

The error now gives status, request, length and the end of the body (test failed before). Where a test of processes fails, their logs stay and their last lines are shown, and a process that ends at its start is reported at once, not after 30 s.

--- a/seampond/daemons/tests/test_processes.py
+++ b/seampond/daemons/tests/test_processes.py
@@ -2,15 +2,17 @@
 
 import asyncio
 import signal
-import tempfile
-import unittest
 from collections import Counter
 from http import HTTPStatus
 from pathlib import Path
 
 from seampond.backing.http import open_client
 from seampond.testing.caller import Caller, Chat, Reply, check_chat
-from seampond.testing.processes import Processes, run_processes
+from seampond.testing.processes import (
+    KeptLogsTestCase,
+    Processes,
+    run_processes,
+)
 
 CALLS = 60
 CHAT = Chat('trainer-answer', max_tokens=40)
@@ -30,12 +32,10 @@
         path.write_text(text.replace('\n[agent.backend]', SHORT_ORPHAN))
 
 
-class ProcessesTest(unittest.IsolatedAsyncioTestCase):
+class ProcessesTest(KeptLogsTestCase):
     def setUp(self) -> None:
-        scratch = tempfile.TemporaryDirectory()
-        self.addCleanup(scratch.cleanup)
         self.processes: Processes = self.enterContext(
-            run_processes(Path(scratch.name), 'fitlink-kochi', shorten_waits)
+            run_processes(self.folder, 'fitlink-kochi', shorten_waits)
         )
         self.key = self.processes.command('workspace', 'key', 'trainers')['key']
 
--- a/seampond/testing/caller.py
+++ b/seampond/testing/caller.py
@@ -22,6 +22,7 @@
 _ID_HEADER = 'x-request-id'
 _TIMEOUT_SECONDS = 60
 _END = 'data: [DONE]'
+_SHOWN_BYTES = 200
 
 
 @dataclass(frozen=True)
@@ -44,6 +45,17 @@
         """Whether it is an answer and not a refusal."""
         return self.status < HTTPStatus.BAD_REQUEST
 
+    @property
+    def summary(self) -> str:
+        """What tells a refusal from an answer that was cut."""
+        request_id = self.request_id or 'unknown'
+        end = self.body[-_SHOWN_BYTES:]
+        size = len(self.body)
+        return (
+            f'status {self.status}, request {request_id}, '
+            f'{size} bytes that end in {end!r}'
+        )
+
     @property
     def error(self) -> dict[str, Any]:
         """The error of a refusal."""
@@ -120,14 +132,16 @@
     ]
 
 
-def _text_and_usage(body: bytes, is_stream: bool) -> tuple[str, dict[str, Any]]:
+def _text_and_usage(
+    reply: Reply, is_stream: bool
+) -> tuple[str, dict[str, Any]]:
     if not is_stream:
-        content = json.loads(body)
+        content = json.loads(reply.body)
         text: str = content['choices'][0]['message']['content']
         return text, content['usage']
-    if not body.decode().rstrip().endswith(_END):
-        raise WrongAnswerError('the stream has no end mark')
-    events = _events(body)
+    if not reply.body.decode().rstrip().endswith(_END):
+        raise WrongAnswerError(f'the stream has no end mark: {reply.summary}')
+    events = _events(reply.body)
     deltas = [event['choices'][0]['delta'] for event in events]
     text = ''.join(delta['content'] for delta in deltas)
     return text, events[-1]['usage']
@@ -147,10 +161,12 @@
         If it is not.
 
     """
-    text, usage = _text_and_usage(reply.body, chat.is_stream)
+    text, usage = _text_and_usage(reply, chat.is_stream)
     wanted = ''.join(
         token_text(reply.owner, number) for number in range(chat.max_tokens)
     )
     if text != wanted:
-        raise WrongAnswerError('not the whole answer to its own request')
+        raise WrongAnswerError(
+            f'not the whole answer to its own request: {reply.summary}'
+        )
     return usage
--- a/seampond/testing/processes.py
+++ b/seampond/testing/processes.py
@@ -1,9 +1,12 @@
 """A deployment as separate processes, for tests."""
 
 import json
+import shutil
 import signal
 import subprocess
 import sys
+import tempfile
+import unittest
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
@@ -19,6 +22,7 @@
 _POLL_SECONDS = 0.05
 _POLLS = 600
 _STOP_SECONDS = 60
+_SHOWN_LINES = 12
 
 Prepare = Callable[[Path], None]
 
@@ -90,6 +94,23 @@
         except (OSError, error.URLError):
             return None
 
+    def check_running(self) -> None:
+        """Check that no process has ended by itself.
+
+        Raises
+        ------
+        ChildProcessError
+            If one has, with its status and the end of its log.
+
+        """
+        for name, process in self.running.items():
+            status = process.poll()
+            if status is not None:
+                log = read_end(self.folder / f'{name}.log')
+                raise ChildProcessError(
+                    f'{name} ended with status {status}: {log}'
+                )
+
     def wait_until_linked(self, entry: str, agents: int) -> None:
         """Wait until an entry is ready and linked to `agents` agents."""
         for _ in range(_POLLS):
@@ -99,6 +120,7 @@
             ]
             if len(ready) == agents and status['ready']:
                 return
+            self.check_running()
             sleep(_POLL_SECONDS)
         raise TimeoutError(f'{entry} did not come up: {status}')
 
@@ -127,6 +149,49 @@
             process.wait()
 
 
+def read_end(log: Path) -> str:
+    """Give the last lines of a log."""
+    lines = log.read_text(encoding='utf-8', errors='replace').splitlines()
+    return '\n'.join(lines[-_SHOWN_LINES:])
+
+
+class KeptLogsTestCase(unittest.IsolatedAsyncioTestCase):
+    """A test of processes; their logs stay where it fails.
+
+    Attributes
+    ----------
+    folder : Path
+        For settings and logs.
+
+    """
+
+    folder: Path
+
+    def run(
+        self, outcome: unittest.TestResult | None = None
+    ) -> unittest.TestResult | None:
+        """Run the test in a folder that is removed if it passes."""
+        outcome = self.defaultTestResult() if outcome is None else outcome
+        before = _count_failed(outcome)
+        self.folder = Path(tempfile.mkdtemp(prefix='seampond-'))
+        super().run(outcome)
+        if _count_failed(outcome) == before:
+            shutil.rmtree(self.folder)
+        else:
+            self._show_logs()
+        return outcome
+
+    def _show_logs(self) -> None:
+        lines = [f'logs of {self.id()} are kept in {self.folder}']
+        for log in sorted(self.folder.glob('*.log')):
+            lines.extend((f'{log.name}:', read_end(log)))
+        sys.stderr.write('\n'.join((*lines, '')))
+
+
+def _count_failed(outcome: unittest.TestResult) -> int:
+    return len(outcome.failures) + len(outcome.errors)
+
+
 @contextmanager
 def run_processes(
     folder: Path, deployment: str, prepare: Prepare
