An agent that stops waits for the answers to its asks

What callers saw: a refusal with status 502, 'agent-lost', run 'maybe', in place of a stream, for a request that no server had ever seen, while an agent stopped as planned.

Cause: an agent with free slots asks entries for requests; an entry answers with a grant. A stop counted as drained as soon as nothing ran, also with asks open. An entry that took over 0.2 s to answer granted requests to an agent that had ended, and could not know that they were never started.

Evidence: agent-1 is kept still until the entries are full, asks 12 times, and is stopped while the entries are kept still for 1.5 s.

An agent is drained once each of its asks has been answered, also those that have expired, whose grant may still come; and where the link of an entry ended meanwhile, once that entry has resumed or orphan_ms are over. Entries answer each ask, in order, so nothing else has to be sent. drain_ms bounds it all.

--- a/seampond/daemons/agent.py
+++ b/seampond/daemons/agent.py
@@ -62,6 +62,7 @@
             'pool': self.settings.backend.pool,
             'running': pulse.running,
             'slots': pulse.slots,
+            'asked': self.agent.open_asks,
             'queued': pulse.queued,
             'leaving': pulse.leaving,
             'generation': pulse.generation,
--- a/seampond/daemons/tests/test_processes.py
+++ b/seampond/daemons/tests/test_processes.py
@@ -22,6 +22,8 @@
 SHORT_ORPHAN = 'orphan_ms = 1000\n\n[agent.backend]'
 POLL_SECONDS = 0.05
 FREEZE_SECONDS = 4
+# An agent with nothing to do ends sooner.
+STOP_SECONDS = 1.5
 
 
 def shorten_waits(folder: Path) -> None:
@@ -149,3 +151,27 @@
             check_chat(CHAT, reply)
         self.assertEqual(self.processes.wait('agent-1'), 0)
         self.assert_ran_once()
+
+    async def test_planned_stop_of_an_agent_that_has_asked(self) -> None:
+        """Guards against an end before the grants that are on their way."""
+        self.processes.signal('agent-1', signal.SIGSTOP)
+        calls = self.start_calls()
+        await self.wait_until_full()
+        for entry in ('entry-1', 'entry-2'):
+            self.processes.signal(entry, signal.SIGSTOP)
+        self.processes.signal('agent-1', signal.SIGCONT)
+        await self.wait_until_asked()
+        self.processes.signal('agent-1', signal.SIGTERM)
+        await asyncio.sleep(STOP_SECONDS)
+        for entry in ('entry-1', 'entry-2'):
+            self.processes.signal(entry, signal.SIGCONT)
+        for reply in await asyncio.gather(*calls):
+            check_chat(CHAT, reply)
+        self.assertEqual(self.processes.wait('agent-1'), 0)
+        self.assert_ran_once()
+
+    async def wait_until_asked(self) -> None:
+        """Wait until the first agent waits for grants."""
+        address = self.processes.status_address('agent-1')
+        while not self.processes.read_at(address, '/status')['asked']:
+            await asyncio.sleep(POLL_SECONDS)
--- a/seampond/engines/agent.py
+++ b/seampond/engines/agent.py
@@ -11,6 +11,7 @@
 from seampond.engines.runner import Runner
 from seampond.engines.runs import Run
 from seampond.links.messages import (
+    About,
     Cancel,
     Deny,
     Finish,
@@ -60,7 +61,7 @@
         self._reservations = Reservations(
             settings.backend.queue_max, settings.hold_down_ms, promises
         )
-        self._asks = Asks(runner.slots, settings.ask_ms)
+        self._asks = Asks(runner.slots, settings.ask_ms, settings.orphan_ms)
         self._refused = TimedSet(settings.keep_ms)
         self.entries: set[EntryPeer] = set()
         self.generation = 0
@@ -83,8 +84,14 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether nothing runs and every answer was received."""
-        return self._runner.is_idle
+        """Whether nothing runs or may be granted, and all was received."""
+        are_answered = self._asks.are_answered(self._clock.now())
+        return are_answered and self._runner.is_idle
+
+    @property
+    def open_asks(self) -> int:
+        """How many asks no entry has answered yet."""
+        return self._runner.slots.asked
 
     @property
     def pulse(self) -> Pulse:
@@ -120,7 +127,7 @@
         """The link from an entry ended: drop what it only reserved."""
         self.entries.discard(entry)
         self._reservations.take_all(entry)
-        self._asks.drop_all_of(entry)
+        self._asks.drop_all_of(entry, self._clock.now())
         self._runner.orphan(entry)
         _logger.info('link down', extra={'entry': entry.name})
         self.pump()
@@ -169,7 +176,7 @@
         self._reservations.remove(withdraw.id)
 
     def _take_deny(self, _entry: EntryPeer, deny: Deny) -> None:
-        self._asks.drop(deny.id)
+        self._asks.note_answer(deny)
 
     def _take_grant(self, entry: EntryPeer, grant: Grant) -> None:
         now_ms = self._clock.now()
@@ -193,24 +200,7 @@
     ) -> None:
         self._refused.add((about.id, about.attempt), self._clock.now())
         self._metrics.refusals.labels(reason.value).inc()
-        self._send_end(entry, about, RunWord.never, reason)
-
-    def _send_end(
-        self,
-        entry: EntryPeer,
-        about: Grant | Resume,
-        word: RunWord,
-        reason: Reason,
-    ) -> None:
-        entry.send(
-            Finish(
-                about.id,
-                about.attempt,
-                count=0,
-                run=word.value,
-                reason=reason.value,
-            )
-        )
+        entry.send(_make_end(about, RunWord.never, reason))
 
     def _take_cancel(self, _entry: EntryPeer, cancel: Cancel) -> None:
         if not self._runner.cancel(cancel):
@@ -220,7 +210,7 @@
         if self._runner.resume(entry, resume):
             return
         if resume.id in self._runner.forgotten:
-            self._send_end(entry, resume, RunWord.maybe, Reason.agent_lost)
+            entry.send(_make_end(resume, RunWord.maybe, Reason.agent_lost))
             return
         # The grant never came here; should it still come, it is refused.
         self._refuse(entry, resume, Reason.ask_expired)
@@ -229,6 +219,8 @@
         self._runner.note_received(received)
 
     def _take_pulse(self, entry: EntryPeer, pulse: Pulse) -> None:
+        # The first one on a new link follows all that the entry resumes.
+        self._asks.note_return(entry)
         entry.generation = pulse.generation
         self.generation = max(self.generation, pulse.generation)
         # The entry sets the pace: it knows how many links it keeps.
@@ -260,3 +252,10 @@
         self._metrics.running.set(self._runner.slots.running)
         self._metrics.queued.set(len(self._reservations))
         self._metrics.slots.set(self._runner.slots.limit)
+
+
+def _make_end(about: About, word: RunWord, reason: Reason) -> Finish:
+    """Give the end of a request that has no answer here."""
+    return Finish(
+        about.id, about.attempt, count=0, run=word.value, reason=reason.value
+    )
--- a/seampond/engines/memory.py
+++ b/seampond/engines/memory.py
@@ -24,6 +24,10 @@
         self._keep_ms = keep_ms
         self._added: dict[Hashable, int] = {}
 
+    def __len__(self) -> int:
+        """Give how many keys are remembered."""
+        return len(self._added)
+
     def __contains__(self, key: Hashable) -> bool:
         """Whether the key is remembered."""
         return key in self._added
@@ -33,6 +37,10 @@
         self._added.pop(key, None)
         self._added[key] = now_ms
 
+    def discard(self, key: Hashable) -> None:
+        """Forget a key, if it is remembered."""
+        self._added.pop(key, None)
+
     def tidy(self, now_ms: int) -> None:
         """Forget what is old; the oldest come first."""
         while self._added:
--- a/seampond/engines/tests/test_agent.py
+++ b/seampond/engines/tests/test_agent.py
@@ -38,6 +38,8 @@
     build_reserve,
 )
 
+ORPHAN_MS = build_agent_settings().orphan_ms
+
 
 class AgentTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self) -> None:
@@ -150,6 +152,50 @@
         self.take(Received('r1', 1))
         self.assertTrue(self.agent.is_idle)
 
+    async def test_it_is_idle_only_when_its_asks_were_answered(self) -> None:
+        """Guards against an end before the grants that are on their way."""
+        self.take(build_reserve())
+        self.agent.leave()
+        self.clock.advance(60_000)
+        self.agent.tidy()
+        self.assertFalse(self.agent.is_idle)
+        self.take(build_grant())
+        self.assertEqual(self.finish().run, 'no')
+        self.assertTrue(self.agent.is_idle)
+
+    async def test_it_is_idle_after_a_denied_ask(self) -> None:
+        """Guards against a stop that waits for an answer it has had."""
+        self.take(build_reserve())
+        self.agent.leave()
+        self.clock.advance(60_000)
+        self.agent.tidy()
+        self.take(Deny('r1', 1))
+        self.assertTrue(self.agent.is_idle)
+
+    async def test_it_is_idle_only_when_a_cut_link_is_back(self) -> None:
+        """Guards against an end before a lost grant is known as not run."""
+        self.take(build_reserve())
+        self.agent.leave()
+        self.agent.went_down(self.entry)
+        self.assertFalse(self.agent.is_idle)
+        self.entry = self.connect()
+        self.link = self.link_of(self.entry)
+        self.take(Resume('r1', 1, 0))
+        self.assertEqual(self.finish().run, 'no')
+        self.take(Pulse())
+        self.assertTrue(self.agent.is_idle)
+
+    async def test_it_waits_in_vain_for_an_entry_only_for_a_while(self) -> None:
+        """Guards against a stop that waits for an entry that is gone."""
+        self.take(build_reserve('r1'), build_grant('r1'), build_reserve('r2'))
+        await self.settle()
+        self.agent.leave()
+        self.agent.went_down(self.entry)
+        self.clock.advance(ORPHAN_MS - 1)
+        self.assertFalse(self.agent.is_idle)
+        self.clock.advance(2)
+        self.assertTrue(self.agent.is_idle)
+
     async def test_a_cut_link_resumes_without_loss_or_repeat(self) -> None:
         self.take(build_reserve(), build_grant())
         await self.settle()
