An agent that stops waits for entries whose link was cut

Cause: when a link ends, the runs of its entry have nobody to be sent to, and a stop counted as drained although the entry had not received their answers and would have resumed them a moment later. Callers saw streams cut and 'agent-lost'. Found while looking for kin of the stop with open asks; a test of the agent shows it (ended run, stop, cut, not idle until resumed and received), failed before.

Runs whose link was cut count as open until they are received, cancelled, or orphan_ms are over, the time for which their answers are kept for an entry.

--- a/seampond/engines/runner.py
+++ b/seampond/engines/runner.py
@@ -72,7 +72,7 @@
     def is_idle(self) -> bool:
         """Whether nothing runs and every answer was received."""
         return not self._tasks and not any(
-            run.entry for run in self.runs.values()
+            run.entry or self._may_be_resumed(run) for run in self.runs.values()
         )
 
     @property
@@ -111,6 +111,7 @@
         if run is None or run.grant.attempt != cancel.attempt:
             return False
         run.entry = None
+        run.orphaned_ms = None
         if run.grant.repeatable or run.stage is Stage.granted:
             self._stop(run)
         return True
@@ -147,7 +148,7 @@
             is_over = run.stage is Stage.ended
             if is_over and now_ms - run.ended_ms > self._settings.keep_ms:
                 self._forget(run, now_ms)
-            elif not is_over and self._must_stop(run, now_ms):
+            elif not is_over and self._must_stop(run):
                 self._stop(run)
 
         self.forgotten.tidy(now_ms)
@@ -157,13 +158,20 @@
         if not run.was_not_run:
             self.forgotten.add(run.id, now_ms)
 
-    def _must_stop(self, run: Run, now_ms: int) -> bool:
+    def _must_stop(self, run: Run) -> bool:
         # The HTTP client may swallow a cancellation, so it is repeated.
         if run.is_cancelled:
             return True
         if run.orphaned_ms is None or not run.grant.repeatable:
             return False
-        return now_ms - run.orphaned_ms > self._settings.orphan_ms
+        return not self._may_be_resumed(run)
+
+    def _may_be_resumed(self, run: Run) -> bool:
+        """Whether the entry may still ask for the rest over a new link."""
+        if run.orphaned_ms is None:
+            return False
+        orphaned_ms = self._clock.now() - run.orphaned_ms
+        return orphaned_ms <= self._settings.orphan_ms
 
     def _stop(self, run: Run) -> None:
         run.is_cancelled = True
--- a/seampond/engines/tests/test_agent.py
+++ b/seampond/engines/tests/test_agent.py
@@ -196,6 +196,19 @@
         self.clock.advance(2)
         self.assertTrue(self.agent.is_idle)
 
+    async def test_it_is_idle_only_when_a_cut_answer_was_received(self) -> None:
+        """Guards against an end before the answers that a cut held up."""
+        self.take(build_reserve(), build_grant())
+        await self.settle()
+        self.agent.leave()
+        self.agent.went_down(self.entry)
+        self.assertFalse(self.agent.is_idle)
+        entry = self.connect()
+        self.agent.take(entry, Resume('r1', 1, 0))
+        self.assertFalse(self.agent.is_idle)
+        self.agent.take(entry, Received('r1', 1))
+        self.assertTrue(self.agent.is_idle)
+
     async def test_a_cut_link_resumes_without_loss_or_repeat(self) -> None:
         self.take(build_reserve(), build_grant())
         await self.settle()
