Deployments that start at the same time choose different ports

Of six copies of the process tests beside load one failed with 'entry-1 did not come up': one agent 'connecting' for 30 s. Ports were chosen as free before anything listened on them, so two copies could choose the same ones, and the process that lost the bind ended unnoticed. That this was the cause then is suspected, not shown; the test shows that two choices from one first port were the same (failed before).

--- a/seampond/demo/fleet.py
+++ b/seampond/demo/fleet.py
@@ -28,6 +28,9 @@
 _POLL_MS = 20
 _FIRST_PORT = 20_000
 _LAST_PORT = 32_000
+# Nothing listens here: a port that is bound here is another process's choice.
+_CLAIM_HOST = '127.0.0.2'
+_claims: list[socket.socket] = []
 
 
 @dataclass
@@ -86,8 +89,20 @@
     return True
 
 
+def _claim(port: int) -> bool:
+    """Keep a port from being chosen again, by any process, until we end."""
+    claim = socket.socket()
+    try:
+        claim.bind((_CLAIM_HOST, port))
+    except OSError:
+        claim.close()
+        return False
+    _claims.append(claim)
+    return True
+
+
 def free_ports() -> Iterator[int]:
-    """Give free ports, each once.
+    """Give free ports, each once over all processes that choose so.
 
     Explanation
     -----------
@@ -96,7 +111,7 @@
     """
     start = random.randrange(_FIRST_PORT, _LAST_PORT)
     for port in (*range(start, _LAST_PORT), *range(_FIRST_PORT, start)):
-        if _is_free(port):
+        if _is_free(port) and _claim(port):
             yield port
 
 
