Times to come back are reserved with whoever keeps the server's bucket

What callers saw: where all servers of a pool name limits, a caller that is turned away is told a time to come back.

Cause: each gateway told times by itself, so callers of several gateways were told the same ones, and nothing was kept for them: first tries took the permits. The rule that first tries wait less while many are to come back looked at the gateway's own callers only, so it never held at 30 gateways.

Now the owner of a server's limit, who keeps its only bucket, tells the times: one datagram and its answer for a caller that is turned away. Where no owner answers, twice 15 ms, the gateway tells a time by itself as before. A limit of 0 is no rate to reserve from. Earlier builds answer such a question as one for a permit at once; what they do not know is left out.

--- a/seampond/forwarding/limit.py
+++ b/seampond/forwarding/limit.py
@@ -49,12 +49,19 @@
         Those that nobody has taken up yet.
     asked_ms : int or None
         Since when we wait for an answer to our asking for one.
+    answer_by_ms : int
+        After this we wait for it no longer.
     number : int
         Of the latest time that we asked.
-    opens_ms : int
-        Before this there is no other permit for us, as far as we know.
+    is_for_return : bool
+        Whether we asked for a caller that was told to come back.
+    opens_ms, return_opens_ms : int
+        Before this there is no other permit for us, as far as we know; for a
+        caller that was told to come back.
     tries_ms : int
         Before this we do not ask only to hear whether the limit holds on.
+    full_until_ms : int
+        Before this no time to come back can be reserved.
 
     """
 
@@ -62,9 +69,13 @@
     said_ms: int | None = None
     permits: list[Permit] = field(default_factory=list)
     asked_ms: int | None = None
+    answer_by_ms: int = 0
     number: int = 0
+    is_for_return: bool = False
     opens_ms: int = 0
+    return_opens_ms: int = 0
     tries_ms: int = 0
+    full_until_ms: int = 0
 
     @property
     def is_named(self) -> bool:
@@ -91,11 +102,20 @@
         self.said_ms = said_ms
         if is_other:
             self.opens_ms = 0
+            self.return_opens_ms = 0
+            self.full_until_ms = 0
         if rate is None:
             self.permits.clear()
             self.asked_ms = None
         return is_other
 
+    def note_closed(self, until_ms: int) -> None:
+        """Note until when we get no permit like the one that we asked for."""
+        if self.is_for_return:
+            self.return_opens_ms = until_ms
+        else:
+            self.opens_ms = until_ms
+
     def is_stale(self, now_ms: int) -> bool:
         """Whether the last word is so old that it may not hold any more."""
         said_ms = self.said_ms
@@ -133,6 +153,13 @@
             permit for permit in self.permits if now_ms < permit.until_ms
         ]
 
+    def next_ms(self, now_ms: int) -> int | None:
+        """Give when a permit holds next, or an answer is overdue."""
+        times = [permit.from_ms for permit in self.permits]
+        if self.asked_ms is not None:
+            times.append(self.answer_by_ms)
+        return min((one for one in times if one > now_ms), default=None)
+
     def count_coming(self, now_ms: int) -> int:
         """Count the permits that hold now or later, and that are asked for."""
         held = sum(now_ms < permit.until_ms for permit in self.permits)
--- a/seampond/forwarding/openings.py
+++ b/seampond/forwarding/openings.py
@@ -5,16 +5,18 @@
 
 from seampond.clock import Clock
 from seampond.forwarding.backend import Backend
+from seampond.forwarding.job import Job
 from seampond.forwarding.limit import Permit
 from seampond.forwarding.permits import NO_PERMITS, Permits
 from seampond.forwarding.queues import Queue, Waiter
+from seampond.forwarding.returning import LATEST_MS
 
 # What a request leaves to more urgent ones of its time to wait, for each part
 # of a server's places that it leaves free: in the order of asking, those that
 # wait less get nothing while others wait longer.
 _LEAVES = 2.0
-# The same for those that were told to come back now.
-_FRESH_PART = 0.25
+# Who keeps the bucket of a server may be gone, or the answer lost.
+_RESERVE_TRIES = 2
 
 
 class Openings:
@@ -33,26 +35,27 @@
         self._clock = clock
         self._rng = rng
 
-    def is_open(self, backend: Backend) -> bool:
+    def is_open(self, backend: Backend, *, for_return: bool) -> bool:
         """Whether a server takes a request that has a place there now."""
         if not backend.notice.limit.is_named:
             return True
-        if self.permits.may_send(backend):
+        if self.permits.may_send(backend, for_return=for_return):
             return True
         self.permits.find_out(backend)
         return False
 
-    def take(self, backend: Backend) -> Permit | None:
+    def take(self, backend: Backend, job: Job) -> Permit | None:
         """Take up a permit, where a server names a limit."""
         if backend.notice.limit.is_named:
-            return self.permits.take(backend)
+            return self.permits.take(backend, for_return=job.is_repeat)
         return None
 
-    def opens_ms(self, backend: Backend) -> int:
+    def opens_ms(self, backend: Backend, *, for_return: bool = False) -> int:
         """Give when a server opens that rests or names a limit."""
         opens_ms = backend.notice.rest_until_ms
         if backend.notice.limit.is_named:
-            opens_ms = max(opens_ms, self.permits.opens_ms(backend))
+            permit_ms = self.permits.opens_ms(backend, for_return=for_return)
+            opens_ms = max(opens_ms, permit_ms)
         return opens_ms
 
     def first_ms(self, known: Iterable[Backend]) -> int | None:
@@ -80,6 +83,42 @@
         """Give what servers take together by their limits, 0 without any."""
         return sum(backend.notice.limit.rate or 0 for backend in known)
 
+    async def reserve(self, known: Iterable[Backend]) -> int | None:
+        """Have a permit kept for a caller that is turned away.
+
+        Parameters
+        ----------
+        known : Iterable[Backend]
+            Servers of which none is open.
+
+        Returns
+        -------
+        int or None
+            After how many milliseconds the caller should come back; None
+            where no server names a limit or nobody answers in time.
+
+        """
+        now_ms = self._clock.now()
+        # What goes to a server that takes nothing only finds out if it does.
+        limited = [
+            one
+            for one in known
+            if one.notice.limit.rate
+            and one.may_serve(now_ms)
+            and not one.leaves
+        ]
+        free = [
+            one for one in limited if one.notice.limit.full_until_ms <= now_ms
+        ]
+        if limited and not free:
+            return LATEST_MS
+        self._rng.shuffle(free)
+        for backend in free[:_RESERVE_TRIES]:
+            wait_ms = await self.permits.reserve(backend)
+            if wait_ms is not None:
+                return wait_ms
+        return None
+
     def ask(self, queue: Queue, known: Sequence[Backend]) -> None:
         """Ask for permits for those that wait and have none coming.
 
@@ -97,7 +136,9 @@
             patience_ms = self._bear_ms(queue, waiter, now_ms)
             best = self._choose(limited, waiter, now_ms + patience_ms)
             if best is not None:
-                self.permits.ask(best, patience_ms)
+                self.permits.ask(
+                    best, patience_ms, for_return=waiter.job.is_repeat
+                )
 
     def list_hopeless(
         self, queue: Queue, known: Sequence[Backend]
@@ -109,26 +150,25 @@
         ]
         if not serving or any(one.has_room_for_all(now_ms) for one in serving):
             return []
-        first_ms = min(map(self.opens_ms, serving))
+        first_ms = {
+            for_return: min(
+                self.opens_ms(one, for_return=for_return) for one in serving
+            )
+            for for_return in (False, True)
+        }
         coming = _count_coming(serving, now_ms)
         return [
             waiter
             for waiter in _without(queue.waiters, coming)
-            if first_ms > now_ms + self._bear_ms(queue, waiter, now_ms)
+            if first_ms[waiter.job.is_repeat]
+            > now_ms + self._bear_ms(queue, waiter, now_ms)
         ]
 
     def next_ms(self, known: Iterable[Backend]) -> int | None:
-        """Give when the next permit that we have holds, None without one."""
+        """Give when to look again for a permit, None where none may come."""
         now_ms = self._clock.now()
-        return min(
-            (
-                permit.from_ms
-                for backend in known
-                for permit in backend.notice.limit.permits
-                if permit.from_ms > now_ms
-            ),
-            default=None,
-        )
+        times = (one.notice.limit.next_ms(now_ms) for one in known)
+        return min((one for one in times if one is not None), default=None)
 
     def _choose(
         self, limited: Iterable[Backend], waiter: Waiter, latest_ms: int
@@ -141,7 +181,9 @@
                 continue
             if backend.server.id in waiter.avoid:
                 continue
-            opens_ms = self.permits.opens_ms(backend)
+            opens_ms = self.permits.opens_ms(
+                backend, for_return=waiter.job.is_repeat
+            )
             drawn = (opens_ms, self._rng.random(), backend)
             if opens_ms <= latest_ms and (best is None or drawn < best):
                 best = drawn
@@ -150,8 +192,6 @@
     def _bear_ms(self, queue: Queue, waiter: Waiter, now_ms: int) -> int:
         """Give how long a request waits for a permit at the most."""
         part = 1 - _LEAVES * queue.headroom.give_part(waiter.job)
-        if not waiter.job.is_repeat and queue.returns.is_long(now_ms):
-            part *= _FRESH_PART
         return round(max(0, waiter.until_ms - now_ms) * part)
 
 
--- a/seampond/forwarding/permits.py
+++ b/seampond/forwarding/permits.py
@@ -7,44 +7,67 @@
 
 
 class Permits(Protocol):
-    """Gives permits, or asks who gives them."""
+    """Gives permits, or asks who gives them.
 
-    def may_send(self, backend: Backend) -> bool:
+    Explanation
+    -----------
+    With `for_return` a permit is for a caller that was told to come back: it
+    may be one of those that were reserved.
+    """
+
+    def may_send(self, backend: Backend, *, for_return: bool) -> bool:
         """Whether a request may be sent to a server with a limit now."""
 
-    def take(self, backend: Backend) -> Permit | None:
+    def take(self, backend: Backend, *, for_return: bool) -> Permit | None:
         """Take up a permit to send now."""
 
-    def ask(self, backend: Backend, patience_ms: int) -> None:
+    def ask(
+        self, backend: Backend, patience_ms: int, *, for_return: bool
+    ) -> None:
         """Ask for a permit that holds after so long at the latest."""
 
-    def opens_ms(self, backend: Backend) -> int:
+    def opens_ms(self, backend: Backend, *, for_return: bool) -> int:
         """Give the time before which there is no other permit for us."""
 
     def find_out(self, backend: Backend) -> None:
         """Ask now and then, for a request that tells if the limit holds on."""
 
+    async def reserve(self, backend: Backend) -> int | None:
+        """Have a permit kept for a caller that is told to come back.
+
+        Returns
+        -------
+        int or None
+            After how many milliseconds, None where nobody answers in time.
+
+        """
+
 
 class NoPermits:
     """Keeps servers with a limit closed."""
 
-    def may_send(self, backend: Backend) -> bool:
+    def may_send(self, backend: Backend, *, for_return: bool) -> bool:
         """Allow none."""
         return False
 
-    def take(self, backend: Backend) -> Permit | None:
+    def take(self, backend: Backend, *, for_return: bool) -> Permit | None:
         """Give one that has ended."""
         return Permit(0, 0)
 
-    def ask(self, backend: Backend, patience_ms: int) -> None:
+    def ask(
+        self, backend: Backend, patience_ms: int, *, for_return: bool
+    ) -> None:
         """Ask nobody."""
 
-    def opens_ms(self, backend: Backend) -> int:
+    def opens_ms(self, backend: Backend, *, for_return: bool) -> int:
         """Know of no time."""
         return 0
 
     def find_out(self, backend: Backend) -> None:
         """Ask nobody."""
 
+    async def reserve(self, backend: Backend) -> int | None:
+        """Ask nobody."""
+
 
 NO_PERMITS = NoPermits()
--- a/seampond/forwarding/queues.py
+++ b/seampond/forwarding/queues.py
@@ -40,7 +40,7 @@
     returns : ReturnTimes
         What those that limits turned away were told.
     next_ms : int or None
-        When the next permit for this pool holds, None where there is none.
+        When to look again for a permit, None where none may come.
 
     """
 
--- a/seampond/forwarding/returning.py
+++ b/seampond/forwarding/returning.py
@@ -20,10 +20,8 @@
 # A caller heeds no later time.
 _LEFT_PART = 0.3
 # Of what limits allow, what is kept for those that were told to come back.
-_KEPT_PART = 0.35
-_LATEST_MS = 60_000
-# With so many booked, first tries no longer wait for what these will take.
-_FEW = 3
+KEPT_PART = 0.35
+LATEST_MS = 60_000
 
 
 def return_in_time(job: Job, now_ms: int, draw: float) -> int:
@@ -64,11 +62,6 @@
     next_ms: int = 0
     rate: float = 0
 
-    def is_long(self, now_ms: int) -> bool:
-        """Whether more callers will come back than may come at once."""
-        told_ms = self.next_ms - now_ms
-        return told_ms * self.rate * _KEPT_PART > _FEW * MS_PER_SECOND
-
     def book(self, opens_ms: int, rate: float) -> int:
         """Give a time that no other caller is told.
 
@@ -90,6 +83,6 @@
             self.rate = rate
             self.next_ms = opens_ms
         booked_ms = max(opens_ms, self.next_ms)
-        booked_ms = min(booked_ms, opens_ms + _LATEST_MS)
-        self.next_ms = booked_ms + round(MS_PER_SECOND / (rate * _KEPT_PART))
+        booked_ms = min(booked_ms, opens_ms + LATEST_MS)
+        self.next_ms = booked_ms + round(MS_PER_SECOND / (rate * KEPT_PART))
         return booked_ms
--- a/seampond/forwarding/scheduler.py
+++ b/seampond/forwarding/scheduler.py
@@ -135,6 +135,10 @@
                 if waiter.place.exception() is None:
                     self.release(waiter.place.result())
             raise
+        except Refusal as refusal:
+            queue.leave(waiter)
+            refusal.retry_after_ms = await self.give_return_ms(job)
+            raise
         finally:
             queue.leave(waiter)
 
@@ -186,6 +190,21 @@
         for waiter in self.openings.list_hopeless(queue, known):
             self._end_wait(queue, waiter)
 
+    async def give_return_ms(self, job: Job) -> int:
+        """Give when a request should come back, and have a permit kept for it.
+
+        Explanation
+        -----------
+        Only where all servers have given what their limits allow.  Where who
+        keeps their buckets does not answer, the time is no more than likely.
+        """
+        known = self._backends.of_pool(job.pool)
+        if self.openings.first_ms(known) is not None:
+            wait_ms = await self.openings.reserve(known)
+            if wait_ms is not None:
+                return wait_ms
+        return self.retry_after_ms(job)
+
     def retry_after_ms(self, job: Job) -> int:
         """Give when a request that is turned away should come back.
 
@@ -210,7 +229,7 @@
         return max(1, later_ms)
 
     def _occupy(self, backend: Backend, job: Job) -> Backend:
-        job.permit = self.openings.take(backend)
+        job.permit = self.openings.take(backend, job)
         backend.note_place()
         self._versions.note_placed(backend)
         return backend
@@ -246,7 +265,7 @@
         for backend in known:
             if backend.server.id in avoid or not room.takes(backend, now_ms):
                 continue
-            if not self.openings.is_open(backend):
+            if not self.openings.is_open(backend, for_return=job.is_repeat):
                 continue
             rated = rate(backend, job, speed, self._zone, now_ms)
             if rated and (best is None or rated < best):
@@ -286,7 +305,8 @@
         return [
             backend
             for backend in self._draw(pool)
-            if room.takes(backend, now_ms) and self.openings.is_open(backend)
+            if room.takes(backend, now_ms)
+            and self.openings.is_open(backend, for_return=True)
         ]
 
     def _free_part(self, job: Job) -> float:
@@ -319,9 +339,8 @@
         for victim in victims:
             queue.waiters.remove(victim)
             if not victim.place.done():
-                victim.place.set_exception(
-                    self._refusal(Cause.overload, victim.job)
-                )
+                refusal = Refusal(Cause.overload, step=_STEP)
+                victim.place.set_exception(refusal)
 
     def _give_patience(self, job: Job) -> int:
         """Give until when a request waits for a place."""
@@ -359,7 +378,7 @@
         known = self._backends.of_pool(job.pool)
         is_limited = any(one.notice.limit.is_named for one in known)
         cause = Cause.limited if is_limited else Cause.resting
-        waiter.place.set_exception(self._refusal(cause, job))
+        waiter.place.set_exception(Refusal(cause, step=_STEP))
 
     def _give_up(self, job: Job) -> Refusal:
         """End the wait of a request; who ranks below it waits no longer."""
@@ -371,9 +390,4 @@
             backend.takes_work for backend in self._backends.of_pool(job.pool)
         )
         cause = Cause.waited if has_server else Cause.no_server
-        return self._refusal(cause, job)
-
-    def _refusal(self, cause: Cause, job: Job) -> Refusal:
-        return Refusal(
-            cause, step=_STEP, retry_after_ms=self.retry_after_ms(job)
-        )
+        return Refusal(cause, step=_STEP)
--- a/seampond/forwarding/tests/test_openings.py
+++ b/seampond/forwarding/tests/test_openings.py
@@ -8,6 +8,7 @@
 from seampond.forwarding.backends import Backends
 from seampond.forwarding.limit import Permit
 from seampond.forwarding.refusals import Cause, Refusal
+from seampond.forwarding.returning import LATEST_MS
 from seampond.forwarding.scheduler import Scheduler
 from seampond.forwarding.words import Words
 from seampond.testing.builders import build_promises
@@ -32,28 +33,37 @@
         self.given = 0
         self.opens_at_ms = 0
         self.asked: list[str] = []
+        self.reserving: list[str] = []
+        self.returns_ms: dict[str, int] = {}
 
-    def may_send(self, backend: Backend) -> bool:
+    def may_send(self, backend: Backend, *, for_return: bool) -> bool:
         """Whether there is one."""
         return self.given > 0
 
-    def take(self, backend: Backend) -> Permit:
+    def take(self, backend: Backend, *, for_return: bool) -> Permit:
         """Take one."""
         self.given -= 1
         return Permit(0, 1 << 60)
 
-    def ask(self, backend: Backend, patience_ms: int) -> None:
+    def ask(
+        self, backend: Backend, patience_ms: int, *, for_return: bool
+    ) -> None:
         """Note who is asked, and wait for the answer."""
         self.asked.append(backend.server.id)
         backend.notice.limit.asked_ms = Clock().now()
 
-    def opens_ms(self, backend: Backend) -> int:
+    def opens_ms(self, backend: Backend, *, for_return: bool) -> int:
         """Give what the test says."""
         return self.opens_at_ms
 
     def find_out(self, backend: Backend) -> None:
         """Do not."""
 
+    async def reserve(self, backend: Backend) -> int | None:
+        """Give what the test says."""
+        self.reserving.append(backend.server.id)
+        return self.returns_ms.get(backend.server.id)
+
 
 class OpeningsTest(unittest.IsolatedAsyncioTestCase):
     """One pool of servers, of which some name limits."""
@@ -133,6 +143,42 @@
         await self.check_refused(self.place('r1'))
         self.assertEqual(self.giver.asked, [])
 
+    async def test_time_to_come_back_is_reserved(self) -> None:
+        """Guards against times that other gateways tell too."""
+        self.giver.opens_at_ms = self.clock.now() + _LATER_MS
+        self.giver.returns_ms = {'i-1': 700, 'i-2': 700}
+        refusal = await self.check_refused(self.place('r1'))
+        self.assertEqual(refusal.retry_after_ms, 700)
+        self.assertEqual(len(self.giver.reserving), 1)
+
+    async def test_owner_that_is_gone_is_passed_over(self) -> None:
+        """Another server's owner reserves a time."""
+        self.giver.opens_at_ms = self.clock.now() + _LATER_MS
+        self.giver.returns_ms = {'i-2': 700}
+        for _ in range(10):
+            refusal = await self.check_refused(self.place('r1'))
+            self.assertEqual(refusal.retry_after_ms, 700)
+
+    async def test_no_time_is_asked_for_where_none_is_left(self) -> None:
+        """Guards against a message for each caller of a long overload."""
+        self.giver.opens_at_ms = self.clock.now() + _LATER_MS
+        for backend in self.backends:
+            backend.notice.limit.full_until_ms = self.clock.now() + _LATER_MS
+        refusal = await self.check_refused(self.place('r1'))
+        self.assertEqual(refusal.retry_after_ms, LATEST_MS)
+        self.assertEqual(self.giver.reserving, [])
+
+    async def test_nothing_is_reserved_at_a_server_that_takes_nothing(
+        self,
+    ) -> None:
+        """Guards against a limit that is over and found out late."""
+        await asyncio.sleep(_SOON_S)
+        for backend in self.backends:
+            self.say(backend, Words(limit=0))
+        self.giver.opens_at_ms = self.clock.now() + _LATER_MS
+        await self.check_refused(self.place('r1'))
+        self.assertEqual(self.giver.reserving, [])
+
     async def test_a_server_without_a_limit_is_waited_for(self) -> None:
         """It is full, and may have a place in time."""
         self.backends.keep_only(build_server(f'i-{one}') for one in (1, 2, 3))
--- a/seampond/permits/desk.py
+++ b/seampond/permits/desk.py
@@ -1,13 +1,16 @@
 """Who gives the permits for a server with a limit, and how we come by them."""
 
+import asyncio
 import itertools
 import random
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 from typing import Protocol
 
-from seampond.clock import Clock
+from seampond.clock import MS_PER_SECOND, Clock
 from seampond.forwarding.backend import Backend
 from seampond.forwarding.limit import Limit, Permit
+from seampond.forwarding.returning import LATEST_MS
 from seampond.permits.ledger import Ledger
 from seampond.permits.messages import Ask, Reply, Word
 from seampond.sharing.keys import key_of
@@ -16,6 +19,12 @@
 _LEAST_RATE = 0.25
 # Some times what a datagram takes to the owner and back between halls.
 _REPLY_MS = 150
+# A caller that came back when it was told to waits for other owners too.
+_RETURN_REPLY_MS = 50
+# The same for a caller that is turned away meanwhile.
+_RESERVE_MS = 15
+# How long nobody asks again for a time where none is left.
+_FULL_MS = 1000
 # By then gateways agree again who owns a limit.
 _ASK_AGAIN_MS = 300
 # How often all gateways together ask only to hear whether a limit holds on,
@@ -113,53 +122,85 @@
         # By key of the life: what an answer to us has said, and since when.
         self._heard: dict[int, tuple[Limit, int]] = {}
         self._asked: dict[int, Limit] = {}
+        self._reserving: dict[int, asyncio.Future[int]] = {}
 
-    def may_send(self, backend: Backend) -> bool:
+    def may_send(self, backend: Backend, *, for_return: bool = False) -> bool:
         """Whether a request may be sent to a server with a limit now."""
         limit = backend.notice.limit
         if limit.has_permit(self._clock.now()):
             return True
         key = key_of(backend.server.life)
-        return self._is_ours(key) and not self._own_wait_ms(key, limit)
-
-    def take(self, backend: Backend) -> Permit | None:
+        if not self._is_ours(key):
+            return False
+        rate = self._share(limit.rate)
+        return not self._ledger.wait_ms(key, rate, for_return=for_return)
+
+    def take(
+        self, backend: Backend, *, for_return: bool = False
+    ) -> Permit | None:
         """Take up a permit to send now."""
         limit, now_ms = backend.notice.limit, self._clock.now()
         permit = limit.take_permit(now_ms)
         if permit is None and self._is_ours(key_of(backend.server.life)):
-            self.ask(backend, 0)
+            self.ask(backend, 0, for_return=for_return)
             permit = limit.take_permit(now_ms)
         return permit
 
-    def ask(self, backend: Backend, patience_ms: int) -> None:
+    def ask(
+        self, backend: Backend, patience_ms: int, *, for_return: bool = False
+    ) -> None:
         """Ask for a permit that holds after so long at the latest."""
         limit, now_ms = backend.notice.limit, self._clock.now()
         key = key_of(backend.server.life)
         limit.drop_old(now_ms)
         if self._is_ours(key):
             rate = self._share(limit.rate)
-            wait_ms = self._ledger.give(key, rate, patience_ms)
+            wait_ms = self._ledger.give(
+                key, rate, patience_ms, for_return=for_return
+            )
             if wait_ms is not None:
                 self._count('own')
                 limit.add_permit(now_ms, now_ms, wait_ms)
             return
         limit.asked_ms = now_ms
+        reply_ms = _RETURN_REPLY_MS if for_return else _REPLY_MS
+        limit.answer_by_ms = now_ms + reply_ms
+        limit.is_for_return = for_return
         limit.number = next(self._numbers)
         self._asked[limit.number] = limit
-        word = self._word(limit)
-        name = self._gateways.name
-        self.send(
-            self._owner_of(key), Ask(name, key, limit.number, word, patience_ms)
-        )
+        self._send_ask(key, limit, limit.number, patience_ms=patience_ms)
+
+    async def reserve(self, backend: Backend) -> int | None:
+        """Have a permit kept for a caller that is told to come back.
 
-    def opens_ms(self, backend: Backend) -> int:
+        Returns
+        -------
+        int or None
+            After how many milliseconds, None where the owner does not answer
+            in time.
+
+        """
+        limit, key = backend.notice.limit, key_of(backend.server.life)
+        if self._is_ours(key):
+            wait_ms = self._ledger.reserve(key, self._share(limit.rate))
+        else:
+            wait_ms = await self._ask_to_reserve(key, limit)
+        self._count('reserved' if wait_ms else 'not-reserved')
+        if wait_ms == LATEST_MS:
+            limit.full_until_ms = self._clock.now() + _FULL_MS
+        return wait_ms or None
+
+    def opens_ms(self, backend: Backend, *, for_return: bool = False) -> int:
         """Give the time before which there is no other permit for us."""
         limit, now_ms = backend.notice.limit, self._clock.now()
         key = key_of(backend.server.life)
         if self._is_ours(key):
-            return now_ms + self._own_wait_ms(key, limit)
+            rate = self._share(limit.rate)
+            return now_ms + self._ledger.opens_ms(
+                key, rate, for_return=for_return
+            )
         self._drop_lost(limit, now_ms)
-        return limit.opens_ms
+        return limit.return_opens_ms if for_return else limit.opens_ms
 
     def find_out(self, backend: Backend) -> None:
         """Ask now and then, for a request that tells if the limit holds on.
@@ -191,28 +232,23 @@
         )
         rate = ask.word.rate if limit is None else limit.rate
         word = ask.word if limit is None else self._word(limit)
-        wait_ms: int | None = None
-        later_ms = _ASK_AGAIN_MS
-        if rate is None:
-            later_ms = 0
-        elif self._is_ours(ask.life):
-            shared = self._share(rate)
-            wait_ms = self._ledger.give(ask.life, shared, ask.patience_ms)
-            later_ms = self._ledger.wait_ms(ask.life, shared)
-        self.send(
-            ask.name,
-            Reply(
-                self._gateways.name,
-                ask.life,
-                ask.number,
-                word,
-                wait_ms is not None,
-                later_ms if wait_ms is None else wait_ms,
-            ),
+        reply = Reply(
+            self._gateways.name,
+            ask.life,
+            ask.number,
+            word,
+            is_given=False,
+            wait_ms=0 if rate is None else _ASK_AGAIN_MS,
         )
+        if rate is not None and self._is_ours(ask.life):
+            reply = self._decide(ask, reply, self._share(rate))
+        self.send(ask.name, reply)
 
     def take_reply(self, reply: Reply) -> None:
         """Take an owner's answer."""
+        reserving = self._reserving.get(reply.number)
+        if reserving is not None and not reserving.done():
+            reserving.set_result(reply.return_ms)
         limit = self._asked.pop(reply.number, None)
         if limit is None:
             return
@@ -225,7 +261,7 @@
             if reply.is_given:
                 limit.add_permit(now_ms, limit.asked_ms, reply.wait_ms)
             else:
-                limit.opens_ms = now_ms + reply.wait_ms
+                limit.note_closed(now_ms + reply.wait_ms)
             limit.asked_ms = None
         self.note_reply()
 
@@ -284,17 +320,63 @@
         givers = len(self._gateways.givers) + 1
         return least * givers / max(givers, self._gateways.count)
 
-    def _own_wait_ms(self, key: int, limit: Limit) -> int:
-        return self._ledger.wait_ms(key, self._share(limit.rate))
+    def _decide(self, ask: Ask, refusal: Reply, rate: float) -> Reply:
+        """Give the answer to what is asked of a limit that we own."""
+        ledger, key = self._ledger, ask.life
+        if ask.reserves:
+            return replace(refusal, return_ms=ledger.reserve(key, rate))
+        wait_ms = ledger.give(
+            key, rate, ask.patience_ms, for_return=ask.for_return
+        )
+        if wait_ms is not None:
+            return replace(refusal, is_given=True, wait_ms=wait_ms)
+        opens_ms = ledger.opens_ms(key, rate, for_return=ask.for_return)
+        return replace(refusal, wait_ms=opens_ms)
+
+    def _send_ask(
+        self,
+        key: int,
+        limit: Limit,
+        number: int,
+        *,
+        patience_ms: int = 0,
+        reserves: bool = False,
+    ) -> None:
+        ask = Ask(
+            self._gateways.name,
+            key,
+            number,
+            self._word(limit),
+            patience_ms,
+            for_return=limit.is_for_return and not reserves,
+            reserves=reserves,
+        )
+        self.send(self._owner_of(key), ask)
+
+    async def _ask_to_reserve(self, key: int, limit: Limit) -> int:
+        """Ask the owner; give 0 where it does not answer in time."""
+        number = next(self._numbers)
+        reserving: asyncio.Future[int] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._reserving[number] = reserving
+        try:
+            async with asyncio.timeout(_RESERVE_MS / MS_PER_SECOND):
+                self._send_ask(key, limit, number, reserves=True)
+                return await reserving
+        except TimeoutError:
+            return 0
+        finally:
+            self._reserving.pop(number)
 
     def _drop_lost(self, limit: Limit, now_ms: int) -> None:
         """Wait no longer for an owner that has not answered."""
-        if limit.asked_ms is None or now_ms < limit.asked_ms + _REPLY_MS:
+        if limit.asked_ms is None or now_ms < limit.answer_by_ms:
             return
         self._count('lost')
         self._asked.pop(limit.number, None)
         limit.asked_ms = None
-        limit.opens_ms = now_ms + _ASK_AGAIN_MS
+        limit.note_closed(now_ms + _ASK_AGAIN_MS)
 
     def _is_ours(self, key: int) -> bool:
         return self._owner_of(key) == self._gateways.name
--- a/seampond/permits/messages.py
+++ b/seampond/permits/messages.py
@@ -49,6 +49,10 @@
         Tells this from other asks.
     patience_ms : int
         After how long the permit has to hold at the latest.
+    for_return : bool
+        Whether it is for a caller that was told to come back now.
+    reserves : bool
+        Whether a time to come back is wanted, and no permit.
 
     """
 
@@ -57,6 +61,8 @@
     number: int
     word: Word
     patience_ms: int
+    for_return: bool = False
+    reserves: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,6 +74,9 @@
     wait_ms : int
         After how long the permit holds; where none is given, after how long
         there may be one.
+    return_ms : int
+        After how long a permit is kept for a caller that comes back; 0 for
+        none, which is all that an earlier build says.
 
     """
 
@@ -77,6 +86,7 @@
     word: Word
     is_given: bool
     wait_ms: int
+    return_ms: int = 0
 
 
 @functools.cache
@@ -107,11 +117,16 @@
         'saidAgoMs': min(message.word.said_ago_ms, _MAX_UINT32),
     }
     if isinstance(message, Ask):
-        fields['ask'] = {'patienceMs': message.patience_ms}
+        fields['ask'] = {
+            'patienceMs': message.patience_ms,
+            'forReturn': message.for_return,
+            'reserves': message.reserves,
+        }
     else:
         fields['reply'] = {
             'isGiven': message.is_given,
             'waitMs': min(message.wait_ms, _MAX_UINT32),
+            'returnMs': message.return_ms,
         }
     packed: bytes = _schema().Message.new_message(**fields).to_bytes_packed()
     return _START + packed
@@ -121,8 +136,10 @@
     word = Word(decode_rate(reader.rate), reader.saidAgoMs)
     common = (reader.name, reader.life, reader.number, word)
     if reader.which() == 'ask':
-        return Ask(*common, reader.ask.patienceMs)
-    return Reply(*common, reader.reply.isGiven, reader.reply.waitMs)
+        ask = reader.ask
+        return Ask(*common, ask.patienceMs, ask.forReturn, ask.reserves)
+    reply = reader.reply
+    return Reply(*common, reply.isGiven, reply.waitMs, reply.returnMs)
 
 
 def decode_permit(packet: bytes, *, peer: str = '') -> Ask | Reply:
--- a/seampond/permits/permits.capnp
+++ b/seampond/permits/permits.capnp
@@ -16,9 +16,12 @@
 
 struct Ask {
   patienceMs @0 :UInt32;
+  forReturn @1 :Bool;
+  reserves @2 :Bool;
 }
 
 struct Reply {
   isGiven @0 :Bool;
   waitMs @1 :UInt32;
+  returnMs @2 :UInt32;
 }
--- a/seampond/permits/tests/test_desk.py
+++ b/seampond/permits/tests/test_desk.py
@@ -1,5 +1,6 @@
 """Asking for permits and giving them: lost, late, doubled and unlike words."""
 
+import asyncio
 import random
 import unittest
 
@@ -119,6 +120,24 @@
             self.asker.desk.take_reply(reply)
         self.owner.sent.clear()
 
+    def reserve(self) -> int | None:
+        """Let the asker have a time reserved for a caller."""
+
+        async def work() -> int | None:
+            reserving = asyncio.create_task(
+                self.asker.desk.reserve(self.asker.backend)
+            )
+            await asyncio.sleep(0)
+            self.exchange()
+            return await reserving
+
+        return asyncio.run(work())
+
+    def answer_as_before(self, ask: Ask) -> None:
+        """Answer like a build that knows no reserved times."""
+        reply = Reply('g', ask.life, ask.number, ask.word, False, 200)
+        self.owner.sent.append((ask.name, reply))
+
     def test_one_owns_it_and_gives_permits(self) -> None:
         """Each is for one request."""
         self.assertFalse(self.asker.desk.may_send(self.asker.backend))
@@ -208,6 +227,38 @@
         assert isinstance(reply, Reply)
         self.assertFalse(reply.is_given)
 
+    def test_each_reserved_time_is_another(self) -> None:
+        """Guards against callers that are told to come back together."""
+        times = [self.reserve() for _ in range(3)]
+        own_ms = asyncio.run(self.owner.desk.reserve(self.owner.backend))
+        self.assertEqual(len({*times, own_ms}), 4)
+        self.assertEqual(set(self.asker.counted), {'reserved'})
+
+    def test_reserved_permit_is_kept_for_its_caller(self) -> None:
+        """Guards against first tries that take it, at any gateway."""
+        while self.owner.desk.may_send(self.owner.backend):
+            self.owner.desk.take(self.owner.backend)
+        wait_ms = self.reserve()
+        assert wait_ms is not None
+        self.advance(wait_ms)
+        self.assertFalse(self.owner.desk.may_send(self.owner.backend))
+        self.asker.desk.ask(self.asker.backend, 0)
+        self.exchange()
+        self.asker.desk.ask(self.asker.backend, 0, for_return=True)
+        self.exchange()
+        self.assertEqual(self.asker.counted, ['reserved', 'refused', 'given'])
+
+    def test_owner_of_an_earlier_build_reserves_nothing(self) -> None:
+        """Its answer tells of no time."""
+        self.owner.desk.take_ask = self.answer_as_before  # type: ignore
+        self.assertIsNone(self.reserve())
+
+    def test_owner_that_does_not_answer(self) -> None:
+        """The caller is not kept waiting."""
+        reserving = self.asker.desk.reserve(self.asker.backend)
+        self.assertIsNone(asyncio.run(reserving))
+        self.assertEqual(self.asker.counted, ['not-reserved'])
+
     def test_gateway_of_an_earlier_build(self) -> None:
         """It owns nothing, and the others give their part."""
         self.advance(_SECOND_MS)
@@ -265,7 +316,9 @@
             word = Word(rate, 20)
             for message in (
                 Ask('g1', 7, 3, word, 210),
+                Ask('g1', 7, 3, word, 0, for_return=True, reserves=True),
                 Reply('g2', 7, 3, word, True, 40),
+                Reply('g2', 7, 3, word, False, 40, return_ms=900),
             ):
                 read = decode_permit(encode_permit(message))
                 self.assertEqual(read, message)
--- a/seampond/permits/tests/test_fleet.py
+++ b/seampond/permits/tests/test_fleet.py
@@ -31,6 +31,8 @@
 _SEEDS = 20
 # Some fifty callers of each come back; of so few one seed says little.
 _RETURN_SEEDS = 8
+# Where the fleets are large, or more of them are played.
+_FEW_RETURN_SEEDS = 3
 # As many callers as the limits allow, and twice as many.
 _LOADS = (1.0, 2.0)
 _SIZES = ((2, 6), (8, 6), (30, 6))
@@ -114,21 +116,48 @@
         """Where each books times without the others."""
         self._check_returns(8)
 
-    def _check_returns(self, gateways: int) -> None:
+    def test_times_to_come_back_hold_at_any_size(self) -> None:
+        """Guards against times that hold at a few gateways only."""
+        for gateways in (1, 4, 16, 30):
+            with self.subTest(gateways=gateways):
+                self._check_returns(gateways, seeds=_FEW_RETURN_SEEDS)
+
+    def test_times_to_come_back_hold_by_any_limit(self) -> None:
+        """Guards against times that hold only where permits come often."""
+        for limit in _LIMITS:
+            with self.subTest(limit=limit):
+                self._check_returns(8, limit, _FEW_RETURN_SEEDS)
+
+    def test_times_to_come_back_hold_where_datagrams_are_lost(self) -> None:
+        """Guards against a lost answer that takes the permit with it."""
+        for gateways in (8, 30):
+            with self.subTest(gateways=gateways):
+                self._check_returns(
+                    gateways, seeds=_FEW_RETURN_SEEDS, lost_part=_LOST_PART
+                )
+
+    def _check_returns(
+        self,
+        gateways: int,
+        limit: float = 3,
+        seeds: int = _RETURN_SEEDS,
+        lost_part: float = 0,
+    ) -> None:
         fleets: list[LimitedFleet] = []
 
         async def work(clock: Clock) -> None:
             rng = random.Random(len(fleets))
             fleet = LimitedFleet(clock, rng, gateways, 6)
             fleets.append(fleet)
+            fleet.network.lost_part = lost_part
             fleet.come_back = True
             await clock.sleep(_START_MS)
-            await _name(fleet, 3, 2)
-            await fleet.drive(_rate(fleet, 3, 2), _CALM_MS)
+            await _name(fleet, limit, 2)
+            await fleet.drive(_rate(fleet, limit, 2), _CALM_MS)
             await clock.sleep(_CONTACT_MS * 2)
             await fleet.close()
 
-        for _ in range(_RETURN_SEEDS):
+        for _ in range(seeds):
             play(work)
         came_back = sum(fleet.came_back for fleet in fleets)
         kept = sum(fleet.served_later for fleet in fleets) / came_back
