A question on a limit is asked once more; the same one is answered alike

After 40 ms without an answer the question is sent again under its number; the owner gives the answer that it gave, less the time since. The test of the lost answer failed before.

Which gateway owns a limit, what owners give, and what is asked of others are three modules now.

--- a/seampond/forwarding/limit.py
+++ b/seampond/forwarding/limit.py
@@ -49,8 +49,8 @@
         Those that nobody has taken up yet.
     asked_ms : int or None
         Since when we wait for an answer to our asking for one.
-    answer_by_ms : int
-        After this we wait for it no longer.
+    resend_ms, answer_by_ms : int
+        When we ask once more, and when we wait for the answer no longer.
     number : int
         Of the latest time that we asked.
     is_for_return : bool
@@ -69,6 +69,7 @@
     said_ms: int | None = None
     permits: list[Permit] = field(default_factory=list)
     asked_ms: int | None = None
+    resend_ms: int = 0
     answer_by_ms: int = 0
     number: int = 0
     is_for_return: bool = False
@@ -157,7 +158,7 @@
         """Give when a permit holds next, or an answer is overdue."""
         times = [permit.from_ms for permit in self.permits]
         if self.asked_ms is not None:
-            times.append(self.answer_by_ms)
+            times.extend((self.resend_ms, self.answer_by_ms))
         return min((one for one in times if one > now_ms), default=None)
 
     def count_coming(self, now_ms: int) -> int:
--- a/seampond/permits/desk.py
+++ b/seampond/permits/desk.py
@@ -4,23 +4,23 @@
 import itertools
 import random
 from collections.abc import Callable, Mapping
-from dataclasses import replace
-from typing import Protocol
+from dataclasses import dataclass, replace
 
 from seampond.clock import MS_PER_SECOND, Clock
 from seampond.forwarding.backend import Backend
 from seampond.forwarding.limit import Limit, Permit
 from seampond.forwarding.returning import LATEST_MS
-from seampond.permits.ledger import Ledger
+from seampond.permits.giver import Giver
 from seampond.permits.messages import Ask, Reply, Word
+from seampond.permits.owners import Gateways, Owners
 from seampond.sharing.keys import key_of
 
-# Of a server that takes nothing, somebody has to hear when that is over.
-_LEAST_RATE = 0.25
 # Some times what a datagram takes to the owner and back between halls.
 _REPLY_MS = 150
 # A caller that came back when it was told to waits for other owners too.
-_RETURN_REPLY_MS = 50
+_RETURN_REPLY_MS = 80
+# A question may be lost, or its answer.
+_RESEND_MS = 40
 # The same for a caller that is turned away meanwhile.
 _RESERVE_MS = 15
 # How long nobody asks again for a time where none is left.
@@ -43,26 +43,12 @@
     """Count no outcomes."""
 
 
-class Gateways(Protocol):
-    """The gateways that share the limits."""
+@dataclass(frozen=True, slots=True)
+class _Question:
+    """One that an owner has not answered yet."""
 
-    name: str
-
-    @property
-    def givers(self) -> tuple[str, ...]:
-        """The others that give permits."""
-
-    @property
-    def is_listed(self) -> bool:
-        """Whether the list of the gateways is known."""
-
-    @property
-    def count(self) -> int:
-        """How many gateways there may be."""
-
-    @property
-    def beat_ms(self) -> int:
-        """How long after one heartbeat the next is due."""
+    ask: Ask
+    limit: Limit
 
 
 class Desk:
@@ -115,13 +101,12 @@
         self._note_urgent = note_urgent
         self._rng = rng
         self._count = count
-        self._ledger = Ledger(clock)
-        self._owners: dict[int, str] = {}
-        self._owned_among: tuple[str, ...] = ()
+        self._owners = Owners(gateways)
+        self._giver = Giver(self._owners, clock)
         self._numbers = itertools.count(rng.getrandbits(_NUMBER_BITS))
         # By key of the life: what an answer to us has said, and since when.
         self._heard: dict[int, tuple[Limit, int]] = {}
-        self._asked: dict[int, Limit] = {}
+        self._asked: dict[int, _Question] = {}
         self._reserving: dict[int, asyncio.Future[int]] = {}
 
     def may_send(self, backend: Backend, *, for_return: bool = False) -> bool:
@@ -130,10 +115,9 @@
         if limit.has_permit(self._clock.now()):
             return True
         key = key_of(backend.server.life)
-        if not self._is_ours(key):
+        if not self._owners.is_ours(key):
             return False
-        rate = self._share(limit.rate)
-        return not self._ledger.wait_ms(key, rate, for_return=for_return)
+        return self._giver.has_permit(key, limit, for_return=for_return)
 
     def take(
         self, backend: Backend, *, for_return: bool = False
@@ -141,7 +125,8 @@
         """Take up a permit to send now."""
         limit, now_ms = backend.notice.limit, self._clock.now()
         permit = limit.take_permit(now_ms)
-        if permit is None and self._is_ours(key_of(backend.server.life)):
+        key = key_of(backend.server.life)
+        if permit is None and self._owners.is_ours(key):
             self.ask(backend, 0, for_return=for_return)
             permit = limit.take_permit(now_ms)
         return permit
@@ -153,22 +138,27 @@
         limit, now_ms = backend.notice.limit, self._clock.now()
         key = key_of(backend.server.life)
         limit.drop_old(now_ms)
-        if self._is_ours(key):
-            rate = self._share(limit.rate)
-            wait_ms = self._ledger.give(
-                key, rate, patience_ms, for_return=for_return
+        if self._owners.is_ours(key):
+            wait_ms = self._giver.give(
+                key, limit, patience_ms, for_return=for_return
             )
             if wait_ms is not None:
                 self._count('own')
                 limit.add_permit(now_ms, now_ms, wait_ms)
             return
-        limit.asked_ms = now_ms
         reply_ms = _RETURN_REPLY_MS if for_return else _REPLY_MS
+        limit.asked_ms = now_ms
+        limit.resend_ms = now_ms + _RESEND_MS
         limit.answer_by_ms = now_ms + reply_ms
         limit.is_for_return = for_return
         limit.number = next(self._numbers)
-        self._asked[limit.number] = limit
-        self._send_ask(key, limit, limit.number, patience_ms=patience_ms)
+        ask = replace(
+            self._make_ask(key, limit, limit.number),
+            patience_ms=patience_ms,
+            for_return=for_return,
+        )
+        self._asked[limit.number] = _Question(ask, limit)
+        self._send_ask(ask)
 
     async def reserve(self, backend: Backend) -> int | None:
         """Have a permit kept for a caller that is told to come back.
@@ -181,8 +171,8 @@
 
         """
         limit, key = backend.notice.limit, key_of(backend.server.life)
-        if self._is_ours(key):
-            wait_ms = self._ledger.reserve(key, self._share(limit.rate))
+        if self._owners.is_ours(key):
+            wait_ms = self._giver.reserve(key, limit)
         else:
             wait_ms = await self._ask_to_reserve(key, limit)
         self._count('reserved' if wait_ms else 'not-reserved')
@@ -194,12 +184,9 @@
         """Give the time before which there is no other permit for us."""
         limit, now_ms = backend.notice.limit, self._clock.now()
         key = key_of(backend.server.life)
-        if self._is_ours(key):
-            rate = self._share(limit.rate)
-            return now_ms + self._ledger.opens_ms(
-                key, rate, for_return=for_return
-            )
-        self._drop_lost(limit, now_ms)
+        if self._owners.is_ours(key):
+            return self._giver.opens_ms(key, limit, for_return=for_return)
+        self._look_after(limit, now_ms)
         return limit.return_opens_ms if for_return else limit.opens_ms
 
     def find_out(self, backend: Backend) -> None:
@@ -211,7 +198,7 @@
         many gateways, its permits would cost more words than they are worth.
         """
         limit, now_ms = backend.notice.limit, self._clock.now()
-        self._drop_lost(limit, now_ms)
+        self._look_after(limit, now_ms)
         is_due = limit.is_stale(now_ms) and now_ms >= limit.tries_ms
         if not is_due or limit.asked_ms is not None:
             return
@@ -240,30 +227,26 @@
             is_given=False,
             wait_ms=0 if rate is None else _ASK_AGAIN_MS,
         )
-        if rate is not None and self._is_ours(ask.life):
-            reply = self._decide(ask, reply, self._share(rate))
+        if rate is not None and self._owners.is_ours(ask.life):
+            reply = self._giver.answer(ask, reply, rate)
         self.send(ask.name, reply)
 
     def take_reply(self, reply: Reply) -> None:
         """Take an owner's answer."""
-        reserving = self._reserving.get(reply.number)
-        if reserving is not None and not reserving.done():
-            reserving.set_result(reply.return_ms)
-        limit = self._asked.pop(reply.number, None)
-        if limit is None:
+        reserving = self._reserving.pop(reply.number, None)
+        question = self._asked.pop(reply.number, None)
+        if reserving is None and question is None:
             return
-        now_ms = self._clock.now()
         self._take_word(
-            reply.life, reply.word.rate, now_ms - reply.word.said_ago_ms
+            reply.life,
+            reply.word.rate,
+            self._clock.now() - reply.word.said_ago_ms,
         )
-        if limit.number == reply.number and limit.asked_ms is not None:
-            self._count('given' if reply.is_given else 'refused')
-            if reply.is_given:
-                limit.add_permit(now_ms, limit.asked_ms, reply.wait_ms)
-            else:
-                limit.note_closed(now_ms + reply.wait_ms)
-            limit.asked_ms = None
-        self.note_reply()
+        if reserving is not None and not reserving.done():
+            reserving.set_result(reply.return_ms)
+        if question is not None:
+            self._take_answer(question.limit, reply)
+            self.note_reply()
 
     def note_heard(self, key: int, limit: Limit, *, is_other: bool) -> None:
         """Note that an answer to us has spoken of a limit."""
@@ -300,58 +283,26 @@
 
     def look_after(self) -> None:
         """Forget what others own now, and asks that nobody has answered."""
-        self._ledger.keep_only(self._is_ours)
+        self._giver.tidy()
         now_ms = self._clock.now()
-        for limit in list(self._asked.values()):
-            self._drop_lost(limit, now_ms)
+        for question in list(self._asked.values()):
+            self._look_after(question.limit, now_ms)
 
     def _begin(self, key: int, limit: Limit) -> None:
-        if limit.is_named and self._is_ours(key):
-            self._ledger.begin(key, self._share(limit.rate))
+        if limit.is_named and self._owners.is_ours(key):
+            self._giver.begin(key, limit)
 
     def _word(self, limit: Limit) -> Word:
         said_ms = limit.said_ms
         now_ms = self._clock.now()
         return Word(limit.rate, max(0, now_ms - (said_ms or now_ms)))
 
-    def _share(self, rate: float | None) -> float:
-        """Give the permits a second that we may give of a limit."""
-        least = max(_LEAST_RATE, rate or 0)
-        givers = len(self._gateways.givers) + 1
-        return least * givers / max(givers, self._gateways.count)
-
-    def _decide(self, ask: Ask, refusal: Reply, rate: float) -> Reply:
-        """Give the answer to what is asked of a limit that we own."""
-        ledger, key = self._ledger, ask.life
-        if ask.reserves:
-            return replace(refusal, return_ms=ledger.reserve(key, rate))
-        wait_ms = ledger.give(
-            key, rate, ask.patience_ms, for_return=ask.for_return
-        )
-        if wait_ms is not None:
-            return replace(refusal, is_given=True, wait_ms=wait_ms)
-        opens_ms = ledger.opens_ms(key, rate, for_return=ask.for_return)
-        return replace(refusal, wait_ms=opens_ms)
+    def _make_ask(self, key: int, limit: Limit, number: int) -> Ask:
+        name = self._gateways.name
+        return Ask(name, key, number, self._word(limit), patience_ms=0)
 
-    def _send_ask(
-        self,
-        key: int,
-        limit: Limit,
-        number: int,
-        *,
-        patience_ms: int = 0,
-        reserves: bool = False,
-    ) -> None:
-        ask = Ask(
-            self._gateways.name,
-            key,
-            number,
-            self._word(limit),
-            patience_ms,
-            for_return=limit.is_for_return and not reserves,
-            reserves=reserves,
-        )
-        self.send(self._owner_of(key), ask)
+    def _send_ask(self, ask: Ask) -> None:
+        self.send(self._owners.find(ask.life), ask)
 
     async def _ask_to_reserve(self, key: int, limit: Limit) -> int:
         """Ask the owner; give 0 where it does not answer in time."""
@@ -360,47 +311,42 @@
             asyncio.get_running_loop().create_future()
         )
         self._reserving[number] = reserving
+        ask = replace(self._make_ask(key, limit, number), reserves=True)
         try:
             async with asyncio.timeout(_RESERVE_MS / MS_PER_SECOND):
-                self._send_ask(key, limit, number, reserves=True)
+                self._send_ask(ask)
                 return await reserving
         except TimeoutError:
             return 0
         finally:
-            self._reserving.pop(number)
+            self._reserving.pop(number, None)
 
-    def _drop_lost(self, limit: Limit, now_ms: int) -> None:
-        """Wait no longer for an owner that has not answered."""
-        if limit.asked_ms is None or now_ms < limit.answer_by_ms:
+    def _take_answer(self, limit: Limit, reply: Reply) -> None:
+        if limit.number != reply.number or limit.asked_ms is None:
             return
-        self._count('lost')
-        self._asked.pop(limit.number, None)
+        self._count('given' if reply.is_given else 'refused')
+        now_ms = self._clock.now()
+        if reply.is_given:
+            limit.add_permit(now_ms, limit.asked_ms, reply.wait_ms)
+        else:
+            limit.note_closed(now_ms + reply.wait_ms)
         limit.asked_ms = None
-        limit.note_closed(now_ms + _ASK_AGAIN_MS)
 
-    def _is_ours(self, key: int) -> bool:
-        return self._owner_of(key) == self._gateways.name
-
-    def _owner_of(self, key: int) -> str:
-        """Give who owns the limit of a life.
-
-        Explanation
-        -----------
-        Also one that is about to stop: where all do so at once, each would
-        take the limits for its own.
-        """
-        if not self._gateways.is_listed:
-            # We may be one of many.
-            return ''
-        among = (*self._gateways.givers, self._gateways.name)
-        if among != self._owned_among:
-            self._owners.clear()
-            self._owned_among = among
-        owner = self._owners.get(key)
-        if owner is None:
-            owner = max(among, key=lambda name: key_of(f'{name} {key}'))
-            self._owners[key] = owner
-        return owner
+    def _look_after(self, limit: Limit, now_ms: int) -> None:
+        """Ask an owner again that has not answered, then wait no longer."""
+        if limit.asked_ms is None:
+            return
+        if now_ms >= limit.answer_by_ms:
+            self._count('lost')
+            self._asked.pop(limit.number, None)
+            limit.asked_ms = None
+            limit.note_closed(now_ms + _ASK_AGAIN_MS)
+        elif now_ms >= limit.resend_ms:
+            limit.resend_ms = limit.answer_by_ms
+            ask = self._asked[limit.number].ask
+            waited_ms = now_ms - limit.asked_ms
+            patience_ms = max(0, ask.patience_ms - waited_ms)
+            self._send_ask(replace(ask, patience_ms=patience_ms))
 
 
 def _last_ms(limit: Limit, since_ms: int) -> int:
--- /dev/null
+++ b/seampond/permits/giver.py
@@ -0,0 +1,98 @@
+"""Giving permits of the limits that we own."""
+
+from dataclasses import replace
+
+from seampond.clock import Clock
+from seampond.forwarding.limit import Limit
+from seampond.permits.ledger import Ledger
+from seampond.permits.messages import Ask, Reply
+from seampond.permits.owners import Owners
+
+# How long the answer to a question that comes twice is the same.
+_ANSWER_MS = 1000
+
+
+class Giver:
+    """The buckets that we keep, for ourselves and for those that ask.
+
+    Explanation
+    -----------
+    A question whose answer was lost is sent again; answered anew it would
+    cost a second permit, and a caller that came back the one reserved for it.
+    """
+
+    def __init__(self, owners: Owners, clock: Clock) -> None:
+        """Start with empty buckets."""
+        self._owners = owners
+        self._clock = clock
+        self._ledger = Ledger(clock)
+        self._answers: dict[tuple[str, int], tuple[int, Reply]] = {}
+
+    def begin(self, key: int, limit: Limit) -> None:
+        """Let permits of a limit gather before anybody asks."""
+        self._ledger.begin(key, self._owners.share(limit.rate))
+
+    def has_permit(self, key: int, limit: Limit, *, for_return: bool) -> bool:
+        """Whether there is a permit now."""
+        rate = self._owners.share(limit.rate)
+        return not self._ledger.wait_ms(key, rate, for_return=for_return)
+
+    def opens_ms(self, key: int, limit: Limit, *, for_return: bool) -> int:
+        """Give the time at which there may be a permit at the soonest."""
+        rate = self._owners.share(limit.rate)
+        now_ms = self._clock.now()
+        return now_ms + self._ledger.opens_ms(key, rate, for_return=for_return)
+
+    def give(
+        self, key: int, limit: Limit, patience_ms: int, *, for_return: bool
+    ) -> int | None:
+        """Give ourselves a permit; tell after how long it holds."""
+        rate = self._owners.share(limit.rate)
+        return self._ledger.give(key, rate, patience_ms, for_return=for_return)
+
+    def reserve(self, key: int, limit: Limit) -> int:
+        """Keep a permit for a caller; tell when it should come back."""
+        return self._ledger.reserve(key, self._owners.share(limit.rate))
+
+    def answer(self, ask: Ask, refusal: Reply, rate: float) -> Reply:
+        """Give the answer to a question.
+
+        Parameters
+        ----------
+        refusal : Reply
+            The answer of one that owns nothing.
+        rate : float
+            What the server takes a second.
+
+        """
+        now_ms = self._clock.now()
+        known = self._answers.get((ask.name, ask.number))
+        if known is not None:
+            answered_ms, reply = known
+            wait_ms = max(0, reply.wait_ms - (now_ms - answered_ms))
+            return replace(reply, wait_ms=wait_ms)
+        reply = self._decide(ask, refusal, self._owners.share(rate))
+        self._answers[ask.name, ask.number] = (now_ms, reply)
+        return reply
+
+    def tidy(self) -> None:
+        """Forget what others own now, and answers that nobody asks for."""
+        self._ledger.keep_only(self._owners.is_ours)
+        oldest_ms = self._clock.now() - _ANSWER_MS
+        self._answers = {
+            question: (answered_ms, reply)
+            for question, (answered_ms, reply) in self._answers.items()
+            if answered_ms >= oldest_ms
+        }
+
+    def _decide(self, ask: Ask, refusal: Reply, rate: float) -> Reply:
+        ledger, key = self._ledger, ask.life
+        if ask.reserves:
+            return replace(refusal, return_ms=ledger.reserve(key, rate))
+        wait_ms = ledger.give(
+            key, rate, ask.patience_ms, for_return=ask.for_return
+        )
+        if wait_ms is not None:
+            return replace(refusal, is_given=True, wait_ms=wait_ms)
+        opens_ms = ledger.opens_ms(key, rate, for_return=ask.for_return)
+        return replace(refusal, wait_ms=opens_ms)
--- a/seampond/permits/tests/test_desk.py
+++ b/seampond/permits/tests/test_desk.py
@@ -25,6 +25,7 @@
 _RATE = 2.0
 _SECOND_MS = 1000
 _LOST_MS = 200
+_RESEND_MS = 50
 
 
 class _Side:
@@ -192,6 +193,29 @@
         self.assertFalse(self.asker.desk.may_send(self.asker.backend))
         self.assertEqual(self.asker.counted, ['lost'])
 
+    def test_question_whose_answer_is_lost(self) -> None:
+        """Guards against a permit, or a reserved one, that is lost with it."""
+        while self.owner.desk.may_send(self.owner.backend):
+            self.owner.desk.take(self.owner.backend)
+        self.asker.desk.ask(self.asker.backend, _SECOND_MS)
+        ask = self.asker.sent[-1][1]
+        assert isinstance(ask, Ask)
+        self.owner.desk.take_ask(ask)
+        lost = self.owner.sent.pop()[1]
+        self.asker.sent.clear()
+        self.advance(_RESEND_MS)
+        self.asker.desk.look_after()
+        again = self.asker.sent[-1][1]
+        assert isinstance(again, Ask)
+        self.owner.desk.take_ask(again)
+        reply = self.owner.sent[-1][1]
+        assert isinstance(lost, Reply)
+        assert isinstance(reply, Reply)
+        self.assertTrue(reply.is_given)
+        self.assertEqual(reply.wait_ms, lost.wait_ms - _RESEND_MS)
+        self.answer()
+        self.assertEqual(len(self.asker.backend.notice.limit.permits), 1)
+
     def test_owner_that_knows_better(self) -> None:
         """The limit is over: the asker hears it with the answer."""
         self.advance(1)
