--- a/bin/run_tests.py
+++ b/bin/run_tests.py
@@ -79,6 +79,9 @@
 def run_known_red(pattern: str, known: Mapping[str, str], times: int) -> int:
     """Run the listed tests whose id holds `pattern`; give the exit status."""
     listed = [test_id for test_id in known if pattern in test_id]
+    if not listed:
+        print(f'{KNOWN_RED.name} lists no test whose id holds {pattern!r}')
+        return int(bool(pattern))
     tallies = run_listed(listed, flatten(collect(pattern)), times)
     print(*tallies, sep='\n')
     passing = sum(tally.verdict is Verdict.passing for tally in tallies)
