--- a/seampond/permits/desk.py
+++ b/seampond/permits/desk.py
@@ -11,19 +11,20 @@
 from seampond.forwarding.limit import Limit, Permit
 from seampond.forwarding.returning import LATEST_MS
 from seampond.permits.giver import Giver
+from seampond.permits.heard import Heard, make_word
 from seampond.permits.messages import Ask, Reply, Word
 from seampond.permits.owners import Gateways, Owners
 from seampond.sharing.keys import key_of
 
-# Some times what a datagram takes to the owner and back between halls.
+# A few round trips between halls.
 _REPLY_MS = 150
-# A caller that came back when it was told to waits for other owners too.
+# Leaves a caller that has come back time to ask other owners.
 _RETURN_REPLY_MS = 80
-# A question may be lost, or its answer.
+# Before either, so that one lost datagram costs no permit.
 _RESEND_MS = 40
-# The same for a caller that is turned away meanwhile.
+# A caller that is turned away waits so long, for two owners at the most.
 _RESERVE_MS = 15
-# How long nobody asks again for a time where none is left.
+# How long an owner that has no time left is not asked for another.
 _FULL_MS = 1000
 # By then gateways agree again who owns a limit.
 _ASK_AGAIN_MS = 300
@@ -32,10 +33,6 @@
 _TRY_MS = 1000
 _TRIERS = 8
 _SPREAD = (0.5, 1.5)
-# Some heartbeats, of which some may be lost.
-_TOLD_BEATS = 3
-_TOLD_MS = 1000
-_TOLD_MAX = 32
 _NUMBER_BITS = 48
 
 
@@ -104,8 +101,7 @@
         self._owners = Owners(gateways)
         self._giver = Giver(self._owners, clock)
         self._numbers = itertools.count(rng.getrandbits(_NUMBER_BITS))
-        # By key of the life: what an answer to us has said, and since when.
-        self._heard: dict[int, tuple[Limit, int]] = {}
+        self._heard = Heard(gateways, clock)
         self._asked: dict[int, _Question] = {}
         self._reserving: dict[int, asyncio.Future[int]] = {}
 
@@ -218,7 +214,7 @@
             ask.life, ask.word.rate, now_ms - ask.word.said_ago_ms
         )
         rate = ask.word.rate if limit is None else limit.rate
-        word = ask.word if limit is None else self._word(limit)
+        word = ask.word if limit is None else make_word(limit, now_ms)
         reply = Reply(
             self._gateways.name,
             ask.life,
@@ -250,28 +246,14 @@
 
     def note_heard(self, key: int, limit: Limit, *, is_other: bool) -> None:
         """Note that an answer to us has spoken of a limit."""
-        now_ms = self._clock.now()
-        since_ms = now_ms if is_other else self._heard.get(key, (limit, 0))[1]
-        self._heard[key] = (limit, since_ms)
+        self._heard.note(key, limit, is_other=is_other)
         self._begin(key, limit)
         if is_other:
             self._note_urgent()
 
     def tell(self) -> Mapping[int, Word]:
         """Give what answers to us have said of late, by key of the life."""
-        now_ms = self._clock.now()
-        told_ms = max(_TOLD_MS, _TOLD_BEATS * self._gateways.beat_ms)
-        self._heard = {
-            key: (limit, since_ms)
-            for key, (limit, since_ms) in self._heard.items()
-            if _last_ms(limit, since_ms) >= now_ms - told_ms
-        }
-        newest = sorted(
-            self._heard.items(), key=lambda known: -_last_ms(*known[1])
-        )
-        return {
-            key: self._word(limit) for key, (limit, _) in newest[:_TOLD_MAX]
-        }
+        return self._heard.tell()
 
     def take_told(self, words: Mapping[int, Word]) -> None:
         """Take what another gateway has heard."""
@@ -292,14 +274,9 @@
         if limit.is_named and self._owners.is_ours(key):
             self._giver.begin(key, limit)
 
-    def _word(self, limit: Limit) -> Word:
-        said_ms = limit.said_ms
-        now_ms = self._clock.now()
-        return Word(limit.rate, max(0, now_ms - (said_ms or now_ms)))
-
     def _make_ask(self, key: int, limit: Limit, number: int) -> Ask:
-        name = self._gateways.name
-        return Ask(name, key, number, self._word(limit), patience_ms=0)
+        word = make_word(limit, self._clock.now())
+        return Ask(self._gateways.name, key, number, word, patience_ms=0)
 
     def _send_ask(self, ask: Ask) -> None:
         self.send(self._owners.find(ask.life), ask)
@@ -349,11 +326,6 @@
             self._send_ask(replace(ask, patience_ms=patience_ms))
 
 
-def _last_ms(limit: Limit, since_ms: int) -> int:
-    """Give when there was last anything to tell of a limit."""
-    return (limit.said_ms or 0) if limit.is_named else since_ms
-
-
 def _send_nothing(name: str, message: Ask | Reply) -> None:
     """Send nothing."""
 
