Sight: log a copy that is not proved in time, and what its feed is doing

A gateway denied by an old configuration for 3.6 s, and nothing in its log could have told a call that hangs from a long pause or from a probe that is suppressed: failed calls are logged, silence is not. The event names the activity of the feed, its duration and the flags that keep probes away. No change of when calls are made.

--- a/seampond/watches/probe.py
+++ b/seampond/watches/probe.py
@@ -9,6 +9,8 @@
 _RANK_STEP_MS = 100
 _MAX_RANK_STEPS = 8
 _RETRY_PAUSE_MS = 300
+# A copy whose proof is due for this long is logged.
+_OVERDUE_MS = 1500
 # Longer than a feed that batches changes may lag behind.
 _MAX_BEHIND_MS = 400
 # Random delay of processes without a feed, so that they do not probe at once.
@@ -36,6 +38,7 @@
     """
     freshness = watch.freshness
     while True:
+        watch.log_overdue(max_age_ms + _OVERDUE_MS)
         steps = min(_MAX_RANK_STEPS, rank())
         max_behind_ms = _MAX_BEHIND_MS
         if not watch.is_follower():
--- a/seampond/watches/tests/test_watch.py
+++ b/seampond/watches/tests/test_watch.py
@@ -507,6 +507,27 @@
         self.assertFalse(await watch.probe())
         self.assertEqual(probes.calls, [])
 
+    async def test_copy_not_proved_in_time_is_logged_once(self) -> None:
+        """The event must tell what the feed is doing, and for how long."""
+        clock = InstantClock(1000)
+        feed = ListedSource(Page((), 3, 0, 1000, 1000, is_snapshot=False))
+        watch = build_watch(
+            feed, clock=clock, freshness=build_freshness(clock), is_loaded=True
+        )
+        task = asyncio.create_task(watch.run())
+        self.addCleanup(task.cancel)
+        async with asyncio.timeout(5):
+            await feed.is_over.wait()
+        clock.advance(2500)
+        with self.assertLogs('seampond.watches.watch', 'WARNING') as logs:
+            for _ in range(2):
+                watch.log_overdue(2000)
+        line, *repeated = logs.records
+        self.assertEqual(repeated, [])
+        self.assertEqual(line.getMessage(), 'copy not proved in time')
+        self.assertEqual(line.__dict__['detail'], 'waiting')
+        self.assertEqual(line.__dict__['feed_ms'], 2500)
+
     async def test_no_probe_before_first_snapshot(self) -> None:
         """Changes must not be requested before a snapshot was applied."""
         watch = build_watch(ListedSource())
--- a/seampond/watches/watch.py
+++ b/seampond/watches/watch.py
@@ -9,6 +9,7 @@
 from seampond.clock import Clock
 from seampond.errors import CutAnswerError, PlatformError
 from seampond.watches.failures import FailureLog
+from seampond.watches.feed_state import FeedActivity, FeedState
 from seampond.watches.freshness import TableFreshness
 from seampond.watches.rows import (
     HistoryGoneError,
@@ -114,19 +115,28 @@
     # Whether the transfer of the newest rows took long.
     _is_slow_transfer: bool = False
     _row_count: int = 0
+    # Whether the copy was reported as not proved.
+    _is_overdue: bool = False
     _failures: FailureLog = field(init=False)
+    _feed_state: FeedState = field(init=False)
 
     def __post_init__(self) -> None:
-        """Set up the log of failed calls."""
+        """Set up the log of failed calls and the state of the feed."""
         self._failures = FailureLog(
             self.clock, self.count_failure, self._log_event
         )
+        self._feed_state = FeedState(self.clock)
 
     @property
     def is_failing(self) -> bool:
         """Whether the last call to the store failed."""
         return self._is_failing
 
+    @property
+    def unproved_ms(self) -> int:
+        """Time since the copy was last known to be complete."""
+        return self.clock.now() - self.freshness.proved_ms
+
     async def run(self) -> None:
         """Follow the table until cancelled."""
         pause_ms = _MIN_RETRY_PAUSE_MS
@@ -177,6 +187,26 @@
             self._cancel_poll()
         return is_fresh
 
+    def log_overdue(self, max_unproved_ms: int) -> None:
+        """Log once that the copy is not proved in time, and its next proof.
+
+        Explanation
+        -----------
+        The event tells what the feed is doing, since a call that hangs and a
+        pause that is too long look alike to other processes.
+        """
+        was_proved = self.is_loaded and self.freshness.proved_ms > 0
+        is_overdue = was_proved and self.unproved_ms > max_unproved_ms
+        if is_overdue == self._is_overdue:
+            return
+        self._is_overdue = is_overdue
+        self._log_event(
+            'copy not proved in time' if is_overdue else 'copy proved again',
+            self._describe_feed(),
+            unproved_ms=self.unproved_ms,
+            feed_ms=self._feed_state.duration_ms,
+        )
+
     def apply_relayed(self, since: int, page: Page) -> None:
         """Apply an answer that another process relays.
 
@@ -200,6 +230,7 @@
         Most processes receive the changes from a few followers, which saves
         calls to the store.
         """
+        self._feed_state.enter(FeedActivity.idle)
         if self.is_unconfirmed and not self.confirms_snapshot:
             await self.clock.sleep(_STARTUP_DELAY_MS)
             self.is_unconfirmed = False
@@ -216,14 +247,19 @@
         """Make one call to the feed; return True if its answer was applied."""
         self._feed_timeout = asyncio.timeout(None)
         since = self.freshness.version
+        wait_ms = self._wait_ms
+        self._feed_state.enter(
+            FeedActivity.waiting if wait_ms else FeedActivity.polling
+        )
         try:
             async with self._feed_timeout:
-                page = await self._read(self.source, self._wait_ms)
+                page = await self._read(self.source, wait_ms)
         except TimeoutError as error:
             raise PlatformError('given up', step='read-changes') from error
         finally:
             self._feed_timeout = None
         is_fresh = self._accept(page, since)
+        self._feed_state.enter(FeedActivity.pausing)
         if is_fresh and page.rows and not page.is_snapshot:
             await self.clock.sleep(self.batch_pause_ms)
         return is_fresh
@@ -288,6 +324,7 @@
 
     async def _pause(self, pause_ms: float) -> None:
         """Wait after a failed call, at most until a change is missing."""
+        self._feed_state.enter(FeedActivity.pausing)
         if self._is_proved_by_others:
             await self.freshness.wait_until_behind(round(pause_ms))
         else:
@@ -351,6 +388,16 @@
             return False
         return True
 
+    def _describe_feed(self) -> str:
+        """Return what the feed is doing and what keeps probes away."""
+        flags = {
+            'failing': self._is_failing,
+            'overloaded': self._is_overloaded,
+            'not loaded': not self.is_loaded,
+        }
+        activity = self._feed_state.activity.value
+        return ', '.join((activity, *(name for name in flags if flags[name])))
+
     def _log_event(self, event: str, detail: str, **figures: int) -> None:
         _logger.warning(
             event,
