--- a/seampond/watches/tests/test_watch.py
+++ b/seampond/watches/tests/test_watch.py
@@ -462,6 +462,27 @@
             await self.feed.is_over.wait()
         self.assertEqual(self.feed.calls[-1], 'since 4')
 
+    async def test_overload_shown_by_a_probe_ends_a_hanging_call(self) -> None:
+        """Otherwise neither the feed nor a probe would read the table."""
+        rows = tuple(Row('a', b'', version) for version in (5, 6))
+        watch = await self._start(Page(rows, 6, 0, 0, 400, False))
+        self.assertTrue(await watch.probe())
+        async with asyncio.timeout(5):
+            while self.feed.calls[-1] != 'all':
+                await asyncio.sleep(0.01)
+
+    async def test_probes_go_on_after_one_fails_beside_a_hanging_call(
+        self,
+    ) -> None:
+        """A process that no longer follows the feed must not wait for it."""
+        watch = await self._start(
+            PlatformError('is down', step='read'), _page(4, 'a')
+        )
+        watch.is_follower = _never
+        self.assertFalse(await watch.probe())
+        self.assertTrue(await watch.probe())
+        self.assertEqual(self.applied[-1], 4)
+
     async def test_probe_reads_snapshot_where_changes_fail(self) -> None:
         """Changes that are too large or no longer kept are not retried."""
         failures = (
