Watch: sizes of answers move to a class of their own

What a table's answers show of its size and load was kept in three fields and a method of the watch, which is about to change.

--- /dev/null
+++ b/seampond/watches/answer_sizes.py
@@ -0,0 +1,62 @@
+"""Size of a table and of its answers, and the load that they show."""
+
+from seampond.watches.rows import Page
+
+_SMALL_TABLE_ROWS = 100
+# Up to this many rows snapshots replace the feed while rows are written faster
+# than the link can transfer their changes.
+_TINY_TABLE_ROWS = 4
+_SLOW_TRANSFER_MS = 250
+
+
+class AnswerSizes:
+    """What the answers of the store show of a table's size and load.
+
+    Attributes
+    ----------
+    is_overloaded : bool
+        Whether rows are written faster than the feed transfers them.
+    is_slow_transfer : bool
+        Whether the transfer of the newest rows took long.
+
+    Examples
+    --------
+    >>> from seampond.watches.rows import Row
+    >>> sizes = AnswerSizes()
+    >>> versions = Row('a', b'', 5), Row('a', b'', 6)
+    >>> sizes.record(Page(versions, 6, 0, 0, 400, False), 4, 400)
+    >>> sizes.is_overloaded
+    True
+
+    """
+
+    def __init__(self) -> None:
+        """Start without rows."""
+        self.is_overloaded = False
+        self.is_slow_transfer = False
+        self._row_count = 0
+
+    @property
+    def is_small(self) -> bool:
+        """Whether a snapshot is short enough to replace many changes."""
+        return self._row_count <= _SMALL_TABLE_ROWS
+
+    @property
+    def is_tiny(self) -> bool:
+        """Whether a snapshot is no longer than a change or two."""
+        return self._row_count <= _TINY_TABLE_ROWS
+
+    def record(self, page: Page, since: int, transfer_ms: int) -> None:
+        """Record an answer to a call for what came after a version."""
+        if page.is_snapshot:
+            self._row_count = len(page.rows)
+            newest = max((row.version for row in page.rows), default=0)
+            is_overloaded = self.is_overloaded and newest > since
+        else:
+            keys = {row.key for row in page.rows}
+            is_overloaded = len(keys) < len(page.rows)
+        if page.rows:
+            self.is_slow_transfer = transfer_ms > _SLOW_TRANSFER_MS
+        self.is_overloaded = (
+            is_overloaded and self.is_slow_transfer and self.is_tiny
+        )
--- a/seampond/watches/watch.py
+++ b/seampond/watches/watch.py
@@ -8,6 +8,7 @@
 
 from seampond.clock import Clock
 from seampond.errors import CutAnswerError, PlatformError
+from seampond.watches.answer_sizes import AnswerSizes
 from seampond.watches.failures import FailureLog
 from seampond.watches.feed_state import FeedActivity, FeedState
 from seampond.watches.freshness import TableFreshness
@@ -29,11 +30,6 @@
 # After an outage of this length a small table is read as a snapshot, since the
 # feed sends each change of a row and a snapshot each row once.
 _SNAPSHOT_AFTER_MS = 2000
-_SMALL_TABLE_ROWS = 100
-# Up to this many rows snapshots replace the feed while rows are written faster
-# than the link can transfer their changes.
-_TINY_TABLE_ROWS = 4
-_SLOW_TRANSFER_MS = 250
 _logger = logging.getLogger(__name__)
 
 
@@ -110,11 +106,7 @@
     _is_failing: bool = False
     # Set where repeating the call for changes cannot succeed.
     _needs_snapshot: bool = False
-    # Set while rows are written faster than the feed transfers them.
-    _is_overloaded: bool = False
-    # Whether the transfer of the newest rows took long.
-    _is_slow_transfer: bool = False
-    _row_count: int = 0
+    _sizes: AnswerSizes = field(default_factory=AnswerSizes)
     # Whether the copy was reported as not proved.
     _is_overdue: bool = False
     _failures: FailureLog = field(init=False)
@@ -168,7 +160,7 @@
         Skipped while the feed fails and repeats its calls anyway, and while it
         is overloaded, since a probe would take half of the link.
         """
-        if self._is_failing or self._is_overloaded or not self.is_loaded:
+        if self._is_failing or self._sizes.is_overloaded or not self.is_loaded:
             return False
         since = self.freshness.version
         try:
@@ -241,7 +233,7 @@
     def _should_poll(self) -> bool:
         if self.is_unconfirmed or self._is_failing or not self.is_loaded:
             return True
-        return self._is_overloaded or self.is_follower()
+        return self._sizes.is_overloaded or self.is_follower()
 
     async def _poll_once(self) -> bool:
         """Make one call to the feed; return True if its answer was applied."""
@@ -277,8 +269,8 @@
         A change that is known but was not relayed is too large for a datagram.
         Of a tiny table with large rows a snapshot is the shorter answer.
         """
-        is_large = self.freshness.is_behind or self._is_slow_transfer
-        if is_large and self._row_count <= _TINY_TABLE_ROWS:
+        is_large = self.freshness.is_behind or self._sizes.is_slow_transfer
+        if is_large and self._sizes.is_tiny:
             return await self.probe_source.read_all()
         return await self._read(self.probe_source, 0)
 
@@ -296,11 +288,10 @@
     @property
     def _prefers_snapshot(self) -> bool:
         """Whether the changes since the version held may be too many."""
-        if self._needs_snapshot or self._is_overloaded:
+        if self._needs_snapshot or self._sizes.is_overloaded:
             return True
-        is_small = self._row_count <= _SMALL_TABLE_ROWS
         is_long = self.freshness.behind_ms > _SNAPSHOT_AFTER_MS
-        return self._is_failing and is_small and is_long
+        return self._is_failing and self._sizes.is_small and is_long
 
     @property
     def _max_pause_ms(self) -> int:
@@ -349,7 +340,8 @@
             self._log_event('stale answer', str(page.version))
             self._needs_snapshot = False
             return False
-        self._record_size(page, since)
+        self._needs_snapshot = False
+        self._sizes.record(page, since, self.freshness.transfer_ms(page))
         self.is_loaded = self._try_apply(page)
         if self.is_loaded:
             is_proved = self.freshness.apply_page(page)
@@ -358,24 +350,6 @@
                 self.relay(since, page)
         return self.is_loaded
 
-    def _record_size(self, page: Page, since: int) -> None:
-        """Record the size of an answer and the load that it shows."""
-        self._needs_snapshot = False
-        if page.is_snapshot:
-            self._row_count = len(page.rows)
-            newest = max((row.version for row in page.rows), default=0)
-            is_overloaded = self._is_overloaded and newest > since
-        else:
-            keys = {row.key for row in page.rows}
-            is_overloaded = len(keys) < len(page.rows)
-        if page.rows:
-            transfer_ms = self.freshness.transfer_ms(page)
-            self._is_slow_transfer = transfer_ms > _SLOW_TRANSFER_MS
-        is_small = self._row_count <= _TINY_TABLE_ROWS
-        self._is_overloaded = (
-            is_overloaded and self._is_slow_transfer and is_small
-        )
-
     def _try_apply(self, page: Page) -> bool:
         """Apply an answer; an exception there must not end the watch."""
         try:
@@ -392,7 +366,7 @@
         """Return what the feed is doing and what keeps probes away."""
         flags = {
             'failing': self._is_failing,
-            'overloaded': self._is_overloaded,
+            'overloaded': self._sizes.is_overloaded,
             'not loaded': not self.is_loaded,
         }
         activity = self._feed_state.activity.value
