Watch: pauses after failed calls move to a class of their own

They are about to change too, and the watch has grown past what one class should hold. No change of behaviour: the tests of watches pass as before.

--- a/seampond/watches/watch.py
+++ b/seampond/watches/watch.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -12,6 +11,7 @@
 from seampond.watches.failures import FailureLog
 from seampond.watches.feed_state import FeedActivity, FeedState
 from seampond.watches.freshness import TableFreshness
+from seampond.watches.retry_pause import RetryPause
 from seampond.watches.rows import (
     HistoryGoneError,
     Page,
@@ -19,14 +19,9 @@
     revision_of,
 )
 
-_MIN_RETRY_PAUSE_MS = 100
 _IDLE_POLL_MS = 500
 # Time after a start until the followers are known.
 _STARTUP_DELAY_MS = 1000
-# While proofs of other processes are this recent, failed calls are repeated
-# only rarely.
-_RECENT_PROOF_MS = 2500
-_PROVED_RETRY_PAUSE_MS = 3000
 # After an outage of this length a small table is read as a snapshot, since the
 # feed sends each change of a row and a snapshot each row once.
 _SNAPSHOT_AFTER_MS = 2000
@@ -111,13 +106,20 @@
     _is_overdue: bool = False
     _failures: FailureLog = field(init=False)
     _feed_state: FeedState = field(init=False)
+    _retry_pause: RetryPause = field(init=False)
 
     def __post_init__(self) -> None:
-        """Set up the log of failed calls and the state of the feed."""
+        """Set up the components that depend on the parameters."""
         self._failures = FailureLog(
             self.clock, self.count_failure, self._log_event
         )
         self._feed_state = FeedState(self.clock)
+        self._retry_pause = RetryPause(
+            self.clock,
+            self.freshness,
+            self.max_retry_pause_ms,
+            self.interval_factor,
+        )
 
     @property
     def is_failing(self) -> bool:
@@ -131,7 +133,6 @@
 
     async def run(self) -> None:
         """Follow the table until cancelled."""
-        pause_ms = _MIN_RETRY_PAUSE_MS
         while True:
             await self._wait_for_turn()
             try:
@@ -147,10 +148,10 @@
                 self._is_failing = True
                 is_fresh = False
             if is_fresh:
-                pause_ms = _MIN_RETRY_PAUSE_MS
+                self._retry_pause.reset()
                 continue
-            await self._pause(pause_ms * random.uniform(0.5, 1))
-            pause_ms = min(self._max_pause_ms, pause_ms * 2)
+            self._feed_state.enter(FeedActivity.pausing)
+            await self._retry_pause.wait()
 
     async def probe(self) -> bool:
         """Make one call besides the feed; return True if it was applied.
@@ -293,34 +294,6 @@
         is_long = self.freshness.behind_ms > _SNAPSHOT_AFTER_MS
         return self._is_failing and self._sizes.is_small and is_long
 
-    @property
-    def _max_pause_ms(self) -> int:
-        """Current maximum of the pause after failed calls.
-
-        Explanation
-        -----------
-        The first answer after an outage is relayed to all processes, so each
-        of them may retry less often the more there are.
-        """
-        longest_ms = round(self.max_retry_pause_ms * self.interval_factor())
-        if self._is_proved_by_others:
-            return max(longest_ms, _PROVED_RETRY_PAUSE_MS)
-        return min(longest_ms, _PROVED_RETRY_PAUSE_MS)
-
-    @property
-    def _is_proved_by_others(self) -> bool:
-        """Whether recent proofs of other processes show a complete copy."""
-        age_ms = self.clock.now() - self.freshness.proved_ms
-        return not self.freshness.is_behind and age_ms < _RECENT_PROOF_MS
-
-    async def _pause(self, pause_ms: float) -> None:
-        """Wait after a failed call, at most until a change is missing."""
-        self._feed_state.enter(FeedActivity.pausing)
-        if self._is_proved_by_others:
-            await self.freshness.wait_until_behind(round(pause_ms))
-        else:
-            await self.clock.sleep(min(pause_ms, self._max_pause_ms))
-
     def _record_failure(self, error: PlatformError) -> None:
         """Record a failed call and whether repeating it can succeed."""
         self._failures.record_failure(error)
