Give up a feed's call that hangs, and never rely on it to read the table

Cause: the feed's call waits up to 15 s in the store. Its answer may be lost while the connection lives on, by a cut shorter than every timeout. Only a failed probe raised doubt about the call, and three states suppressed probes because the feed was thought to be reading without a pause: failing, overloaded, not loaded. So a gateway that no longer followed the feed, or one whose probe had brought several versions of a large row, read nothing until the call's time was over, up to 15.9 s.

Why it works: probes are left out only while the feed repeats calls that do not wait, which end by their own timeouts. A waiting call is given up as soon as a probe brings changes, since it should have brought them, or after two failed probes, so that the feed retries and tells others that it fails. In steady state no call is added: probes beside a living feed bring no rows.

--- a/seampond/watches/watch.py
+++ b/seampond/watches/watch.py
@@ -1,6 +1,5 @@
 """Watch that keeps a local copy of one table up to date."""
 
-import asyncio
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -96,7 +95,7 @@
     relay: Callable[[int, Page], None] = _ignore_page
     is_loaded: bool = False
     is_unconfirmed: bool = False
-    _feed_timeout: asyncio.Timeout | None = None
+    # Whether the newest probe failed.
     _is_suspect: bool = False
     _is_failing: bool = False
     # Set where repeating the call for changes cannot succeed.
@@ -158,26 +157,26 @@
 
         Explanation
         -----------
-        Skipped while the feed fails and repeats its calls anyway, and while it
-        is overloaded, since a probe would take half of the link.
+        Skipped while the feed repeats calls that do not wait.  A call of the
+        feed that waits is given up if the probe brings changes, which it has
+        missed, or succeeds after a failed one.
         """
-        if self._is_failing or self._sizes.is_overloaded or not self.is_loaded:
+        if self._is_feed_repeating:
             return False
         since = self.freshness.version
+        feed_calls = self._feed_state.calls
         try:
             page = await self._read_probe()
             is_fresh = self._accept(page, since)
         except PlatformError as error:
             self._record_failure(error)
-            # The pending call of the feed may hang as well.
-            self._is_suspect = True
-            # Without a feed, the call is repeated at growing pauses.
-            self._is_failing = not self.is_follower()
+            self._handle_failed_probe()
             return False
         self._failures.record_success()
-        if self._is_suspect:
+        has_missed = bool(page.rows) and self._feed_state.calls == feed_calls
+        if self._is_suspect or has_missed:
             self._is_suspect = False
-            self._cancel_poll()
+            self._give_up_waiting('answered probe')
         return is_fresh
 
     def log_overdue(self, max_unproved_ms: int) -> None:
@@ -236,23 +235,33 @@
             return True
         return self._sizes.is_overloaded or self.is_follower()
 
+    @property
+    def _is_feed_repeating(self) -> bool:
+        """Whether the feed reads the table by calls that do not wait.
+
+        Explanation
+        -----------
+        Such calls end soon.  A call that waits may hang for all of its time,
+        whatever has become of the table since it was made.
+        """
+        if self._feed_state.is_waiting:
+            return False
+        is_overloaded = self._sizes.is_overloaded
+        return self._is_failing or is_overloaded or not self.is_loaded
+
     async def _poll_once(self) -> bool:
-        """Make one call to the feed; return True if its answer was applied."""
-        self._feed_timeout = asyncio.timeout(None)
+        """Make one call to the feed; return True unless it must be repeated."""
         since = self.freshness.version
         wait_ms = self._wait_ms
-        self._feed_state.enter(
-            FeedActivity.waiting if wait_ms else FeedActivity.polling
-        )
         try:
-            async with self._feed_timeout:
+            async with self._feed_state.call(wait_ms):
                 page = await self._read(self.source, wait_ms)
         except TimeoutError as error:
+            if not self._is_suspect:
+                return True
             raise PlatformError('given up', step='read-changes') from error
-        finally:
-            self._feed_timeout = None
         is_fresh = self._accept(page, since)
-        self._feed_state.enter(FeedActivity.pausing)
+        self._is_suspect = False
         if is_fresh and page.rows and not page.is_snapshot:
             await self.clock.sleep(self.batch_pause_ms)
         return is_fresh
@@ -300,10 +309,32 @@
         if isinstance(error, (CutAnswerError, HistoryGoneError)):
             self._needs_snapshot = True
 
-    def _cancel_poll(self) -> None:
-        """Cancel the pending call of the feed, if there is one."""
-        if self._feed_timeout is not None:
-            self._feed_timeout.reschedule(asyncio.get_running_loop().time())
+    def _handle_failed_probe(self) -> None:
+        """Let the feed repeat its call once probes have failed.
+
+        Explanation
+        -----------
+        A call of the feed that waits may hang as well, but is given up only
+        after a second failure.
+        """
+        if not self._feed_state.is_waiting:
+            # Without a feed, the call is repeated at growing pauses.
+            self._is_failing = not self.is_follower()
+        elif self._is_suspect:
+            self._give_up_waiting('failed probes')
+        self._is_suspect = True
+
+    def _give_up_waiting(self, reason: str) -> None:
+        """Give up the pending call of the feed if it is one that waits."""
+        if not self._feed_state.is_waiting:
+            return
+        self.count_failure('given-up')
+        self._log_event(
+            'waiting call given up',
+            reason,
+            waited_ms=self._feed_state.duration_ms,
+        )
+        self._feed_state.give_up()
 
     def _accept(self, page: Page, since: int) -> bool:
         """Apply an answer unless it is stale; return True if it was applied."""
