Feed and probe: one call that does not wait at a time

Cause: a gateway that becomes a follower asks the feed for all changes since its copy, and at that moment its probe is due as well. Both answers carry the same versions over one link, so that each takes twice as long; at 375 KB a second of versions neither ends in time.

The unit test fails before: the feed's first call waits.

Why it works: the first call after others have followed the feed does not wait, so it proves the copy or fails within the time of one call, and calls that do not wait exclude each other. Each ends by its own timeouts, so neither can wait for the other longer than that. One small call more whenever a process becomes a follower.

A test's feed gets one answer more, so that its call waits as in steady state while the probe is made; what it asserts is as it was.

--- a/seampond/watches/tests/test_watch.py
+++ b/seampond/watches/tests/test_watch.py
@@ -506,7 +506,9 @@
         for rows, call in ((1, 'all'), (5, 'since 3')):
             with self.subTest(rows=rows):
                 keys = map(str, range(rows))
-                self.feed = ListedSource(_page(3, *keys, is_snapshot=True))
+                self.feed = ListedSource(
+                    _page(3, *keys, is_snapshot=True), _page(3)
+                )
                 watch = await self._start(_page(9, is_snapshot=True))
                 watch.freshness.apply_proof(
                     FreshnessProof(latest_change=8, store_ms=0)
@@ -549,6 +551,26 @@
         self.assertEqual(line.__dict__['detail'], 'waiting')
         self.assertEqual(line.__dict__['feed_ms'], 2500)
 
+    async def test_feed_and_probe_do_not_read_at_once(self) -> None:
+        """Over a narrow link both would miss the time for their answers."""
+        clock = RecordingClock()
+        feed = ListedSource(_page(3, is_snapshot=True), _page(3))
+        probes = ListedSource(_page(4, 'a'))
+        is_follower = [False]
+        watch = build_watch(
+            feed, probes, clock=clock, is_follower=lambda: is_follower[0]
+        )
+        task = asyncio.create_task(watch.run())
+        self.addCleanup(task.cancel)
+        async with asyncio.timeout(5):
+            while not clock.__dict__['sleeps']:
+                await asyncio.sleep(0)
+            is_follower[0] = True
+            await feed.is_over.wait()
+        self.assertEqual(feed.waits, [0, 0])
+        self.assertFalse(await watch.probe())
+        self.assertEqual(probes.calls, [])
+
     async def test_no_probe_before_first_snapshot(self) -> None:
         """Changes must not be requested before a snapshot was applied."""
         watch = build_watch(ListedSource())
--- a/seampond/watches/watch.py
+++ b/seampond/watches/watch.py
@@ -1,5 +1,6 @@
 """Watch that keeps a local copy of one table up to date."""
 
+import asyncio
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -95,6 +96,10 @@
     relay: Callable[[int, Page], None] = _ignore_page
     is_loaded: bool = False
     is_unconfirmed: bool = False
+    # Whether other processes followed the feed until now.
+    _is_resuming: bool = False
+    # Held by each call that does not wait.
+    _short_calls: asyncio.Lock = field(default_factory=asyncio.Lock)
     # Whether the newest probe failed.
     _is_suspect: bool = False
     _is_failing: bool = False
@@ -161,12 +166,13 @@
         feed that waits is given up if the probe brings changes, which it has
         missed, or succeeds after a failed one.
         """
-        if self._is_feed_repeating:
+        if self._is_feed_repeating or self._short_calls.locked():
             return False
         since = self.freshness.version
         feed_calls = self._feed_state.calls
         try:
-            page = await self._read_probe()
+            async with self._short_calls:
+                page = await self._read_probe()
             is_fresh = self._accept(page, since)
         except PlatformError as error:
             self._record_failure(error)
@@ -227,6 +233,7 @@
             await self.clock.sleep(_STARTUP_DELAY_MS)
             self.is_unconfirmed = False
         while not self._should_poll:
+            self._is_resuming = True
             await self.clock.sleep(_IDLE_POLL_MS)
 
     @property
@@ -251,8 +258,15 @@
 
     async def _poll_once(self) -> bool:
         """Make one call to the feed; return True unless it must be repeated."""
-        since = self.freshness.version
         wait_ms = self._wait_ms
+        if wait_ms:
+            return await self._call_feed(wait_ms)
+        # A probe may be reading the same changes over the same link.
+        async with self._short_calls:
+            return await self._call_feed(wait_ms)
+
+    async def _call_feed(self, wait_ms: int) -> bool:
+        since = self.freshness.version
         try:
             async with self._feed_state.call(wait_ms):
                 page = await self._read(self.source, wait_ms)
@@ -262,6 +276,7 @@
             raise PlatformError('given up', step='read-changes') from error
         is_fresh = self._accept(page, since)
         self._is_suspect = False
+        self._is_resuming = False
         if is_fresh and page.rows and not page.is_snapshot:
             await self.clock.sleep(self.batch_pause_ms)
         return is_fresh
@@ -291,9 +306,11 @@
         Explanation
         -----------
         After a snapshot or an outage the call must return at once, since
-        nothing proves that the copy is complete.
+        nothing proves that the copy is complete.  So must the first call
+        after other processes have followed the feed.
         """
-        return 0 if self.is_unconfirmed or self._is_failing else self.wait_ms
+        is_proved = not (self.is_unconfirmed or self._is_failing)
+        return self.wait_ms if is_proved and not self._is_resuming else 0
 
     @property
     def _prefers_snapshot(self) -> bool:
