A pause after failed calls ends before the proof that lengthened it is too old

Cause: a gateway whose calls fail pauses for up to 3 s while other gateways prove its copy. Whether they do was asked once, at the start of the pause: the last proof could be 2.5 s old by then and come no more, so that the copy was up to 5.5 s old before the next call, whatever had become of the path.

The deadline is a setting, taken from the platform's; 2 s where it names none.

--- a/seampond/gateway/daemon.py
+++ b/seampond/gateway/daemon.py
@@ -152,6 +152,7 @@
             lambda: components.peers.is_follower,
             policy.proves_at_start,
             functools.partial(components.relay, table),
+            lambda: components.settings.bounds.configuration_deadline_ms,
         )
         components.watches[table] = watch
         async with run_tasks(
--- a/seampond/settings/gateway.py
+++ b/seampond/settings/gateway.py
@@ -78,6 +78,9 @@
 
     Parameters
     ----------
+    configuration_deadline_ms : int
+        How long after its acknowledgement a configuration may not be in force
+        at a gateway that reaches the store.
     strict_revoke : bool
         Whether a revoked key is rejected after `revoke_ms` even by a gateway
         that cannot reach the store.
@@ -100,6 +103,7 @@
 
     """
 
+    configuration_deadline_ms: PositiveMs = 2000
     strict_revoke: bool = True
     revoke_ms: PositiveMs = 5000
     proof_margin_ms: NonNegativeMs = 400
--- a/seampond/testing/table_fleet.py
+++ b/seampond/testing/table_fleet.py
@@ -102,6 +102,7 @@
     number: int
     store: StoreState
     link: FaultyLink
+    deadline_ms: int
     is_alone: bool = False
     healed_ms: int = 0
     heard_ms: dict[int, int] = field(default_factory=dict)
@@ -127,6 +128,7 @@
             self.freshness,
             is_follower=self._is_follower,
             relay=self._relay,
+            deadline_ms=lambda: self.deadline_ms,
         )
 
     @property
@@ -200,7 +202,12 @@
         self._store.table.put('row', plan.size)
         self._store_healed_ms = 0
         self.members = [
-            Member(number, self._store, FaultyLink(plan.bytes_per_ms))
+            Member(
+                number,
+                self._store,
+                FaultyLink(plan.bytes_per_ms),
+                plan.deadline_ms,
+            )
             for number in range(_MEMBERS)
         ]
 
--- a/seampond/watches/watch.py
+++ b/seampond/watches/watch.py
@@ -20,6 +20,7 @@
 )
 
 _IDLE_POLL_MS = 500
+_DEADLINE_MS = 2000
 # Time after a start until the followers are known.
 _STARTUP_DELAY_MS = 1000
 # After an outage of this length a small table is read as a snapshot, since the
@@ -38,6 +39,11 @@
     return 1
 
 
+def _default_deadline() -> int:
+    """Return the time within which a change must be held."""
+    return _DEADLINE_MS
+
+
 def _ignore_page(since: int, page: Page) -> None:
     """Relay nothing."""
 
@@ -74,6 +80,8 @@
     relay : Callable[[int, Page], None]
         Called with the version held before and an answer that brings changes
         not known from other processes.
+    deadline_ms : Callable[[], int]
+        Time within which a change must be held.
     is_loaded : bool
         Whether a snapshot has been applied and can be continued by changes.
     is_unconfirmed : bool
@@ -94,6 +102,7 @@
     is_follower: Callable[[], bool] = _always
     confirms_snapshot: bool = True
     relay: Callable[[int, Page], None] = _ignore_page
+    deadline_ms: Callable[[], int] = _default_deadline
     is_loaded: bool = False
     is_unconfirmed: bool = False
     # Whether other processes followed the feed until now.
@@ -123,6 +132,7 @@
             self.freshness,
             self.max_retry_pause_ms,
             self.interval_factor,
+            self.deadline_ms,
         )
 
     @property
