Deny nobody by a proof that is older than the configuration's deadline

Cause: a gateway denied while its proof was at most 4 s old, a figure taken from what was seen in healthy fleets. A proof says that the configuration was the newest at one moment; all that came after it is unknown. With a deadline of 2 or 3 s, 4 s allow denials by what should be replaced already.

Evidence: the test fails with 4000 in place of the deadline, at 2 and 3 s.

Why it works: whoever is proved within the deadline holds every version that must be in force. After that the caller gets 503 and comes back after 250 ms, to another gateway. The simulated fleet now also checks that no copy counts as proved within the deadline without holding what is due.

--- a/seampond/forwarding/admission.py
+++ b/seampond/forwarding/admission.py
@@ -20,10 +20,9 @@
 _STEP = 'admit'
 _NOT_READY_RETRY_MS = 500
 _UNPROVED_RETRY_MS = 1000
-# Greater than the age of a proof while gateways and store are healthy.
-_MAX_DENY_PROOF_AGE_MS = 4000
 # By then this gateway should have read the newer configuration.
 _OUTDATED_RETRY_MS = 250
+_DEADLINE_MS = 2000
 _DEFAULT_MAX_WAIT_MS = 60_000
 # A caller that waits for less than this fraction of the longest wait of its
 # route has used up some of its time.
@@ -54,17 +53,26 @@
         Latest time at which it was proved the newest, None for never.
     is_outdated : Callable[[], bool]
         Return True if a newer one is known that has not been read yet.
+    deadline_ms : int
+        Time after which an acknowledged configuration must be in force.
 
     """
 
     configuration: Configuration | None = None
     proved_ms: int | None = None
     is_outdated: Callable[[], bool] = _never
+    deadline_ms: int = _DEADLINE_MS
 
     def may_deny(self, now_ms: int) -> bool:
-        """Return True if requests that it does not allow may be denied."""
+        """Return True if requests that it does not allow may be denied.
+
+        Explanation
+        -----------
+        A configuration that was the newest within the deadline is the newest
+        that must be in force.
+        """
         age_ms = self.proof_age_ms(now_ms)
-        is_proved = age_ms is not None and age_ms <= _MAX_DENY_PROOF_AGE_MS
+        is_proved = age_ms is not None and age_ms <= self.deadline_ms
         return is_proved and not self.is_outdated()
 
     def proof_age_ms(self, now_ms: int) -> int | None:
--- a/seampond/forwarding/tests/test_admission.py
+++ b/seampond/forwarding/tests/test_admission.py
@@ -61,6 +61,15 @@
         ).proof_ms
         self.admission.check_proof(job)
 
+    def test_no_denial_by_a_proof_older_than_the_deadline(self) -> None:
+        """A route that must be in force by now may be missing."""
+        self.clock.advance(60_000)
+        for deadline_ms in (2000, 3000, 11_000):
+            with self.subTest(deadline_ms=deadline_ms):
+                self.configuration_state.deadline_ms = deadline_ms
+                self.assertIs(self._deny(deadline_ms), Cause.no_route)
+                self.assertIs(self._deny(deadline_ms + 1), Cause.outdated)
+
     def test_no_denial_without_a_recent_proof(self) -> None:
         """Guards against denying what the newest configuration allows."""
         head = RequestHead(b'GET', b'/elsewhere/', [(b'host', b'a.example')], 0)
@@ -75,6 +84,14 @@
                     self.admission.admit(head, b'')
                 self.assertIs(caught.exception.cause, cause)
 
+    def _deny(self, age_ms: int) -> Cause:
+        """Return why an unknown route is refused at an age of the proof."""
+        head = RequestHead(b'GET', b'/elsewhere/', [(b'host', b'a.example')], 0)
+        self.configuration_state.proved_ms = self.clock.now() - age_ms
+        with self.assertRaises(Refusal) as caught:
+            self.admission.admit(head, b'')
+        return caught.exception.cause
+
     def _is_retry(self, max_wait_ms: int) -> bool:
         headers = [
             (b'host', b'a.example'),
--- a/seampond/gateway/components.py
+++ b/seampond/gateway/components.py
@@ -101,6 +101,7 @@
         self.settings = settings
         bounds = settings.bounds
         self.web.admission.max_proof_age_ms = bounds.proof_ms
+        self.configuration_state.deadline_ms = bounds.configuration_deadline_ms
         self.retry_budget.set_bounds(bounds.retry_ratio, bounds.retry_allowance)
         self.quotas.margin = make_quota_margin(bounds)
         self.rollout_follower.manager.limits = make_exposure_limits(bounds)
--- a/seampond/gateway/wiring.py
+++ b/seampond/gateway/wiring.py
@@ -125,8 +125,10 @@
     """Create and connect the components of a gateway."""
     metrics = GatewayMetrics()
     promises = Promises(lambda rule: metrics.violations.labels(rule).inc())
-    configuration_state = ConfigurationState()
     bounds = settings.bounds
+    configuration_state = ConfigurationState(
+        deadline_ms=bounds.configuration_deadline_ms
+    )
     peers = Peers(settings.name, clock)
     is_heartbeat_due = asyncio.Event()
     quotas = Quotas(
--- a/seampond/testing/table_fleet.py
+++ b/seampond/testing/table_fleet.py
@@ -136,6 +136,12 @@
         """Version of the row that is held, 0 for none."""
         return self.versions.get('row', 0)
 
+    @property
+    def is_proved(self) -> bool:
+        """Whether the copy counts as complete within the deadline."""
+        is_recent = self.watch.unproved_ms <= self.deadline_ms
+        return is_recent and not self.freshness.is_behind
+
     @property
     def rank(self) -> int:
         """Number of processes heard that precede this one."""
@@ -245,6 +251,10 @@
         contact_ms = self.plan.deadline_ms + _CONTACT_MARGIN_MS
         due = self._store.table.versions_at(now_ms - self.plan.deadline_ms)
         for member in self.members:
+            if member.held < due.get('row', 0) and member.is_proved:
+                self.late.append(
+                    f'{now_ms} ms: false proof, {member.describe()}'
+                )
             healed_ms = max(
                 member.healed_ms, self._store_healed_ms, _WARM_UP_MS
             )
