--- a/seampond/testing/faulty_links.py
+++ b/seampond/testing/faulty_links.py
@@ -37,6 +37,8 @@
         Number of answers that are being transferred.
     cuts : int
         Number of cuts so far.
+    calls, sent_bytes : int
+        Number of calls, and bytes of the rows in their answers.
 
     """
 
@@ -46,6 +48,8 @@
     resend_ms: int = 0
     transfers: int = 0
     cuts: int = 0
+    calls: int = 0
+    sent_bytes: float = 0
 
     def cut(self, resend_ms: int, *, refuses: bool) -> None:
         """Interrupt the link."""
@@ -139,6 +143,7 @@
         return Page(rows, version, store_ms, sent_ms, sent_ms, is_snapshot)
 
     async def _connect(self) -> None:
+        self._link.calls += 1
         await self._clock.sleep(_LATENCY_MS)
         if not self._link.is_cut:
             return
@@ -163,7 +168,9 @@
         try:
             while left > 0 and self._clock.now() < end_ms:
                 await self._clock.sleep(_STEP_MS)
-                left -= link.bytes_per_ms * _STEP_MS / link.transfers
+                part = link.bytes_per_ms * _STEP_MS / link.transfers
+                link.sent_bytes += min(left, part)
+                left -= part
                 if link.cuts > cuts:
                     await self._clock.sleep(_INACTIVITY_TIMEOUT_MS)
                     break
--- a/seampond/testing/table_fleet.py
+++ b/seampond/testing/table_fleet.py
@@ -9,9 +9,11 @@
 import random
 import sys
 from collections.abc import Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+from statistics import mean
 
-from seampond.clock import Clock
+from seampond.clock import MS_PER_SECOND, Clock
+from seampond.sharing.peers import compute_heartbeat_interval_ms
 from seampond.tasks import run_tasks
 from seampond.testing.faulty_links import (
     FaultyLink,
@@ -29,9 +31,8 @@
 )
 
 _PROOF_AGE_MS = 1500
-_HEARTBEAT_MS = 300
 _MIN_HEARTBEAT_MS = 30
-_SILENT_MS = 900
+_SILENT_INTERVALS = 3
 _HISTORY_MS = 20_000
 _WAIT_MS = 15_000
 _FOLLOWERS = 2
@@ -85,6 +86,8 @@
         Bandwidth of each link.
     deadline_ms : int
         Time within which a process must hold a version.
+    members, followers : int
+        Number of processes, and of those that follow the feed.
 
     """
 
@@ -93,6 +96,8 @@
     bytes_per_ms: float
     deadline_ms: int
     disturbances: tuple[Disturbance, ...]
+    members: int = _MEMBERS
+    followers: int = _FOLLOWERS
 
 
 @dataclass
@@ -102,7 +107,7 @@
     number: int
     store: StoreState
     link: FaultyLink
-    deadline_ms: int
+    plan: Plan
     is_alone: bool = False
     healed_ms: int = 0
     heard_ms: dict[int, int] = field(default_factory=dict)
@@ -117,7 +122,7 @@
             self.clock, StoreClock(), lambda proved_ms: None
         )
         self.failing: set[int] = set()
-        self.calls = 0
+        self.interval_ms = compute_heartbeat_interval_ms(self.plan.members)
         self.watch = Watch(
             FaultySource(self.store, self.link),
             FaultySource(self.store, self.link),
@@ -128,7 +133,7 @@
             self.freshness,
             is_follower=self._is_follower,
             relay=self._relay,
-            deadline_ms=lambda: self.deadline_ms,
+            deadline_ms=lambda: self.plan.deadline_ms,
         )
 
     @property
@@ -139,7 +144,7 @@
     @property
     def is_proved(self) -> bool:
         """Whether the copy counts as complete within the deadline."""
-        is_recent = self.watch.unproved_ms <= self.deadline_ms
+        is_recent = self.watch.unproved_ms <= self.plan.deadline_ms
         return is_recent and not self.freshness.is_behind
 
     @property
@@ -168,7 +173,7 @@
         )
 
     def _heard(self) -> Iterator[int]:
-        oldest_ms = self.clock.now() - _SILENT_MS
+        oldest_ms = self.clock.now() - _SILENT_INTERVALS * self.interval_ms
         return (
             number
             for number, heard_ms in self.heard_ms.items()
@@ -180,7 +185,7 @@
             number < self.number and number not in self.failing
             for number in self._heard()
         )
-        return before < _FOLLOWERS
+        return before < self.plan.followers
 
     def _apply(self, page: Page) -> None:
         if page.is_snapshot:
@@ -212,9 +217,9 @@
                 number,
                 self._store,
                 FaultyLink(plan.bytes_per_ms),
-                plan.deadline_ms,
+                plan,
             )
-            for number in range(_MEMBERS)
+            for number in range(plan.members)
         ]
 
     async def run(self) -> None:
@@ -286,7 +291,7 @@
             member.heartbeat_due.clear()
 
     async def _wait_until_due(self, member: Member) -> None:
-        end_ms = self._clock.now() + _HEARTBEAT_MS - _MIN_HEARTBEAT_MS
+        end_ms = self._clock.now() + member.interval_ms - _MIN_HEARTBEAT_MS
         while not member.heartbeat_due.is_set():
             if self._clock.now() >= end_ms:
                 return
@@ -299,7 +304,7 @@
                 other.hear(member, pages)
 
     async def _disturb(self, event: Disturbance) -> None:
-        member = self.members[event.number]
+        member = self.members[event.number % len(self.members)]
         await self._clock.sleep(event.at_ms)
         match event.kind:
             case 'cut':
@@ -360,18 +365,41 @@
     )
 
 
-def play(plan: Plan, seed: int) -> list[str]:
-    """Run a fleet on virtual time; return its first overdue copies."""
-    late: list[str] = []
+@dataclass(frozen=True)
+class Outcome:
+    """What a play has shown.
+
+    Parameters
+    ----------
+    late : list[str]
+        The first overdue copies.
+    calls_per_s, bytes_per_s : float
+        Calls to the store and bytes of rows, for each process.
+
+    """
+
+    late: list[str]
+    calls_per_s: float
+    bytes_per_s: float
+
+
+def play(plan: Plan, seed: int) -> Outcome:
+    """Run a fleet on virtual time."""
+    fleets: list[TableFleet] = []
 
     async def run(clock: Clock) -> None:
-        fleet = TableFleet(plan, clock, seed)
-        await fleet.run()
-        late.extend(fleet.late)
+        fleets.append(TableFleet(plan, clock, seed))
+        await fleets[0].run()
 
     random.seed(seed)
     run_virtual(run)
-    return late
+    links = [member.link for member in fleets[0].members]
+    process_s = plan.members * _PLAY_MS / MS_PER_SECOND
+    return Outcome(
+        fleets[0].late,
+        sum(link.calls for link in links) / process_s,
+        sum(link.sent_bytes for link in links) / process_s,
+    )
 
 
 def main() -> int:
@@ -379,16 +407,21 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('first', type=int)
     parser.add_argument('last', type=int)
+    parser.add_argument('--members', type=int, default=_MEMBERS)
     options = parser.parse_args()
-    failed = 0
+    outcomes: list[Outcome] = []
     for seed in range(options.first, options.last):
-        plan = draw_plan(seed)
-        late = play(plan, seed)
-        if late:
-            failed += 1
-            sys.stdout.write(f'seed {seed}: {late[0]}; {plan}\n')
-    played = options.last - options.first
-    sys.stdout.write(f'{failed} of {played} seeds fail\n')
+        plan = replace(draw_plan(seed), members=options.members)
+        outcomes.append(play(plan, seed))
+        for late in outcomes[-1].late[:1]:
+            sys.stdout.write(f'seed {seed}: {late}; {plan}\n')
+    failed = sum(bool(outcome.late) for outcome in outcomes)
+    calls = mean(outcome.calls_per_s for outcome in outcomes)
+    rows = mean(outcome.bytes_per_s for outcome in outcomes)
+    sys.stdout.write(
+        f'{failed} of {len(outcomes)} seeds fail; for each process '
+        f'{calls:.2f} calls and {rows:.0f} bytes a second\n'
+    )
     return int(failed > 0)
 
 
--- a/seampond/watches/tests/test_stale_copies.py
+++ b/seampond/watches/tests/test_stale_copies.py
@@ -23,13 +23,13 @@
         """Short and long cuts in series, lost answers, lagging reads."""
         for seed in range(_DRAWN_SEEDS):
             with self.subTest(seed=seed):
-                self.assertEqual(play(draw_plan(seed), seed), [])
+                self.assertEqual(play(draw_plan(seed), seed).late, [])
 
     def test_seeds_that_have_failed(self) -> None:
         """A seed that showed an overdue copy once must not do so again."""
         for seed in _FAILED_SEEDS:
             with self.subTest(seed=seed):
-                self.assertEqual(play(draw_plan(seed), seed), [])
+                self.assertEqual(play(draw_plan(seed), seed).late, [])
 
     def test_large_versions_after_a_cut_shorter_than_timeouts(self) -> None:
         """No probe fails, and the call that the cut orphaned stays open."""
