Feed and probe take turns only when the feed resumes, and for 0.9 s at most

Now only the first call after others have followed the feed counts as a probe, and the feed waits no longer for a probe than a call may be silent.

--- a/seampond/watches/tests/test_watch.py
+++ b/seampond/watches/tests/test_watch.py
@@ -471,6 +471,16 @@
             while self.feed.calls[-1] != 'all':
                 await asyncio.sleep(0.01)
 
+    async def test_probe_without_news_leaves_the_call_of_the_feed(self) -> None:
+        """A snapshot names all rows, also those that are held."""
+        watch = await self._start(_page(2, 'a', is_snapshot=True), _page(3))
+        watch.freshness.apply_proof(FreshnessProof(latest_change=9, store_ms=0))
+        calls = list(self.feed.calls)
+        self.assertFalse(await watch.probe())
+        self.assertTrue(await watch.probe())
+        await asyncio.sleep(0)
+        self.assertEqual(self.feed.calls, calls)
+
     async def test_probes_go_on_after_one_fails_beside_a_hanging_call(
         self,
     ) -> None:
--- a/seampond/watches/watch.py
+++ b/seampond/watches/watch.py
@@ -3,9 +3,10 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
 
-from seampond.clock import Clock
+from seampond.clock import MS_PER_SECOND, Clock
 from seampond.errors import CutAnswerError, PlatformError
 from seampond.watches.answer_sizes import AnswerSizes
 from seampond.watches.failures import FailureLog
@@ -23,6 +24,8 @@
 _DEADLINE_MS = 2000
 # Time after a start until the followers are known.
 _STARTUP_DELAY_MS = 1000
+# How long the feed and a probe leave the link to each other.
+_MAX_TURN_MS = 900
 # After an outage of this length a small table is read as a snapshot, since the
 # feed sends each change of a row and a snapshot each row once.
 _SNAPSHOT_AFTER_MS = 2000
@@ -107,8 +110,7 @@
     is_unconfirmed: bool = False
     # Whether other processes followed the feed until now.
     _is_resuming: bool = False
-    # Held by each call that does not wait.
-    _short_calls: asyncio.Lock = field(default_factory=asyncio.Lock)
+    _probe_ended: asyncio.Event = field(default_factory=asyncio.Event)
     # Whether the newest probe failed.
     _is_suspect: bool = False
     _is_failing: bool = False
@@ -126,6 +128,7 @@
         self._failures = FailureLog(
             self.clock, self.count_failure, self._log_event
         )
+        self._probe_ended.set()
         self._feed_state = FeedState(self.clock)
         self._retry_pause = RetryPause(
             self.clock,
@@ -176,21 +179,24 @@
         feed that waits is given up if the probe brings changes, which it has
         missed, or succeeds after a failed one.
         """
-        if self._is_feed_repeating or self._short_calls.locked():
+        if self._is_feed_repeating:
             return False
         since = self.freshness.version
         feed_calls = self._feed_state.calls
         try:
-            async with self._short_calls:
-                page = await self._read_probe()
+            self._probe_ended.clear()
+            page = await self._read_probe()
             is_fresh = self._accept(page, since)
         except PlatformError as error:
             self._record_failure(error)
             self._handle_failed_probe()
             return False
+        finally:
+            self._probe_ended.set()
         self._failures.record_success()
-        has_missed = bool(page.rows) and self._feed_state.calls == feed_calls
-        if self._is_suspect or has_missed:
+        has_news = any(row.version > since for row in page.rows)
+        is_same_call = self._feed_state.calls == feed_calls
+        if self._is_suspect or (has_news and is_same_call):
             self._is_suspect = False
             self._give_up_waiting('answered probe')
         return is_fresh
@@ -263,19 +269,17 @@
         """
         if self._feed_state.is_waiting:
             return False
+        is_polling = self._feed_state.activity is FeedActivity.polling
+        if is_polling and self._is_resuming:
+            return True
         is_overloaded = self._sizes.is_overloaded
         return self._is_failing or is_overloaded or not self.is_loaded
 
     async def _poll_once(self) -> bool:
         """Make one call to the feed; return True unless it must be repeated."""
         wait_ms = self._wait_ms
-        if wait_ms:
-            return await self._call_feed(wait_ms)
-        # A probe may be reading the same changes over the same link.
-        async with self._short_calls:
-            return await self._call_feed(wait_ms)
-
-    async def _call_feed(self, wait_ms: int) -> bool:
+        if self._is_resuming:
+            await self._wait_for_probe()
         since = self.freshness.version
         try:
             async with self._feed_state.call(wait_ms):
@@ -291,8 +295,14 @@
             await self.clock.sleep(self.batch_pause_ms)
         return is_fresh
 
+    async def _wait_for_probe(self) -> None:
+        """Wait for a probe, which may be reading the same changes."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(_MAX_TURN_MS / MS_PER_SECOND):
+                await self._probe_ended.wait()
+
     async def _read(self, source: TableSource, wait_ms: int) -> Page:
-        if not self.is_loaded or self._prefers_snapshot:
+        if self._prefers_snapshot:
             return await source.read_all()
         return await source.read_changes(self.freshness.version, wait_ms)
 
@@ -320,12 +330,15 @@
         after other processes have followed the feed.
         """
         is_proved = not (self.is_unconfirmed or self._is_failing)
-        return self.wait_ms if is_proved and not self._is_resuming else 0
+        may_wait = is_proved and not self._is_resuming
+        return self.wait_ms if may_wait and not self._prefers_snapshot else 0
 
     @property
     def _prefers_snapshot(self) -> bool:
-        """Whether the changes since the version held may be too many."""
-        if self._needs_snapshot or self._sizes.is_overloaded:
+        """Whether there are no rows yet, or too many changes since."""
+        if self._needs_snapshot or not self.is_loaded:
+            return True
+        if self._sizes.is_overloaded:
             return True
         is_long = self.freshness.behind_ms > _SNAPSHOT_AFTER_MS
         return self._is_failing and self._sizes.is_small and is_long
