--- a/seampond/watches/freshness.py
+++ b/seampond/watches/freshness.py
@@ -100,6 +100,11 @@
         """Whether a change is known to be missing."""
         return bool(self._missing_version)
 
+    @property
+    def known_version(self) -> int:
+        """Newest version that is held or known to be missing."""
+        return max(self.version, self._missing_version)
+
     @property
     def behind_ms(self) -> int:
         """How long a change has been known to be missing, 0 for none."""
--- a/seampond/watches/tests/test_watch.py
+++ b/seampond/watches/tests/test_watch.py
@@ -508,6 +508,25 @@
                 self.assertEqual(self.probes.calls, ['since 3', 'all'])
                 self.assertEqual(watch.freshness.version, 9)
 
+    async def test_probe_does_not_repeat_a_snapshot_that_lags(self) -> None:
+        """A store that is behind with snapshots still answers changes."""
+        for version in (2, 6):
+            with self.subTest(version=version):
+                self.feed = ListedSource(
+                    _page(3, 'a', is_snapshot=True), _page(3)
+                )
+                watch = await self._start(
+                    _page(version, 'a', is_snapshot=True), _page(9, 'a')
+                )
+                watch.freshness.apply_proof(
+                    FreshnessProof(latest_change=9, store_ms=0)
+                )
+                await watch.probe()
+                self.assertTrue(await watch.probe())
+                last_call = self.probes.calls[-1]
+                self.assertEqual(last_call, f'since {max(3, version)}')
+                self.assertFalse(watch.freshness.is_behind)
+
     async def test_probe_reads_snapshot_of_tiny_table(self) -> None:
         """A large change must not be read in several versions by the feed.
 
--- a/seampond/watches/watch.py
+++ b/seampond/watches/watch.py
@@ -111,6 +111,8 @@
     # Whether other processes followed the feed until now.
     _is_resuming: bool = False
     _probe_ended: asyncio.Event = field(default_factory=asyncio.Event)
+    # Whether the newest probe read a snapshot without a change known before.
+    _is_snapshot_late: bool = False
     # Whether the newest probe failed.
     _is_suspect: bool = False
     _is_failing: bool = False
@@ -182,6 +184,7 @@
         if self._is_feed_repeating:
             return False
         since = self.freshness.version
+        known_version = self.freshness.known_version
         feed_calls = self._feed_state.calls
         try:
             self._probe_ended.clear()
@@ -194,6 +197,8 @@
         finally:
             self._probe_ended.set()
         self._failures.record_success()
+        is_old = page.version < known_version
+        self._is_snapshot_late = page.is_snapshot and is_old
         has_news = any(row.version > since for row in page.rows)
         is_same_call = self._feed_state.calls == feed_calls
         if self._is_suspect or (has_news and is_same_call):
@@ -312,13 +317,23 @@
         Explanation
         -----------
         A change that is known but was not relayed is too large for a datagram.
-        Of a tiny table with large rows a snapshot is the shorter answer.
         """
         is_large = self.freshness.is_behind or self._sizes.is_slow_transfer
-        if is_large and self._sizes.is_tiny:
+        if is_large and self._is_snapshot_shorter:
             return await self.probe_source.read_all()
         return await self._read(self.probe_source, 0)
 
+    @property
+    def _is_snapshot_shorter(self) -> bool:
+        """Whether a snapshot is shorter than several changes of large rows.
+
+        Explanation
+        -----------
+        It must also be as new: the store may be some seconds behind with
+        snapshots.
+        """
+        return self._sizes.is_tiny and not self._is_snapshot_late
+
     @property
     def _wait_ms(self) -> int:
         """How long the store may hold the feed's next call.
