--- a/seampond/watches/tests/test_watch.py
+++ b/seampond/watches/tests/test_watch.py
@@ -478,7 +478,7 @@
         calls = list(self.feed.calls)
         self.assertFalse(await watch.probe())
         self.assertTrue(await watch.probe())
-        await asyncio.sleep(0)
+        await asyncio.sleep(0.02)
         self.assertEqual(self.feed.calls, calls)
 
     async def test_probes_go_on_after_one_fails_beside_a_hanging_call(
