--- a/seampond/gateway/tests/test_stale_configuration.py
+++ b/seampond/gateway/tests/test_stale_configuration.py
@@ -17,6 +17,9 @@
 # At this rate all versions take over 7 s, the newest alone 0.125 s.
 _BYTES_PER_S = 1_000_000
 _TIMEOUT_S = 8
+_STORM_VERSIONS = 12
+_STORM_GAP_MS = 300
+_DEADLINE_S = 2
 _LATER_MS = 1_000_000_000
 
 
@@ -38,6 +41,21 @@
         self.store.is_down = False
         await wait_until(lambda: admission.version == _VERSIONS - 1, _TIMEOUT_S)
 
+    async def test_gateway_alone_does_not_rely_on_a_call_that_hangs(
+        self,
+    ) -> None:
+        """The answer is lost, the connection is not, and nobody else reads."""
+        gateway = await self.start_ready()
+        admission = gateway.components.web.admission
+        self.store.bytes_per_s = _BYTES_PER_S
+        self.store.orphan_feeds()
+        for version in range(2, _STORM_VERSIONS):
+            row = ConfigurationRow(version=version, other_tenants=_TENANTS)
+            put_configuration(self.store, row)
+            await self.store.clock.sleep(_STORM_GAP_MS)
+        newest = _STORM_VERSIONS - 1
+        await wait_until(lambda: admission.version == newest, _DEADLINE_S)
+
     async def test_stale_gateway_does_not_deny_callers(self) -> None:
         """The route or key may be new, so callers are told to retry."""
         gateway = await self.start_ready()
--- a/seampond/testing/store.py
+++ b/seampond/testing/store.py
@@ -54,6 +54,7 @@
     _history: list[dict[str, object]] = field(default_factory=list)
     _written_ms: list[int] = field(default_factory=list)
     _changed: asyncio.Event = field(default_factory=asyncio.Event)
+    _orphanings: int = 0
 
     def put(self, table: str, key: str, content: object) -> None:
         """Write a row."""
@@ -70,6 +71,11 @@
         self.oldest_version = self.version
         self._notify_feeds()
 
+    def orphan_feeds(self) -> None:
+        """Never answer the waiting calls; their connections stay open."""
+        self._orphanings += 1
+        self._notify_feeds()
+
     def restore_backup(self, backup_ms: int) -> None:
         """Restore the state of an earlier time; later writes are lost."""
         retained = bisect.bisect_right(self._written_ms, backup_ms)
@@ -145,7 +151,10 @@
         since = int(query[names.SINCE_PARAMETER])
         until_ms = self.clock.now() + int(query[names.WAIT_PARAMETER])
         era = self.era
+        orphanings = self._orphanings
         while True:
+            if self._orphanings > orphanings:
+                await asyncio.Event().wait()
             is_known = self.oldest_version <= since <= self.version
             if era != self.era or not is_known:
                 return None
