Pause between reads of a table whose history is lost again and again

What callers saw: nothing yet; suspected, found in looking for the same class.

Cause: lost history led to a whole read at once, without a pause.

Evidence: the test fails before, no pause between the two.

--- a/seampond/watches/tests/test_watch.py
+++ b/seampond/watches/tests/test_watch.py
@@ -268,6 +268,20 @@
         self.assertEqual(calls, ['all', 'since 3', 'all', 'since 9'])
         self.assertEqual(applied, [3, 9])
 
+    async def test_history_lost_again_and_again_leads_to_pauses(self) -> None:
+        """A store that is behind with snapshots must not be flooded."""
+        gone = HistoryGoneError('gone', step='read')
+        whole = _page(3, is_snapshot=True)
+        source = ListedSource(whole, gone, whole, gone, _page(9, 'a'))
+        clock = RecordingClock()
+        watch = build_watch(source, clock=clock)
+        task = asyncio.create_task(watch.run())
+        self.addCleanup(task.cancel)
+        async with asyncio.timeout(5):
+            await source.is_over.wait()
+        pauses = [sleep for sleep in clock.__dict__['sleeps'] if sleep]
+        self.assertEqual(len(pauses), 2)
+
     async def test_stale_snapshot_is_read_again(self) -> None:
         """A snapshot older than the version held must not be applied."""
         gone = HistoryGoneError('gone', step='read')
--- a/seampond/watches/watch.py
+++ b/seampond/watches/watch.py
@@ -163,7 +163,7 @@
             except HistoryGoneError:
                 self._log_event('history gone', 'read-changes')
                 self.is_loaded = False
-                continue
+                is_fresh = False
             except PlatformError as error:
                 self._record_failure(error)
                 self._is_failing = True
