A probe leaves the link to a feed that resumes for 0.9 s, as the message said

Commit says that the feed and a probe take turns for 0.9 s at most. That held for the feed only: a probe was left out as long as the first call of a feed that resumes lasted, up to 2.9 s for changes and 8.9 s for a whole read that trickles. Found in reading the change; no run showed it.

--- a/seampond/watches/watch.py
+++ b/seampond/watches/watch.py
@@ -24,7 +24,7 @@
 _DEADLINE_MS = 2000
 # Time after a start until the followers are known.
 _STARTUP_DELAY_MS = 1000
-# How long the feed and a probe leave the link to each other.
+# How long a feed that resumes and a probe leave the link to each other.
 _MAX_TURN_MS = 900
 # After an outage of this length a small table is read as a snapshot, since the
 # feed sends each change of a row and a snapshot each row once: some 35 versions
@@ -278,7 +278,7 @@
             return False
         is_polling = self._feed_state.activity is FeedActivity.polling
         if is_polling and self._is_resuming:
-            return True
+            return self._feed_state.duration_ms < _MAX_TURN_MS
         is_overloaded = self._sizes.is_overloaded
         return self._is_failing or is_overloaded or not self.is_loaded
 
