A failing feed keeps probes away also while it resumes; log lost copies as overdue

The event for a copy that is not proved in time ended as proved again when the copy was lost instead. The test fails without the change.

--- a/seampond/watches/tests/test_watch.py
+++ b/seampond/watches/tests/test_watch.py
@@ -586,7 +586,8 @@
             await feed.is_over.wait()
         clock.advance(2500)
         with self.assertLogs('seampond.watches.watch', 'WARNING') as logs:
-            for _ in range(2):
+            for is_loaded in (True, False):
+                watch.is_loaded = is_loaded
                 watch.log_overdue(2000)
         line, *repeated = logs.records
         self.assertEqual(repeated, [])
--- a/seampond/watches/watch.py
+++ b/seampond/watches/watch.py
@@ -216,7 +216,7 @@
         The event tells what the feed is doing, since a call that hangs and a
         pause that is too long look alike to other processes.
         """
-        was_proved = self.is_loaded and self.freshness.proved_ms > 0
+        was_proved = self.freshness.proved_ms > 0
         is_overdue = was_proved and self.unproved_ms > max_unproved_ms
         if is_overdue == self._is_overdue:
             return
@@ -277,8 +277,9 @@
         if self._feed_state.is_waiting:
             return False
         is_polling = self._feed_state.activity is FeedActivity.polling
-        if is_polling and self._is_resuming:
-            return self._feed_state.duration_ms < _MAX_TURN_MS
+        has_resumed = is_polling and self._is_resuming
+        if has_resumed and self._feed_state.duration_ms < _MAX_TURN_MS:
+            return True
         is_overloaded = self._sizes.is_overloaded
         return self._is_failing or is_overloaded or not self.is_loaded
 
