--- a/seampond/watches/tests/test_stale_copies.py
+++ b/seampond/watches/tests/test_stale_copies.py
@@ -1,5 +1,6 @@
 """Tests of copies that must stay complete whatever call hangs or fails."""
 
+import logging
 import unittest
 
 from seampond.testing.table_fleet import draw_plan, play
@@ -20,6 +21,12 @@
 class StaleCopiesTest(unittest.TestCase):
     """Fleets on virtual time in which links fail and processes are alone."""
 
+    def setUp(self) -> None:
+        """Drop the log of the simulated failures, which is long."""
+        logger = logging.getLogger('seampond.watches')
+        self.addCleanup(logger.setLevel, logger.level)
+        logger.setLevel(logging.ERROR)
+
     def test_drawn_disturbances(self) -> None:
         """Short and long cuts in series, lost answers, lagging reads."""
         for seed in range(_DRAWN_SEEDS):
