Simulated fleet: plans of absent processes, silent stores and lost calls

The search for overdue copies drew cuts of single processes only. It had no store that is silent to all processes, no single calls that go unanswered and no process alone that misses many large versions, which is where overdue copies were found from outside.

--- a/seampond/testing/faulty_links.py
+++ b/seampond/testing/faulty_links.py
@@ -1,6 +1,7 @@
 """A simulated store table, read over links that are shared and fail."""
 
-from dataclasses import dataclass
+import random
+from dataclasses import dataclass, field
 
 from seampond.clock import Clock
 from seampond.errors import CutAnswerError, PlatformError
@@ -16,6 +17,10 @@
 _LATENCY_MS = 5
 _STEP_MS = 10
 _STEP = 'read'
+# Single calls are lost only after the first copies are complete, and rarely
+# enough that the next call is not lost as well.
+_FIRST_LOSS_MS = 1500
+_LOSS_GAP_MS = 4000
 
 
 @dataclass
@@ -39,6 +44,10 @@
         Number of cuts so far.
     calls, sent_bytes : int
         Number of calls, and bytes of the rows in their answers.
+    loss_probability : float
+        Probability that a call goes unanswered although the link is up.
+    rng : random.Random
+        Decides which calls go unanswered.
 
     """
 
@@ -50,6 +59,18 @@
     cuts: int = 0
     calls: int = 0
     sent_bytes: float = 0
+    loss_probability: float = 0
+    rng: random.Random = field(default_factory=random.Random)
+    _lost_ms: int = -_LOSS_GAP_MS
+
+    def loses_call(self, now_ms: int) -> bool:
+        """Return whether a call made now goes unanswered."""
+        if now_ms < max(_FIRST_LOSS_MS, self._lost_ms + _LOSS_GAP_MS):
+            return False
+        if self.rng.random() > self.loss_probability:
+            return False
+        self._lost_ms = now_ms
+        return True
 
     def cut(self, resend_ms: int, *, refuses: bool) -> None:
         """Interrupt the link."""
@@ -67,11 +88,14 @@
     ----------
     lag_ms : int
         How old the rows of whole reads are.
+    delay_ms : int
+        How much longer than usual the store takes for each call.
 
     """
 
     table: SharedTable
     lag_ms: int = 0
+    delay_ms: int = 0
 
     def read_rows(self) -> tuple[int, tuple[Row, ...]]:
         """Return the version and the rows that a whole read shows."""
@@ -97,11 +121,17 @@
         self._table = store.table
         self._link = link
         self._clock: Clock = store.table.clock
+        self._is_answering = False
+
+    @property
+    def is_answering(self) -> bool:
+        """Whether the answer to the latest call has begun."""
+        return self._is_answering
 
     async def read_all(self) -> Page:
         """Read all rows."""
         sent_ms = self._clock.now()
-        await self._connect()
+        await self._connect(0)
         version, rows = self._store.read_rows()
         page = self._build(version, rows, sent_ms, is_snapshot=True)
         return await self._deliver(page, _TABLE_TIMEOUT_MS, 0)
@@ -109,7 +139,7 @@
     async def read_changes(self, since: int, wait_ms: int) -> Page:
         """Wait for changes, then read all changes after a version."""
         sent_ms = self._clock.now()
-        await self._connect()
+        await self._connect(wait_ms)
         cuts = self._link.cuts
         while not self._has_changes(since):
             if self._clock.now() >= sent_ms + wait_ms:
@@ -142,9 +172,13 @@
         store_ms = self._clock.now() + _CLOCK_OFFSET_MS
         return Page(rows, version, store_ms, sent_ms, sent_ms, is_snapshot)
 
-    async def _connect(self) -> None:
+    async def _connect(self, wait_ms: int) -> None:
+        self._is_answering = False
         self._link.calls += 1
-        await self._clock.sleep(_LATENCY_MS)
+        sent_ms = self._clock.now()
+        if self._link.loses_call(sent_ms):
+            await self._time_out(sent_ms + wait_ms)
+        await self._clock.sleep(_LATENCY_MS + self._store.delay_ms)
         if not self._link.is_cut:
             return
         if not self._link.refuses:
@@ -161,6 +195,7 @@
         link = self._link
         if link.is_cut:
             await self._wait_for_resend(page.sent_ms + wait_ms)
+        self._is_answering = True
         cuts = link.cuts
         end_ms = self._clock.now() + timeout_ms
         left = float(sum(row.size for row in page.rows))
--- a/seampond/testing/table_fleet.py
+++ b/seampond/testing/table_fleet.py
@@ -6,9 +6,10 @@
 
 import argparse
 import asyncio
+import logging
 import random
 import sys
-from collections.abc import Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field, replace
 from statistics import mean
 
@@ -45,6 +46,7 @@
 # How much longer than the deadline a process must have been undisturbed.
 _CONTACT_MARGIN_MS = 1000
 _CARRIED_PART = 0.6
+_SLOW_STORE_MS = 500
 
 
 @dataclass(frozen=True)
@@ -56,7 +58,8 @@
     kind : str
         ``cut``: no path to the store.  ``alone``: no heartbeats to or from
         other processes.  ``lag``: the store forgets its history and answers
-        whole reads late.
+        whole reads late.  ``slow``: the store takes half a second longer for
+        each call.
     number : int
         The process.
     resend_ms : int
@@ -88,6 +91,8 @@
         Time within which a process must hold a version.
     members, followers : int
         Number of processes, and of those that follow the feed.
+    loss_probability : float
+        Probability that a single call to the store goes unanswered.
 
     """
 
@@ -98,6 +103,7 @@
     disturbances: tuple[Disturbance, ...]
     members: int = _MEMBERS
     followers: int = _FOLLOWERS
+    loss_probability: float = 0
 
 
 @dataclass
@@ -216,7 +222,11 @@
             Member(
                 number,
                 self._store,
-                FaultyLink(plan.bytes_per_ms),
+                FaultyLink(
+                    plan.bytes_per_ms,
+                    loss_probability=plan.loss_probability,
+                    rng=random.Random(f'{seed} {number}'),
+                ),
                 plan,
             )
             for number in range(plan.members)
@@ -316,6 +326,11 @@
                 member.is_alone = True
                 await self._clock.sleep(event.for_ms)
                 member.is_alone = False
+            case 'slow':
+                self._store.delay_ms = _SLOW_STORE_MS
+                self._store_healed_ms = self._clock.now() + event.for_ms
+                await self._clock.sleep(event.for_ms)
+                self._store.delay_ms = 0
             case _:
                 self._store.table.oldest_version = self._store.table.version
                 self._store.lag_ms = event.for_ms
@@ -349,12 +364,17 @@
         yield Disturbance('lag', lag_at_ms, rng.randrange(500, 3000))
 
 
+def compute_least_gap_ms(size: int, bytes_per_ms: float) -> int:
+    """Return the time between two versions of a row that a link can carry."""
+    return round(size / bytes_per_ms / _CARRIED_PART)
+
+
 def draw_plan(seed: int) -> Plan:
     """Draw a plan whose versions a link can carry."""
     rng = random.Random(seed)
     bytes_per_ms, deadline_ms = rng.choice(((625, 3000), (125_000, 2000)))
     size = rng.choice((2000, 20_000, 100_000, 125_000, 250_000))
-    least_ms = round(size / bytes_per_ms / _CARRIED_PART)
+    least_ms = compute_least_gap_ms(size, bytes_per_ms)
     gap_ms = max(least_ms, rng.choice((300, 400, 800, 800, 1500, 4000)))
     return Plan(
         gap_ms,
@@ -402,16 +422,13 @@
     )
 
 
-def main() -> int:
-    """Play seeds and print those with an overdue copy."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument('first', type=int)
-    parser.add_argument('last', type=int)
-    parser.add_argument('--members', type=int, default=_MEMBERS)
-    options = parser.parse_args()
+def search(draw: Callable[[int], Plan], seeds: Iterable[int]) -> int:
+    """Play plans, print those with an overdue copy; return the exit status."""
+    # The log of the simulated failures is long.
+    logging.getLogger('seampond.watches').setLevel(logging.ERROR)
     outcomes: list[Outcome] = []
-    for seed in range(options.first, options.last):
-        plan = replace(draw_plan(seed), members=options.members)
+    for seed in seeds:
+        plan = draw(seed)
         outcomes.append(play(plan, seed))
         for late in outcomes[-1].late[:1]:
             sys.stdout.write(f'seed {seed}: {late}; {plan}\n')
@@ -425,5 +442,18 @@
     return int(failed > 0)
 
 
+def main() -> int:
+    """Play seeds and print those with an overdue copy."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('first', type=int)
+    parser.add_argument('last', type=int)
+    parser.add_argument('--members', type=int, default=_MEMBERS)
+    options = parser.parse_args()
+    return search(
+        lambda seed: replace(draw_plan(seed), members=options.members),
+        range(options.first, options.last),
+    )
+
+
 if __name__ == '__main__':
     sys.exit(main())
