--- a/seampond/forwarding/connection.py
+++ b/seampond/forwarding/connection.py
@@ -8,7 +8,11 @@
 import httptools
 
 from seampond.clock import MS_PER_SECOND, Clock
-from seampond.forwarding.response_head import ExchangeError, ResponseHead
+from seampond.forwarding.response_head import (
+    AnswerSizeError,
+    ExchangeError,
+    ResponseHead,
+)
 
 _HIGH_WATER_BYTES = 262_144
 _CONTINUE = 100
@@ -149,7 +153,9 @@
         Raises
         ------
         ExchangeError
-            If the answer was cut short, or is longer than `max_bytes`.
+            If the answer was cut short.
+        AnswerSizeError
+            If the answer is longer than `max_bytes`.
         TimeoutError
             If no chunk arrived in time.
 
@@ -159,6 +165,8 @@
         seconds = (
             None if idle_timeout_ms is None else idle_timeout_ms / MS_PER_SECOND
         )
+        if self._has_body:
+            _check_size(self._head.content_length, max_bytes, self.peer)
         while True:
             async with asyncio.timeout(seconds):
                 chunk = await self.read_chunk()
@@ -166,10 +174,7 @@
                 return b''.join(chunks)
             chunks.append(chunk)
             size += len(chunk)
-            if size > max_bytes:
-                raise ExchangeError(
-                    'answer too large', step='body', peer=self.peer
-                )
+            _check_size(size, max_bytes, self.peer)
 
     def close(self) -> None:
         """Abort the connection, which cancels the request."""
@@ -336,6 +341,13 @@
             self._waiter.set_result(None)
 
 
+def _check_size(size: int, max_bytes: int, peer: str) -> None:
+    if size > max_bytes:
+        raise AnswerSizeError(
+            f'answer of {size} bytes or more', step='body', peer=peer
+        )
+
+
 async def open_connection(
     address: str, clock: Clock, id_header: bytes, timeout_ms: int
 ) -> Connection:
--- a/seampond/forwarding/response_head.py
+++ b/seampond/forwarding/response_head.py
@@ -37,6 +37,10 @@
         self.is_lost = is_lost
 
 
+class AnswerSizeError(ExchangeError):
+    """An answer is longer than allowed; its body was not read to the end."""
+
+
 @dataclass(slots=True)
 class ResponseHead:
     """The status and headers of an answer, names in lower case."""
@@ -44,6 +48,19 @@
     status: int = 0
     headers: list[tuple[bytes, bytes]] = field(default_factory=list)
 
+    @property
+    def content_length(self) -> int:
+        """Size of the body in bytes, 0 if the head does not tell it.
+
+        Examples
+        --------
+        >>> ResponseHead(200, [(b'content-length', b'12')]).content_length
+        12
+
+        """
+        declared = self.get(b'content-length')
+        return int(declared) if declared.isdigit() else 0
+
     def get(self, name: bytes, default: bytes = b'') -> bytes:
         """Return the first value of a header."""
         for header, text in self.headers:
--- a/seampond/platform/store.py
+++ b/seampond/platform/store.py
@@ -20,6 +20,7 @@
 )
 from seampond.forwarding.connection import Connection, open_connection
 from seampond.forwarding.response_head import (
+    AnswerSizeError,
     ExchangeError,
     ResponseHead,
     parse_keep_alive_ms,
@@ -27,6 +28,7 @@
 from seampond.platform import names
 from seampond.watches import (
     HistoryGoneError,
+    LongChangesError,
     Page,
     Row,
     era_of,
@@ -42,6 +44,8 @@
 _TABLE_TIMEOUT_MS = 8000
 # The store limits a page to 1 MB before base64.
 _ANSWER_MAX_BYTES = 4_194_304
+# Base64 and JSON make rows longer by a third and more.
+_ENCODED_RATIO = 1.5
 _CALL_ID = b'call'
 _DECODE_ERRORS = (ValueError, KeyError, TypeError)
 _logger = logging.getLogger(__name__)
@@ -68,6 +72,26 @@
     removed: Sequence[RowName] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class _CallLimits:
+    """How long a call and its answer may take, and how long the answer is.
+
+    Parameters
+    ----------
+    wait_ms : int
+        How long the store may hold the call before it answers.
+    body_timeout_ms : int
+        Timeout for the body, counted from the head.
+    max_bytes : int
+        Maximum size of the body.
+
+    """
+
+    wait_ms: int = 0
+    body_timeout_ms: int = _CHANGES_TIMEOUT_MS
+    max_bytes: int = _ANSWER_MAX_BYTES
+
+
 class Store:
     """Client of the platform's store.
 
@@ -83,6 +107,12 @@
         self._clock = clock
         self._connection: Connection | None = None
         self._era = 0
+        self._is_answering = False
+
+    @property
+    def is_answering(self) -> bool:
+        """Whether the answer to the latest call has begun."""
+        return self._is_answering
 
     @property
     def era(self) -> int:
@@ -107,15 +137,14 @@
         while later pages are read are among the changes since that version.
         """
         query = {'table': table, 'part': ''}
-        first, has_more = await self._fetch_page(
-            names.READ_PATH, query, body_timeout_ms=_TABLE_TIMEOUT_MS
-        )
+        limits = _CallLimits(body_timeout_ms=_TABLE_TIMEOUT_MS)
+        first, has_more = await self._fetch_page(names.READ_PATH, query, limits)
         rows = list(first.rows)
         while has_more:
             last = rows[-1].key
             query[names.START_PARAMETER] = f'{last}\0'
             page, has_more = await self._fetch_page(
-                names.READ_PATH, query, body_timeout_ms=_TABLE_TIMEOUT_MS
+                names.READ_PATH, query, limits
             )
             if era_of(page.version) != era_of(first.version):
                 raise PlatformError(
@@ -126,14 +155,27 @@
             rows.extend(page.rows)
         return replace(first, rows=tuple(rows), is_snapshot=True)
 
-    async def read_changes(self, table: str, since: int, wait_ms: int) -> Page:
+    async def read_changes(
+        self,
+        table: str,
+        since: int,
+        wait_ms: int,
+        max_bytes: int | None = None,
+    ) -> Page:
         """Wait for changes of a table after version `since`.
 
+        Parameters
+        ----------
+        max_bytes : int or None
+            Approximate maximum size of the rows, None for any.
+
         Raises
         ------
         HistoryGoneError
             If the store no longer has these changes, or `since` is of an
             earlier era.
+        LongChangesError
+            If the rows are larger than `max_bytes`.
 
         """
         query = {
@@ -142,7 +184,11 @@
             names.WAIT_PARAMETER: str(wait_ms),
         }
         self._require_current_era(since)
-        page, _ = await self._fetch_page(names.FEED_PATH, query, wait_ms)
+        page, _ = await self._fetch_page(
+            names.FEED_PATH,
+            query,
+            _CallLimits(wait_ms, max_bytes=_compute_encoded_limit(max_bytes)),
+        )
         self._require_current_era(since)
         return page
 
@@ -209,7 +255,9 @@
         }
         non_empty = {name: rows for name, rows in parts.items() if rows}
         body = json.dumps(non_empty).encode()
-        status, _ = await self._call(names.TRANSACTION_PATH, body=body)
+        status, _ = await self._call(
+            names.TRANSACTION_PATH, _CallLimits(), body
+        )
         if status == HTTPStatus.PRECONDITION_FAILED:
             raise ConflictError(
                 'an expected row has changed', step='change', peer=self._address
@@ -236,14 +284,11 @@
         self,
         path: str,
         query: Mapping[str, str],
-        wait_ms: int = 0,
-        body_timeout_ms: int = _CHANGES_TIMEOUT_MS,
+        limits: '_CallLimits',
     ) -> tuple[Page, bool]:
         sent_ms = self._clock.now()
         target = f'{path}?{urlencode(query)}'
-        status, content = await self._call(
-            target, wait_ms, body_timeout_ms=body_timeout_ms
-        )
+        status, content = await self._call(target, limits)
         try:
             page = Page(
                 tuple(_read_row(row, self._era) for row in content['rows']),
@@ -260,29 +305,17 @@
     async def _call(
         self,
         target: str,
-        wait_ms: int = 0,
-        *,
+        limits: '_CallLimits',
         body: bytes | None = None,
-        body_timeout_ms: int = _CHANGES_TIMEOUT_MS,
     ) -> tuple[int, Any]:
-        """Make one call; return the status and the decoded body.
-
-        Parameters
-        ----------
-        wait_ms : int
-            How long the store may hold the call before it answers.
-        body_timeout_ms : int
-            Timeout for the body, counted from the head.
-
-        """
+        """Make one call; return the status and the decoded body."""
         step = target.partition('?')[0]
+        head_timeout_ms = limits.wait_ms + _INACTIVITY_TIMEOUT_MS
         try:
-            async with asyncio.timeout(
-                (wait_ms + _INACTIVITY_TIMEOUT_MS) / MS_PER_SECOND
-            ):
+            async with asyncio.timeout(head_timeout_ms / MS_PER_SECOND):
                 connection, head = await self._send_call(target, body)
-            async with asyncio.timeout(body_timeout_ms / MS_PER_SECOND):
-                text = await self._read_body(connection, head)
+            async with asyncio.timeout(limits.body_timeout_ms / MS_PER_SECOND):
+                text = await self._read_body(connection, head, limits.max_bytes)
             content = json.loads(text) if head.status == HTTPStatus.OK else None
         except _CALL_ERRORS as error:
             failure = self._make_error(step, error)
@@ -305,6 +338,7 @@
         self, target: str, body: bytes | None
     ) -> tuple[Connection, ResponseHead]:
         """Send one call; return the connection and the answer's head."""
+        self._is_answering = False
         connection = self._connection
         if connection is None or not connection.is_usable:
             self.close()
@@ -314,6 +348,7 @@
             self._connection = connection
         connection.send(_CALL_ID, self._encode_call(target, body))
         head = await connection.read_head()
+        self._is_answering = True
         self._update_era(head)
         return connection, head
 
@@ -339,12 +374,10 @@
         self._era = era
 
     async def _read_body(
-        self, connection: Connection, head: ResponseHead
+        self, connection: Connection, head: ResponseHead, max_bytes: int
     ) -> bytes:
         """Read the body of an answer; forget a connection that is closing."""
-        text = await connection.read_body(
-            _ANSWER_MAX_BYTES, _INACTIVITY_TIMEOUT_MS
-        )
+        text = await connection.read_body(max_bytes, _INACTIVITY_TIMEOUT_MS)
         if not connection.finish(parse_keep_alive_ms(head)):
             self._connection = None
         return text
@@ -361,6 +394,8 @@
     def _make_error(self, step: str, error: Exception) -> PlatformError:
         """Return the error for a call that was cut off or not answered."""
         message = f'{type(error).__name__} {error}'.strip()
+        if isinstance(error, AnswerSizeError) and step == names.FEED_PATH:
+            return LongChangesError(message, step=step, peer=self._address)
         received = self._connection.received_bytes if self._connection else 0
         if received and isinstance(error, (ExchangeError, TimeoutError)):
             return CutAnswerError(
@@ -375,6 +410,7 @@
     def __init__(self, store: Store, name: str) -> None:
         """Bind a client to a table."""
         self.name = name
+        self.max_changes_bytes: int | None = None
         self._store = store
 
     @property
@@ -382,13 +418,20 @@
         """The newest era among the answers, 0 if unknown."""
         return self._store.era
 
+    @property
+    def is_answering(self) -> bool:
+        """Whether the answer to the latest call has begun."""
+        return self._store.is_answering
+
     async def read_all(self) -> Page:
         """Read all rows."""
         return await self._store.read(self.name)
 
     async def read_changes(self, since: int, wait_ms: int) -> Page:
         """Wait for rows that changed after version `since`."""
-        return await self._store.read_changes(self.name, since, wait_ms)
+        return await self._store.read_changes(
+            self.name, since, wait_ms, self.max_changes_bytes
+        )
 
     async def put(self, key: str, content: bytes) -> None:
         """Write one row unconditionally."""
@@ -403,6 +446,13 @@
         await self._store.commit(transaction)
 
 
+def _compute_encoded_limit(max_bytes: int | None) -> int:
+    """Return the maximum size of an answer whose rows have `max_bytes`."""
+    if max_bytes is None:
+        return _ANSWER_MAX_BYTES
+    return min(_ANSWER_MAX_BYTES, round(max_bytes * _ENCODED_RATIO))
+
+
 def _encode_row_name(row: RowName) -> dict[str, object]:
     table, key = row
     return {'table': table, 'part': '', names.KEY_FIELD: key}
--- a/seampond/platform/tests/test_platform.py
+++ b/seampond/platform/tests/test_platform.py
@@ -23,7 +23,7 @@
     run_scripted,
 )
 from seampond.testing.store import run_store
-from seampond.watches import HistoryGoneError
+from seampond.watches import HistoryGoneError, LongChangesError
 
 _ROOT = Path(seampond.__file__).parent
 _CONFIGURATION = MappingProxyType(
@@ -174,6 +174,18 @@
                 with self.assertRaises(HistoryGoneError):
                     await table.read_changes(1, 10)
 
+    async def test_changes_that_are_too_long_are_not_read(self) -> None:
+        """The client says so and goes on with a new connection."""
+        async with run_store() as store:
+            store.put('t', 'a', bytes(30_000))
+            async with open_table(store.address, 't', Clock()) as table:
+                table.max_changes_bytes = 20_000
+                with self.assertRaises(LongChangesError):
+                    await table.read_changes(0, 0)
+                table.max_changes_bytes = 30_000
+                page = await table.read_changes(0, 0)
+                self.assertEqual(len(page.rows), 1)
+
     async def test_late_answer_is_not_taken_for_the_next(self) -> None:
         """The connection is closed after a timeout."""
         async with run_store() as store:
--- a/seampond/testing/faulty_links.py
+++ b/seampond/testing/faulty_links.py
@@ -1,7 +1,7 @@
 """A simulated store table, read over links that are shared and fail."""
 
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from seampond.clock import Clock
 from seampond.errors import CutAnswerError, PlatformError
@@ -11,7 +11,12 @@
     _TABLE_TIMEOUT_MS,
 )
 from seampond.testing.narrow_links import SharedTable
-from seampond.watches import HistoryGoneError, Page, Row
+from seampond.watches import (
+    HistoryGoneError,
+    LongChangesError,
+    Page,
+    Row,
+)
 
 _CLOCK_OFFSET_MS = 1_000_000
 _LATENCY_MS = 5
@@ -117,6 +122,7 @@
 
     def __init__(self, store: StoreState, link: FaultyLink) -> None:
         """Read the table of `store` over `link`."""
+        self.max_changes_bytes: int | None = None
         self._store = store
         self._table = store.table
         self._link = link
@@ -153,7 +159,14 @@
         page = self._build(
             self._table.version, rows, sent_ms, is_snapshot=False
         )
-        return await self._deliver(page, _CHANGES_TIMEOUT_MS, wait_ms)
+        max_bytes = self.max_changes_bytes
+        size = sum(row.size for row in rows)
+        if max_bytes is None or size <= max_bytes:
+            return await self._deliver(page, _CHANGES_TIMEOUT_MS, wait_ms)
+        await self._deliver(
+            _truncate(page, max_bytes), _CHANGES_TIMEOUT_MS, wait_ms
+        )
+        raise LongChangesError('too long', step=_STEP)
 
     def _has_changes(self, since: int) -> bool:
         if since < self._table.oldest_version:
@@ -232,3 +245,8 @@
         await self._clock.sleep(self._link.resend_ms or _STEP_MS)
         if not self._link.resend_ms or self._clock.now() > end_ms:
             raise PlatformError('TimeoutError', step=_STEP)
+
+
+def _truncate(page: Page, max_bytes: int) -> Page:
+    """Return the part of a longer answer that is read."""
+    return replace(page, rows=(Row('', bytes(max_bytes), page.version),))
--- a/seampond/testing/narrow_links.py
+++ b/seampond/testing/narrow_links.py
@@ -80,6 +80,7 @@
 
     def __init__(self, table: SharedTable, link: Link) -> None:
         """Read `table` over `link`."""
+        self.max_changes_bytes: int | None = None
         self._table = table
         self._link = link
         self._clock = table.clock
--- a/seampond/watches/__init__.py
+++ b/seampond/watches/__init__.py
@@ -4,6 +4,7 @@
 from seampond.watches.freshness import TableFreshness as TableFreshness
 from seampond.watches.probe import probe_when_stale as probe_when_stale
 from seampond.watches.rows import HistoryGoneError as HistoryGoneError
+from seampond.watches.rows import LongChangesError as LongChangesError
 from seampond.watches.rows import Page as Page
 from seampond.watches.rows import Row as Row
 from seampond.watches.rows import TableSource as TableSource
--- a/seampond/watches/answer_sizes.py
+++ b/seampond/watches/answer_sizes.py
@@ -8,6 +8,10 @@
 # written each 0.3 s, up to 3.8 s late over 5 Mbit/s (test_narrow_links).
 _TINY_TABLE_ROWS = 4
 _SLOW_TRANSFER_MS = 250
+# Changes of this many times the size of the table, or of fewer bytes than the
+# minimum, are not worth another call for a snapshot.
+_MAX_TABLE_SIZES = 2
+_MIN_LIMIT_BYTES = 65_536
 
 
 class AnswerSizes:
@@ -28,6 +32,9 @@
     >>> sizes.record(Page(versions, 6, 0, 0, 400, False), 4, 400)
     >>> sizes.is_overloaded
     True
+    >>> sizes.record_rows(Page((Row('a', bytes(49_999), 6),), 6, 0, 0, 1, True))
+    >>> sizes.max_changes_bytes(now_ms=0)
+    100000
 
     """
 
@@ -35,22 +42,51 @@
         """Start without rows."""
         self.is_overloaded = False
         self.is_slow_transfer = False
-        self._row_count = 0
+        self._row_bytes: dict[str, int] = {}
+        self._table_bytes = 0
+        self._unlimited_until_ms = 0
 
     @property
     def is_small(self) -> bool:
         """Whether a snapshot is short enough to replace many changes."""
-        return self._row_count <= _SMALL_TABLE_ROWS
+        return len(self._row_bytes) <= _SMALL_TABLE_ROWS
 
     @property
     def is_tiny(self) -> bool:
         """Whether a snapshot is no longer than a change or two."""
-        return self._row_count <= _TINY_TABLE_ROWS
+        return len(self._row_bytes) <= _TINY_TABLE_ROWS
+
+    def max_changes_bytes(self, now_ms: int) -> int | None:
+        """Return the size from which a snapshot is read in place of changes.
+
+        Returns
+        -------
+        int or None
+            None where changes of any size are read.
+
+        """
+        if now_ms < self._unlimited_until_ms:
+            return None
+        return max(_MIN_LIMIT_BYTES, self._table_bytes * _MAX_TABLE_SIZES)
+
+    def lift_limit(self, until_ms: int) -> None:
+        """Let changes of any size be read until `until_ms`."""
+        self._unlimited_until_ms = until_ms
+
+    def record_rows(self, page: Page) -> None:
+        """Record the sizes of the rows that are held."""
+        if page.is_snapshot:
+            self._row_bytes.clear()
+            self._table_bytes = 0
+        for row in page.rows:
+            self._table_bytes -= self._row_bytes.pop(row.key, 0)
+            if not row.is_deleted:
+                self._row_bytes[row.key] = row.size
+                self._table_bytes += row.size
 
     def record(self, page: Page, since: int, transfer_ms: int) -> None:
         """Record an answer to a call for what came after a version."""
         if page.is_snapshot:
-            self._row_count = len(page.rows)
             newest = max((row.version for row in page.rows), default=0)
             is_overloaded = self.is_overloaded and newest > since
         else:
--- a/seampond/watches/rows.py
+++ b/seampond/watches/rows.py
@@ -63,6 +63,10 @@
     """The store's history does not reach back to the requested version."""
 
 
+class LongChangesError(PlatformError):
+    """The changes are longer than allowed; their rows were not read."""
+
+
 @dataclass(frozen=True, slots=True)
 class Row:
     """One row of a table.
@@ -113,12 +117,27 @@
 
 
 class TableSource(Protocol):
-    """Table that can be read as a snapshot and by its changes."""
+    """Table that can be read as a snapshot and by its changes.
+
+    Attributes
+    ----------
+    max_changes_bytes : int or None
+        Maximum size of the rows that `read_changes` returns, None for any.
+
+    """
 
     name: str
+    max_changes_bytes: int | None
 
     async def read_all(self) -> Page:
         """Read all rows."""
 
     async def read_changes(self, since: int, wait_ms: int) -> Page:
-        """Wait up to `wait_ms` for changes after version `since`."""
+        """Wait up to `wait_ms` for changes after version `since`.
+
+        Raises
+        ------
+        LongChangesError
+            If the changes are longer than `max_changes_bytes`.
+
+        """
--- a/seampond/watches/tests/test_stale_copies.py
+++ b/seampond/watches/tests/test_stale_copies.py
@@ -3,7 +3,8 @@
 import logging
 import unittest
 
-from seampond.testing.table_fleet import draw_plan, play
+from seampond.testing.fleet_draws import draw_absence, draw_outages
+from seampond.testing.table_fleet import Disturbance, Plan, draw_plan, play
 from seampond.watches.tests import test_narrow_links as narrow
 
 _DRAWN_SEEDS = 250
@@ -16,6 +17,9 @@
     *(747, 766, 770, 771, 777, 794, 796, 805, 830, 884, 894, 1083, 1332),
     *(1375,),
 )
+_ABSENCE_SEEDS = (*range(20), 41, 74, 182, 501)
+_OUTAGE_SEEDS = (*range(12), 1223)
+_SILENCE_LENGTHS_MS = range(5500, 7400, 60)
 
 
 class StaleCopiesTest(unittest.TestCase):
@@ -39,6 +43,30 @@
             with self.subTest(seed=seed):
                 self.assertEqual(play(draw_plan(seed), seed).late, [])
 
+    def test_call_made_in_the_last_moments_of_a_silence(self) -> None:
+        """It times out long after the path is back, with many changes due."""
+        for length_ms in _SILENCE_LENGTHS_MS:
+            cuts = [
+                Disturbance('cut', 3000, length_ms, number)
+                for number in range(2)
+            ]
+            alone = Disturbance('alone', 500, 31_000)
+            plan = Plan(400, 100_000, 625, 3000, (*cuts, alone), members=2)
+            with self.subTest(length_ms=length_ms):
+                self.assertEqual(play(plan, 1).late, [])
+
+    def test_changes_too_long_for_a_call_after_an_absence(self) -> None:
+        """A process that hears no others does not know what it lacks."""
+        for seed in _ABSENCE_SEEDS:
+            with self.subTest(seed=seed):
+                self.assertEqual(play(draw_absence(seed), seed).late, [])
+
+    def test_store_silent_to_all(self) -> None:
+        """Nobody tells a process that its copy is old."""
+        for seed in _OUTAGE_SEEDS:
+            with self.subTest(seed=seed):
+                self.assertEqual(play(draw_outages(seed), seed).late, [])
+
     def test_large_versions_after_a_cut_shorter_than_timeouts(self) -> None:
         """No probe fails, and the call that the cut orphaned stays open."""
         cuts = [
--- a/seampond/watches/tests/test_watch.py
+++ b/seampond/watches/tests/test_watch.py
@@ -9,6 +9,7 @@
 from seampond.watches import (
     FreshnessProof,
     HistoryGoneError,
+    LongChangesError,
     Page,
     Row,
     StoreClock,
@@ -32,12 +33,14 @@
     """Source that returns listed answers in turn and then blocks."""
 
     name = 'test'
+    max_changes_bytes: int | None = None
 
     def __init__(self, *answers: Page | Exception) -> None:
         """Store the answers."""
         self._answers = list(answers)
         self.calls: list[str] = []
         self.waits: list[int] = []
+        self.limits: list[int | None] = []
         self.is_over = asyncio.Event()
 
     async def read_all(self) -> Page:
@@ -47,6 +50,7 @@
     async def read_changes(self, since: int, wait_ms: int) -> Page:
         """Return the next answer."""
         self.waits.append(wait_ms)
+        self.limits.append(self.max_changes_bytes)
         return await self._next(f'since {since}')
 
     async def _next(self, call: str) -> Page:
@@ -355,6 +359,32 @@
         self.assertEqual(calls, ['all', 'since 3', 'all', 'since 9', 'since 9'])
         self.assertEqual(applied, [3, 9, 9])
 
+    async def test_changes_longer_than_the_table_lead_to_snapshot(self) -> None:
+        """Reading them takes longer, or longer than a call may take."""
+        calls, applied, _ = await self._follow(
+            _page(3, is_snapshot=True),
+            LongChangesError('too long', step='read'),
+            _page(9, is_snapshot=True),
+            _page(9),
+        )
+        self.assertEqual(calls, ['all', 'since 3', 'all', 'since 9', 'since 9'])
+        self.assertEqual(applied, [3, 9, 9])
+
+    async def test_long_changes_are_read_where_snapshots_lag(self) -> None:
+        """A store that is behind with snapshots must not get them in a loop."""
+        source = ListedSource(
+            _page(7, is_snapshot=True),
+            LongChangesError('too long', step='read'),
+            _page(4, is_snapshot=True),
+            _page(9),
+        )
+        task = asyncio.create_task(build_watch(source).run())
+        self.addCleanup(task.cancel)
+        async with asyncio.timeout(5):
+            await source.is_over.wait()
+        self.assertEqual(source.calls[-3:], ['all', 'since 7', 'since 9'])
+        self.assertEqual(source.limits, [65_536, None, None])
+
     async def test_stale_snapshot_leads_back_to_feed(self) -> None:
         """A stale snapshot must not be read again and again."""
         cut = CutAnswerError('TimeoutError', step='read', peer='', received=7)
--- a/seampond/watches/watch.py
+++ b/seampond/watches/watch.py
@@ -15,6 +15,7 @@
 from seampond.watches.retry_pause import RetryPause
 from seampond.watches.rows import (
     HistoryGoneError,
+    LongChangesError,
     Page,
     TableSource,
     revision_of,
@@ -31,6 +32,7 @@
 # of one row, 0.5 MB and more, missed the timeout of a call, and a snapshot took
 # 0.04 s.
 _SNAPSHOT_AFTER_MS = 2000
+_SNAPSHOT_ERRORS = (CutAnswerError, HistoryGoneError, LongChangesError)
 _logger = logging.getLogger(__name__)
 
 
@@ -160,6 +162,9 @@
                 is_fresh = await self._poll_once()
                 self._is_failing = False
                 self._failures.record_success()
+            except LongChangesError as error:
+                self._record_failure(error)
+                continue
             except HistoryGoneError:
                 self._log_event('history gone', 'read-changes')
                 self.is_loaded = False
@@ -192,6 +197,9 @@
             self._probe_ended.clear()
             page = await self._read_probe()
             is_fresh = self._accept(page, since)
+        except LongChangesError as error:
+            self._record_failure(error)
+            return False
         except PlatformError as error:
             self._record_failure(error)
             self._handle_failed_probe()
@@ -239,6 +247,7 @@
         version = self.freshness.version
         if not self.is_loaded or not since <= version < page.version:
             return
+        self._sizes.record_rows(page)
         self.is_loaded = self._try_apply(page)
         if self.is_loaded:
             self.freshness.apply_page(page)
@@ -312,6 +321,8 @@
     async def _read(self, source: TableSource, wait_ms: int) -> Page:
         if self._prefers_snapshot:
             return await source.read_all()
+        now_ms = self.clock.now()
+        source.max_changes_bytes = self._sizes.max_changes_bytes(now_ms)
         return await source.read_changes(self.freshness.version, wait_ms)
 
     async def _read_probe(self) -> Page:
@@ -362,9 +373,17 @@
         return self._is_failing and self._sizes.is_small and is_long
 
     def _record_failure(self, error: PlatformError) -> None:
-        """Record a failed call and whether repeating it can succeed."""
+        """Record a failed call and whether repeating it can succeed.
+
+        Explanation
+        -----------
+        Where the store is behind with snapshots even long changes are newer,
+        so they are read if the snapshot turns out to be too old.
+        """
         self._failures.record_failure(error)
-        if isinstance(error, (CutAnswerError, HistoryGoneError)):
+        if isinstance(error, LongChangesError):
+            self._sizes.lift_limit(self.clock.now() + self.deadline_ms())
+        if isinstance(error, _SNAPSHOT_ERRORS):
             self._needs_snapshot = True
 
     def _handle_failed_probe(self) -> None:
@@ -403,6 +422,7 @@
             self._needs_snapshot = False
             return False
         self._needs_snapshot = False
+        self._sizes.record_rows(page)
         self._sizes.record(page, since, self.freshness.transfer_ms(page))
         self.is_loaded = self._try_apply(page)
         if self.is_loaded:
