--- a/seampond/testing/faulty_links.py
+++ b/seampond/testing/faulty_links.py
@@ -1,7 +1,7 @@
 """A simulated store table, read over links that are shared and fail."""
 
 import random
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 from seampond.clock import Clock
 from seampond.errors import CutAnswerError, PlatformError
@@ -10,7 +10,7 @@
     _INACTIVITY_TIMEOUT_MS,
     _TABLE_TIMEOUT_MS,
 )
-from seampond.testing.narrow_links import SharedTable
+from seampond.testing.narrow_links import SharedTable, truncate_rows
 from seampond.watches import (
     HistoryGoneError,
     LongChangesError,
@@ -156,17 +156,14 @@
         rows = tuple(
             row for _, row in self._table.changes if row.version > since
         )
+        sent_rows = truncate_rows(rows, self.max_changes_bytes)
         page = self._build(
-            self._table.version, rows, sent_ms, is_snapshot=False
+            self._table.version, sent_rows, sent_ms, is_snapshot=False
         )
-        max_bytes = self.max_changes_bytes
-        size = sum(row.size for row in rows)
-        if max_bytes is None or size <= max_bytes:
-            return await self._deliver(page, _CHANGES_TIMEOUT_MS, wait_ms)
-        await self._deliver(
-            _truncate(page, max_bytes), _CHANGES_TIMEOUT_MS, wait_ms
-        )
-        raise LongChangesError('too long', step=_STEP)
+        page = await self._deliver(page, _CHANGES_TIMEOUT_MS, wait_ms)
+        if sent_rows != rows:
+            raise LongChangesError('too long', step=_STEP)
+        return page
 
     def _has_changes(self, since: int) -> bool:
         if since < self._table.oldest_version:
@@ -245,8 +242,3 @@
         await self._clock.sleep(self._link.resend_ms or _STEP_MS)
         if not self._link.resend_ms or self._clock.now() > end_ms:
             raise PlatformError('TimeoutError', step=_STEP)
-
-
-def _truncate(page: Page, max_bytes: int) -> Page:
-    """Return the part of a longer answer that is read."""
-    return replace(page, rows=(Row('', bytes(max_bytes), page.version),))
--- a/seampond/testing/narrow_links.py
+++ b/seampond/testing/narrow_links.py
@@ -10,7 +10,12 @@
     _INACTIVITY_TIMEOUT_MS,
     _TABLE_TIMEOUT_MS,
 )
-from seampond.watches import HistoryGoneError, Page, Row
+from seampond.watches import (
+    HistoryGoneError,
+    LongChangesError,
+    Page,
+    Row,
+)
 
 _CLOCK_OFFSET_MS = 1_000_000
 _LATENCY_MS = 5
@@ -114,9 +119,13 @@
                     max(0, left_ms) + _INACTIVITY_TIMEOUT_MS
                 )
                 raise PlatformError('TimeoutError', step=_STEP)
-        return await self._transfer(
-            rows, sent_ms, _CHANGES_TIMEOUT_MS, is_snapshot=False
+        sent_rows = truncate_rows(rows, self.max_changes_bytes)
+        page = await self._transfer(
+            sent_rows, sent_ms, _CHANGES_TIMEOUT_MS, is_snapshot=False
         )
+        if sent_rows != rows:
+            raise LongChangesError('too long', step=_STEP)
+        return page
 
     async def _connect(self) -> None:
         await self._clock.sleep(_LATENCY_MS)
@@ -154,3 +163,12 @@
             self._clock.now(),
             is_snapshot,
         )
+
+
+def truncate_rows(
+    rows: tuple[Row, ...], max_bytes: int | None
+) -> tuple[Row, ...]:
+    """Return what is transferred of rows of which `max_bytes` are read."""
+    if max_bytes is None or sum(row.size for row in rows) <= max_bytes:
+        return rows
+    return (Row('', bytes(max_bytes), rows[-1].version),)
--- a/seampond/watches/watch.py
+++ b/seampond/watches/watch.py
@@ -162,9 +162,6 @@
                 is_fresh = await self._poll_once()
                 self._is_failing = False
                 self._failures.record_success()
-            except LongChangesError as error:
-                self._record_failure(error)
-                continue
             except HistoryGoneError:
                 self._log_event('history gone', 'read-changes')
                 self.is_loaded = False
@@ -197,9 +194,6 @@
             self._probe_ended.clear()
             page = await self._read_probe()
             is_fresh = self._accept(page, since)
-        except LongChangesError as error:
-            self._record_failure(error)
-            return False
         except PlatformError as error:
             self._record_failure(error)
             self._handle_failed_probe()
@@ -323,7 +317,11 @@
             return await source.read_all()
         now_ms = self.clock.now()
         source.max_changes_bytes = self._sizes.max_changes_bytes(now_ms)
-        return await source.read_changes(self.freshness.version, wait_ms)
+        try:
+            return await source.read_changes(self.freshness.version, wait_ms)
+        except LongChangesError as error:
+            self._record_failure(error)
+        return await source.read_all()
 
     async def _read_probe(self) -> Page:
         """Read besides the feed, without waiting.
