Times of probes and pauses follow from the deadline

Cause: times that were right for a deadline of 3 s and were the same for each. A probe was due 1.5 s after a proof, 0.8 s later behind eight others: 2.3 s. After failed calls without proofs the pause was up to 3 s in a large fleet.

Change: a proof is renewed after 0.6 of the deadline, 1.5 s at most; a rank counts 0.025 of it, 0.1 s at most; a failed probe is repeated after a tenth, 0.3 s at most; the pause without proofs is 0.4 of it at most. At 11 s nothing changes, at 3 s the rank counts 75 ms and a pause lasts 1.2 s at most. The table of gateways keeps its own age, since gateways hear of each other.

--- a/seampond/gateway/daemon.py
+++ b/seampond/gateway/daemon.py
@@ -2,7 +2,7 @@
 
 import functools
 import logging
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
 
@@ -16,6 +16,12 @@
 from seampond.gateway.rollouts import execute_rollouts
 from seampond.gateway.stalls import record_stalls
 from seampond.gateway.status import build_status
+from seampond.gateway.tables import (
+    CRITICAL,
+    HEARD,
+    ROUTINE,
+    follow_table,
+)
 from seampond.gateway.wiring import make_components
 from seampond.pages import Pages, RenderedPage, render_page
 from seampond.platform import READY_PATH, open_table
@@ -37,15 +43,10 @@
 )
 from seampond.suspension import watch_suspension
 from seampond.tasks import run_tasks
-from seampond.watches import Page, Watch, probe_when_stale
+from seampond.watches import Page
 from seampond.web import WebServer, serve_http
 
 _STOP_MARGIN_MS = 500
-_PROOF_AGE_MS = 1500
-_GATEWAYS_PROOF_AGE_MS = 8000
-_CRITICAL_PAUSE_MS = 600
-_ROUTINE_PAUSE_MS = 1500
-_BATCH_MS = 250
 # Once a configuration is known, a gateway waits 3 s for the trials at most.
 _TRIALS_RETRY_MS = 250
 _TRIALS_TRIES_MAX = 12
@@ -53,32 +54,6 @@
 _logger = logging.getLogger(__name__)
 
 
-@dataclass(frozen=True, slots=True)
-class FollowPolicy:
-    """How promptly a table is followed.
-
-    Parameters
-    ----------
-    max_pause_ms : int
-        The longest pause after a failed call.
-    batch_ms : int
-        How long changes may be collected into one answer.
-    proves_at_start : bool
-        Whether a gateway verifies right after its start that its copy of the
-        table is current.
-
-    """
-
-    max_pause_ms: int
-    batch_ms: int
-    proves_at_start: bool
-
-
-# Tables followed promptly: an outdated configuration may hold a revoked key.
-_CRITICAL = FollowPolicy(_CRITICAL_PAUSE_MS, 0, proves_at_start=True)
-_ROUTINE = FollowPolicy(_ROUTINE_PAUSE_MS, _BATCH_MS, proves_at_start=False)
-
-
 @dataclass
 class RunningGateway:
     """A running gateway."""
@@ -114,56 +89,6 @@
         _logger.info('gateway stopped', extra={'open': web.open_requests})
 
 
-@asynccontextmanager
-async def _follow_table(
-    components: GatewayComponents,
-    table: str,
-    handle_page: Callable[[Page], None],
-    proof_age_ms: int,
-    policy: FollowPolicy,
-) -> AsyncIterator[None]:
-    """Follow one table until the end of the `with`.
-
-    Parameters
-    ----------
-    proof_age_ms : int
-        Age at which the proof that the local copy is current is renewed.
-    """
-
-    def count_failure(step: str) -> None:
-        components.metrics.store_failures.labels(step).inc()
-
-    store, clock = components.settings.store, components.clock
-    async with (
-        open_table(store.address, table, clock) as source,
-        open_table(store.address, table, clock) as probe_source,
-    ):
-        watch = Watch(
-            source,
-            probe_source,
-            handle_page,
-            store.call_ms,
-            clock,
-            count_failure,
-            components.freshness[table],
-            policy.max_pause_ms,
-            policy.batch_ms,
-            lambda: components.peers.interval_factor,
-            lambda: components.peers.is_follower,
-            policy.proves_at_start,
-            functools.partial(components.relay, table),
-            lambda: components.settings.bounds.configuration_deadline_ms,
-        )
-        components.watches[table] = watch
-        async with run_tasks(
-            watch.run(),
-            probe_when_stale(
-                watch, proof_age_ms, lambda: components.peers.rank, clock
-            ),
-        ):
-            yield
-
-
 @asynccontextmanager
 async def _share_with_peers(
     components: GatewayComponents,
@@ -208,12 +133,8 @@
     follower = components.rollout_follower
     while True:
         await follower.is_active.wait()
-        async with _follow_table(
-            components,
-            STATUS_TABLE,
-            follower.handle_states,
-            _PROOF_AGE_MS,
-            _CRITICAL,
+        async with follow_table(
+            components, STATUS_TABLE, follower.handle_states, CRITICAL
         ):
             while follower.is_active.is_set():
                 await components.clock.sleep(_POLL_INTERVAL_MS)
@@ -335,30 +256,25 @@
     bounds = settings.bounds
     drain_ms = bounds.stop_ms - settings.linger_ms - _STOP_MARGIN_MS
     async with AsyncExitStack() as stack:
-        for table, handle_page, proof_age_ms, policy in (
+        for table, handle_page, policy in (
             (
                 CONFIGURATION_TABLE,
                 functools.partial(_handle_operator_rows, components),
-                _PROOF_AGE_MS,
-                _CRITICAL,
+                CRITICAL,
             ),
             (
                 SERVERS_TABLE,
                 components.server_follower.handle_page,
-                _PROOF_AGE_MS,
-                _ROUTINE,
+                ROUTINE,
             ),
             (
                 GATEWAYS_TABLE,
                 functools.partial(apply_gateway_rows, components.peers),
-                _GATEWAYS_PROOF_AGE_MS,
-                _ROUTINE,
+                HEARD,
             ),
         ):
             await stack.enter_async_context(
-                _follow_table(
-                    components, table, handle_page, proof_age_ms, policy
-                )
+                follow_table(components, table, handle_page, policy)
             )
         await stack.enter_async_context(_share_with_peers(components))
         await stack.enter_async_context(_run_rollouts(components))
--- a/seampond/testing/table_fleet.py
+++ b/seampond/testing/table_fleet.py
@@ -28,11 +28,12 @@
     StoreClock,
     TableFreshness,
     Watch,
+    compute_proof_age_ms,
     probe_when_stale,
 )
 
-_PROOF_AGE_MS = 1500
 _MIN_HEARTBEAT_MS = 30
+_HEARTBEAT_INTERVAL_MS = compute_heartbeat_interval_ms(1)
 _SILENT_INTERVALS = 3
 _HISTORY_MS = 20_000
 _WAIT_MS = 15_000
@@ -137,6 +138,7 @@
             self.clock,
             lambda step: None,
             self.freshness,
+            interval_factor=lambda: self.interval_ms / _HEARTBEAT_INTERVAL_MS,
             is_follower=self._is_follower,
             relay=self._relay,
             deadline_ms=lambda: self.plan.deadline_ms,
@@ -239,7 +241,7 @@
             *(
                 probe_when_stale(
                     member.watch,
-                    _PROOF_AGE_MS,
+                    compute_proof_age_ms(self.plan.deadline_ms),
                     lambda member=member: member.rank,  # type: ignore[misc]
                     self._clock,
                 )
--- a/seampond/watches/probe.py
+++ b/seampond/watches/probe.py
@@ -9,6 +9,12 @@
 _RANK_STEP_MS = 100
 _MAX_RANK_STEPS = 8
 _RETRY_PAUSE_MS = 300
+_MAX_PROOF_AGE_MS = 1500
+# Maximum parts of the deadline.  A proof's age, all steps and the delay of a
+# second call leave time for the answer.
+_PROOF_AGE_PART = 0.6
+_RANK_STEP_PART = 0.025
+_RETRY_PAUSE_PART = 0.1
 # A copy whose proof is due for this long is logged.
 _OVERDUE_MS = 1500
 # Longer than a feed that batches changes may lag behind.
@@ -17,6 +23,23 @@
 _MAX_JITTER_MS = 100
 
 
+def compute_proof_age_ms(deadline_ms: int) -> int:
+    """Return the age at which the proof of a copy is renewed.
+
+    Parameters
+    ----------
+    deadline_ms : int
+        Time within which a change must be held.
+
+    Examples
+    --------
+    >>> [compute_proof_age_ms(deadline) for deadline in (2000, 3000, 11_000)]
+    [1200, 1500, 1500]
+
+    """
+    return min(_MAX_PROOF_AGE_MS, round(deadline_ms * _PROOF_AGE_PART))
+
+
 async def probe_when_stale(
     watch: Watch, max_age_ms: int, rank: Callable[[], int], clock: Clock
 ) -> None:
@@ -39,15 +62,18 @@
     freshness = watch.freshness
     while True:
         watch.log_overdue(max_age_ms + _OVERDUE_MS)
+        deadline_ms = watch.deadline_ms()
+        step_ms = min(_RANK_STEP_MS, deadline_ms * _RANK_STEP_PART)
         steps = min(_MAX_RANK_STEPS, rank())
         max_behind_ms = _MAX_BEHIND_MS
         if not watch.is_follower():
             max_behind_ms = random.randrange(_MAX_JITTER_MS)
         next_probe_ms = freshness.next_probe_ms(
-            max_age_ms + steps * _RANK_STEP_MS, max_behind_ms
+            round(max_age_ms + steps * step_ms), max_behind_ms
         )
         left_ms = next_probe_ms - clock.now()
         if left_ms > 0:
             await freshness.wait_until_behind(left_ms)
         elif not await watch.probe():
-            await clock.sleep(_RETRY_PAUSE_MS * random.uniform(0.5, 1))
+            pause_ms = min(_RETRY_PAUSE_MS, deadline_ms * _RETRY_PAUSE_PART)
+            await clock.sleep(pause_ms * random.uniform(0.5, 1))
--- a/seampond/watches/retry_pause.py
+++ b/seampond/watches/retry_pause.py
@@ -13,6 +13,9 @@
 # A process that the store turns away gains little by asking while its copy is
 # proved: six such processes of 18 once made half of all calls.
 _PROVED_PAUSE_MS = 3000
+# A call that an outage swallows, this part of the deadline and the read after
+# it must end while changes may still be late.
+_UNPROVED_PART = 0.4
 
 
 class RetryPause:
@@ -82,7 +85,8 @@
         longest_ms = round(self._configured_max_ms * self._interval_factor())
         if self._is_proved_by_others:
             return max(longest_ms, _PROVED_PAUSE_MS)
-        return min(longest_ms, _PROVED_PAUSE_MS)
+        part_ms = round(self._deadline_ms() * _UNPROVED_PART)
+        return min(longest_ms, _PROVED_PAUSE_MS, part_ms)
 
     @property
     def _is_proved_by_others(self) -> bool:
--- a/seampond/watches/tests/test_retry_pause.py
+++ b/seampond/watches/tests/test_retry_pause.py
@@ -19,14 +19,20 @@
 class Copy:
     """A copy that others prove, and the pauses of its failed calls."""
 
-    def __init__(self, clock: Clock, deadline_ms: int) -> None:
+    def __init__(
+        self, clock: Clock, deadline_ms: int, interval_factor: float = 1
+    ) -> None:
         """Start with a proof."""
         self.clock = clock
         self.freshness = TableFreshness(
             clock, StoreClock(), lambda proved_ms: None
         )
         self.pause = RetryPause(
-            clock, self.freshness, 600, lambda: 1, lambda: deadline_ms
+            clock,
+            self.freshness,
+            600,
+            lambda: interval_factor,
+            lambda: deadline_ms,
         )
         self.prove()
 
@@ -60,6 +66,13 @@
                     age_ms = self._play(seed, deadline_ms)
                     self.assertLess(age_ms, deadline_ms)
 
+    def test_pause_without_proofs_follows_from_the_deadline(self) -> None:
+        """In a large fleet too, what changes in it must be held in time."""
+        for deadline_ms in _DEADLINES_MS:
+            with self.subTest(deadline_ms=deadline_ms):
+                pause_ms = self._measure_unproved_pause(deadline_ms)
+                self.assertLess(pause_ms, deadline_ms / 2)
+
     def test_pause_goes_on_while_proofs_come(self) -> None:
         """A store that fails must not get a call for each proof."""
         lengths: list[int] = []
@@ -76,6 +89,23 @@
         run_virtual(run)
         self.assertGreater(lengths[0] / _FAILURES, 2 * _PROOF_GAP_MS)
 
+    def _measure_unproved_pause(self, deadline_ms: int) -> int:
+        """Return the longest pause of a large fleet without proofs."""
+        lengths: list[int] = []
+
+        async def run(clock: Clock) -> None:
+            copy = Copy(clock, deadline_ms, interval_factor=11)
+            await clock.sleep(deadline_ms)
+            await copy.fail_often()
+            for _ in range(_SEEDS):
+                since_ms = clock.now()
+                await copy.pause.wait()
+                lengths.append(clock.now() - since_ms)
+
+        random.seed(0)
+        run_virtual(run)
+        return max(lengths)
+
     def _play(self, seed: int, deadline_ms: int) -> int:
         """Return the age of the last proof at the end of the next pause."""
         ages: list[int] = []
--- a/seampond/watches/tests/test_stale_copies.py
+++ b/seampond/watches/tests/test_stale_copies.py
@@ -2,8 +2,12 @@
 
 import logging
 import unittest
+from dataclasses import replace
 
-from seampond.testing.fleet_draws import draw_absence, draw_outages
+from seampond.testing.fleet_draws import (
+    draw_absence,
+    draw_outages,
+)
 from seampond.testing.table_fleet import Disturbance, Plan, draw_plan, play
 from seampond.watches.tests import test_narrow_links as narrow
 
@@ -67,6 +71,11 @@
             with self.subTest(seed=seed):
                 self.assertEqual(play(draw_outages(seed), seed).late, [])
 
+    def test_many_processes_of_which_the_first_are_cut_off(self) -> None:
+        """The others wait for those before them, but not for too long."""
+        plan = replace(draw_outages(0), members=100)
+        self.assertEqual(play(plan, 0).late, [])
+
     def test_large_versions_after_a_cut_shorter_than_timeouts(self) -> None:
         """No probe fails, and the call that the cut orphaned stays open."""
         cuts = [
