Make a call to the store again where a connection has died

What callers saw: a gateway answered 503, or 404 and 401 by an old copy, for up to 0.9 s longer than the deadline, because a single call to the store went unanswered. By the platform's rules a lost answer excuses the gateway; our own promise does not.

Cause: a connection that died without a reset looks like a slow store until the call times out after 0.9 s.

Change: a call that does not wait and has no answer within an eighth of the deadline is made again on a spare connection, while the first goes on; the first answer counts. An answer that has begun, or a call that the store holds on purpose, is not asked for again. After a second call that is not answered in time either there is no other until a call is answered in time, so a store that is slow or silent for all gets one call more from each process. At a deadline of 7.2 s or more a call times out first: nothing changes at 11 s.

Ruled out: shorter time-outs, which fail calls to a store that is only slow.

--- a/seampond/gateway/tables.py
+++ b/seampond/gateway/tables.py
@@ -9,6 +9,7 @@
 from seampond.platform import open_table
 from seampond.tasks import run_tasks
 from seampond.watches import (
+    HedgedSource,
     Page,
     Watch,
     compute_proof_age_ms,
@@ -67,14 +68,14 @@
 ) -> AsyncIterator[None]:
     """Follow one table until the end of the `with`."""
     count_failure = functools.partial(_count_failure, components)
-    address, clock = components.settings.store.address, components.clock
+    clock = components.clock
 
     def deadline_ms() -> int:
         return components.settings.bounds.configuration_deadline_ms
 
     async with (
-        open_table(address, table, clock) as source,
-        open_table(address, table, clock) as probe_source,
+        _open_hedged(components, table, deadline_ms) as source,
+        _open_hedged(components, table, deadline_ms) as probe_source,
     ):
         watch = Watch(
             source,
@@ -106,5 +107,23 @@
             yield
 
 
+@asynccontextmanager
+async def _open_hedged(
+    components: GatewayComponents, table: str, deadline_ms: Callable[[], int]
+) -> AsyncIterator[HedgedSource]:
+    """Open a table, with a spare connection that is made when needed."""
+    address, clock = components.settings.store.address, components.clock
+    async with (
+        open_table(address, table, clock) as source,
+        open_table(address, table, clock) as spare,
+    ):
+        yield HedgedSource(
+            source,
+            spare,
+            deadline_ms,
+            functools.partial(_count_failure, components, 'hedged'),
+        )
+
+
 def _count_failure(components: GatewayComponents, step: str) -> None:
     components.metrics.store_failures.labels(step).inc()
--- a/seampond/testing/table_fleet.py
+++ b/seampond/testing/table_fleet.py
@@ -24,6 +24,7 @@
 from seampond.testing.narrow_links import SharedTable
 from seampond.testing.virtual_time import run_virtual
 from seampond.watches import (
+    HedgedSource,
     Page,
     StoreClock,
     TableFreshness,
@@ -117,6 +118,7 @@
     plan: Plan
     is_alone: bool = False
     healed_ms: int = 0
+    hedges: int = 0
     heard_ms: dict[int, int] = field(default_factory=dict)
     pages: list[tuple[int, Page]] = field(default_factory=list)
     versions: dict[str, int] = field(default_factory=dict)
@@ -131,8 +133,8 @@
         self.failing: set[int] = set()
         self.interval_ms = compute_heartbeat_interval_ms(self.plan.members)
         self.watch = Watch(
-            FaultySource(self.store, self.link),
-            FaultySource(self.store, self.link),
+            self._open_table(),
+            self._open_table(),
             self._apply,
             _WAIT_MS,
             self.clock,
@@ -180,6 +182,17 @@
             f'proved {unproved_ms} ms ago, behind for {behind_ms} ms'
         )
 
+    def _open_table(self) -> HedgedSource:
+        return HedgedSource(
+            FaultySource(self.store, self.link),
+            FaultySource(self.store, self.link),
+            lambda: self.plan.deadline_ms,
+            self._count_hedge,
+        )
+
+    def _count_hedge(self) -> None:
+        self.hedges += 1
+
     def _heard(self) -> Iterator[int]:
         oldest_ms = self.clock.now() - _SILENT_INTERVALS * self.interval_ms
         return (
--- a/seampond/watches/tests/test_stale_copies.py
+++ b/seampond/watches/tests/test_stale_copies.py
@@ -6,6 +6,7 @@
 
 from seampond.testing.fleet_draws import (
     draw_absence,
+    draw_lost_calls,
     draw_outages,
 )
 from seampond.testing.table_fleet import Disturbance, Plan, draw_plan, play
@@ -23,6 +24,11 @@
 )
 _ABSENCE_SEEDS = (*range(20), 41, 74, 182, 501)
 _OUTAGE_SEEDS = (*range(12), 1223)
+_LOST_CALL_SEEDS = (
+    *range(20),
+    *(24, 50, 75, 84, 103, 116, 118, 130, 136, 142, 161, 166, 193),
+    *(195, 196, 209, 243, 247, 289, 293, 297),
+)
 _SILENCE_LENGTHS_MS = range(5500, 7400, 60)
 
 
@@ -71,6 +77,12 @@
             with self.subTest(seed=seed):
                 self.assertEqual(play(draw_outages(seed), seed).late, [])
 
+    def test_single_lost_calls(self) -> None:
+        """One call that goes unanswered must not make a copy overdue."""
+        for seed in _LOST_CALL_SEEDS:
+            with self.subTest(seed=seed):
+                self.assertEqual(play(draw_lost_calls(seed), seed).late, [])
+
     def test_many_processes_of_which_the_first_are_cut_off(self) -> None:
         """The others wait for those before them, but not for too long."""
         plan = replace(draw_outages(0), members=100)
