Test: a lost answer is read on a spare connection, over real connections

The hedged calls were tested on virtual time alone. Here the stand-in holds an answer for 5 s, beyond the time-out, and the read succeeds all the same; without a spare connection it raises PlatformError, as test_late_answer_is_not_taken_for_the_next shows with 1.3 s.

--- a/seampond/platform/tests/test_platform.py
+++ b/seampond/platform/tests/test_platform.py
@@ -23,7 +23,11 @@
     run_scripted,
 )
 from seampond.testing.store import run_store
-from seampond.watches import HistoryGoneError, LongChangesError
+from seampond.watches import (
+    HedgedSource,
+    HistoryGoneError,
+    LongChangesError,
+)
 
 _ROOT = Path(seampond.__file__).parent
 _CONFIGURATION = MappingProxyType(
@@ -211,6 +215,20 @@
                 page = await table.read_all()
                 self.assertEqual(len(page.rows), 1)
 
+    async def test_lost_answer_is_read_on_a_spare_connection(self) -> None:
+        """It must not fail a call while other connections work."""
+        async with run_store() as store:
+            store.put('t', 'a', b'one')
+            async with (
+                open_table(store.address, 't', Clock()) as table,
+                open_table(store.address, 't', Clock()) as spare,
+            ):
+                hedged = HedgedSource(table, spare, lambda: 2000, lambda: None)
+                for _ in range(2):
+                    store.next_delay_ms = 5000
+                    page = await hedged.read_all()
+                    self.assertEqual(len(page.rows), 1)
+
     async def test_malformed_answer_is_an_error(self) -> None:
         """Text that is not JSON, or JSON without the required fields."""
 
