--- a/seampond/testing/fleet_draws.py
+++ b/seampond/testing/fleet_draws.py
@@ -102,12 +102,25 @@
     )
 
 
+def draw_quiet(seed: int) -> Plan:
+    """Return a fleet whose small row changes now and then."""
+    return Plan(4000, 2000, _WIDE, 3000, ())
+
+
+def draw_slow(seed: int) -> Plan:
+    """Return the same with a store that is slow for most of the time."""
+    slow = Disturbance('slow', 6000, 20_000)
+    return replace(draw_quiet(seed), disturbances=(slow,))
+
+
 DRAWS: Mapping[str, Callable[[int], Plan]] = MappingProxyType(
     {
         'links': draw_plan,
         'absence': draw_absence,
         'outages': draw_outages,
         'lost-calls': draw_lost_calls,
+        'quiet': draw_quiet,
+        'slow': draw_slow,
     }
 )
 
--- a/seampond/testing/table_fleet.py
+++ b/seampond/testing/table_fleet.py
@@ -410,12 +410,15 @@
         The first overdue copies.
     calls_per_s, bytes_per_s : float
         Calls to the store and bytes of rows, for each process.
+    hedges : int
+        Calls of all processes that were made again on a spare connection.
 
     """
 
     late: list[str]
     calls_per_s: float
     bytes_per_s: float
+    hedges: int
 
 
 def play(plan: Plan, seed: int) -> Outcome:
@@ -434,6 +437,7 @@
         fleets[0].late,
         sum(link.calls for link in links) / process_s,
         sum(link.sent_bytes for link in links) / process_s,
+        sum(member.hedges for member in fleets[0].members),
     )
 
 
@@ -450,9 +454,11 @@
     failed = sum(bool(outcome.late) for outcome in outcomes)
     calls = mean(outcome.calls_per_s for outcome in outcomes)
     rows = mean(outcome.bytes_per_s for outcome in outcomes)
+    hedges = sum(outcome.hedges for outcome in outcomes)
     sys.stdout.write(
         f'{failed} of {len(outcomes)} seeds fail; for each process '
-        f'{calls:.2f} calls and {rows:.0f} bytes a second\n'
+        f'{calls:.3f} calls and {rows:.0f} bytes a second; {hedges} calls '
+        'made again\n'
     )
     return int(failed > 0)
 
