--- a/seampond/testing/faulty_links.py
+++ b/seampond/testing/faulty_links.py
@@ -131,7 +131,7 @@
 
     @property
     def is_answering(self) -> bool:
-        """Whether the answer to the latest call has begun."""
+        """Whether an answer has begun and not ended."""
         return self._is_answering
 
     async def read_all(self) -> Page:
@@ -221,6 +221,7 @@
                     break
         finally:
             link.transfers -= 1
+            self._is_answering = False
         if left > 0 or link.is_cut:
             raise CutAnswerError(
                 'TimeoutError', step=_STEP, peer='', received=1
