--- a/seampond/gateway/daemon.py
+++ b/seampond/gateway/daemon.py
@@ -18,7 +18,7 @@
 from seampond.gateway.status import build_status
 from seampond.gateway.tables import (
     CRITICAL,
-    HEARD,
+    RELAXED,
     ROUTINE,
     follow_table,
 )
@@ -270,7 +270,7 @@
             (
                 GATEWAYS_TABLE,
                 functools.partial(apply_gateway_rows, components.peers),
-                HEARD,
+                RELAXED,
             ),
         ):
             await stack.enter_async_context(
--- a/seampond/gateway/tables.py
+++ b/seampond/gateway/tables.py
@@ -51,7 +51,7 @@
 CRITICAL = FollowPolicy(_CRITICAL_PAUSE_MS, 0, proves_at_start=True)
 ROUTINE = FollowPolicy(_ROUTINE_PAUSE_MS, _BATCH_MS, proves_at_start=False)
 # Gateways also hear of each other by heartbeats.
-HEARD = FollowPolicy(
+RELAXED = FollowPolicy(
     _ROUTINE_PAUSE_MS,
     _BATCH_MS,
     proves_at_start=False,
--- a/seampond/testing/fleet_draws.py
+++ b/seampond/testing/fleet_draws.py
@@ -73,6 +73,7 @@
 
 def draw_outages(seed: int) -> Plan:
     """Draw series of outages in which the store is silent to all processes."""
+    # Unrelated to what the other kinds draw with the same seed.
     rng = random.Random(seed * 7919)
     members = rng.choice((1, 2, 2, 3, 5, 12, 30))
     bytes_per_ms, deadline_ms = rng.choice(_LINKS)
--- a/seampond/watches/answer_sizes.py
+++ b/seampond/watches/answer_sizes.py
@@ -8,8 +8,8 @@
 # written each 0.3 s, up to 3.8 s late over 5 Mbit/s (test_narrow_links).
 _TINY_TABLE_ROWS = 4
 _SLOW_TRANSFER_MS = 250
-# Changes of this many times the size of the table, or of fewer bytes than the
-# minimum, are not worth another call for a snapshot.
+# Longer changes are replaced by a snapshot; shorter ones are not worth another
+# call.
 _MAX_TABLE_SIZES = 2
 _MIN_LIMIT_BYTES = 65_536
 
--- a/seampond/watches/retry_pause.py
+++ b/seampond/watches/retry_pause.py
@@ -13,8 +13,8 @@
 # A process that the store turns away gains little by asking while its copy is
 # proved: six such processes of 18 once made half of all calls.
 _PROVED_PAUSE_MS = 3000
-# A call that an outage swallows, this part of the deadline and the read after
-# it must end while changes may still be late.
+# Leaves time for a call that times out before the pause and for the read after
+# it.
 _UNPROVED_PART = 0.4
 
 
