--- a/seampond/forwarding/admission.py
+++ b/seampond/forwarding/admission.py
@@ -298,6 +298,7 @@
             deadline_ms=head.arrived_ms + timeout_ms,
             prompt=prompt,
             last_event=head.get(names.last_event),
+            resumes=head.get(names.resumes),
             is_retry=self._is_retry(route, max_wait_ms),
             fingerprint=fingerprint(
                 head.method,
--- a/seampond/forwarding/app.py
+++ b/seampond/forwarding/app.py
@@ -356,7 +356,7 @@
     if progress is None:
         return {}
     job = progress.job
-    return {
+    fields: dict[str, object] = {
         'route': job.route.name,
         'tenant': job.tenant.name if job.tenant else '',
         'pool': job.pool,
@@ -366,6 +366,17 @@
         'end_ms': job.deadline_ms - job.arrived_ms,
         'fingerprint': format_fingerprint(job.fingerprint),
     }
+    return fields | _describe_resumption(job)
+
+
+def _describe_resumption(job: Job) -> dict[str, object]:
+    """Return log fields of a stream that was resumed."""
+    if not job.last_event:
+        return {}
+    return {
+        'resumes': job.resumes.decode('latin-1'),
+        'last_event': job.last_event.decode('latin-1'),
+    }
 
 
 def _body_message(payload: bytes, *, more: bool) -> dict[str, Any]:
--- a/seampond/forwarding/job.py
+++ b/seampond/forwarding/job.py
@@ -66,6 +66,11 @@
     ----------
     target : bytes
         Path and query, byte for byte as the caller sent them.
+    last_event : bytes
+        Id of the last event that the caller has received.
+    resumes : bytes
+        Id of the request that brought the caller the first event of its
+        stream, empty if the caller does not resume a stream.
     max_wait_ms : int
         How long the caller waits for the response, from `arrived_ms`.
     deadline_ms : int
@@ -103,6 +108,7 @@
     deadline_ms: int
     prompt: Prompt
     last_event: bytes = b''
+    resumes: bytes = b''
     charged_units: float = 0
     attempts: int = 0
     may_have_run: bool = False
--- a/seampond/forwarding/models.py
+++ b/seampond/forwarding/models.py
@@ -175,6 +175,8 @@
     ----------
     reserved : tuple[bytes, ...]
         Prefixes of the headers that only a gateway may set.
+    resumes : bytes
+        Names the request that brought the first event of a resumed stream.
     caller_settable : frozenset[bytes]
         Reserved headers that a caller may set too.
 
@@ -193,6 +195,7 @@
     tokens: bytes
     prompt: bytes
     last_event: bytes
+    resumes: bytes
     scheme: str
     reserved: tuple[bytes, ...] = ()
     caller_settable: frozenset[bytes] = frozenset()
--- a/seampond/platform/names.py
+++ b/seampond/platform/names.py
@@ -20,6 +20,7 @@
     tokens=_TOKEN_USAGE,
     prompt=_PROMPT_PREFIX,
     last_event=b'last-event-id',
+    resumes=b'resumes',
     scheme='token',
     # Callers may not send headers with these prefixes, except those below.
     reserved=(b'x-seampond-', b'kv-'),
--- a/seampond/testing/gateways.py
+++ b/seampond/testing/gateways.py
@@ -50,10 +50,16 @@
     tokens=b'x-test-tokens',
     prompt=b'x-test-prompt',
     last_event=b'last-event-id',
+    resumes=b'x-test-resumes',
     scheme='token',
     reserved=(b'x-test-',),
     caller_settable=frozenset(
-        (ID_HEADER.encode(), b'x-test-tokens', b'x-test-prompt')
+        (
+            ID_HEADER.encode(),
+            b'x-test-tokens',
+            b'x-test-prompt',
+            b'x-test-resumes',
+        )
     ),
 )
 
