--- /dev/null
+++ b/seampond/gateway/tests/test_stream_versions.py
@@ -0,0 +1,114 @@
+"""Tests that a stream goes on only at the version that began it.
+
+The events of two versions do not fit together, and servers do not check it.
+"""
+
+import asyncio
+
+from seampond.gateway.tests.streaming_case import (
+    NEW_VERSION,
+    OLD_VERSION,
+    StreamingCase,
+)
+from seampond.testing.streaming import CallerPlan
+
+_RUN_MS = 4000
+_EVENTS_BEFORE_CUT = 4
+# The rule asks for half of the share of new streams.
+_RESUMED_SHARE = 0.9
+# Well below the target latency of the route.
+_END_MAX_MS = 500
+
+
+class BrokenServerTest(StreamingCase):
+    """A server resets the connection of a stream that it answers."""
+
+    async def test_stream_joins_versions_inside_an_answer(self) -> None:
+        """The gateway resumes the stream at another server."""
+        await self.open_fleet(gateways=1, break_every=8)
+        await self.drive(CallerPlan(), _RUN_MS)
+        self.check_streams()
+        complete = sum(record.is_complete for record in self.fleet.records)
+        self.assertGreaterEqual(
+            complete, _RESUMED_SHARE * len(self.fleet.records)
+        )
+
+    async def test_stream_of_a_version_that_left_ends_late(self) -> None:
+        """No other server of its version serves any more."""
+        fleet = await self.open_fleet(gateways=1, versions=(NEW_VERSION,))
+        last = (await fleet.add_servers(1, OLD_VERSION))[0]
+        await self.wait_until_up()
+        opened = asyncio.create_task(self.drive(CallerPlan(), 1000))
+        await fleet.clock.sleep(600)
+        leaving = asyncio.create_task(last.leave(5000))
+        await fleet.clock.sleep(400)
+        last.end_streams()
+        ended_ms = fleet.clock.now()
+        await opened
+        leaving.cancel()
+        self.check_streams()
+        cut = [
+            record.attempts[0]
+            for record in fleet.records
+            if OLD_VERSION in record.versions and not record.is_complete
+        ]
+        self.assertGreater(len(cut), 0)
+        for attempt in cut:
+            self.assertLess(attempt.ended_ms - ended_ms, _END_MAX_MS)
+
+
+class ReturningCallerTest(StreamingCase):
+    """Callers lose their connection and resume at another gateway."""
+
+    async def test_stream_joins_versions_over_gateways(self) -> None:
+        """They come back after a moment."""
+        await self._check(CallerPlan(_EVENTS_BEFORE_CUT, return_ms=300))
+
+    async def test_stream_joins_versions_of_callers_back_at_once(self) -> None:
+        """The gateways have hardly exchanged anything in the meantime."""
+        await self._check(CallerPlan(_EVENTS_BEFORE_CUT))
+
+    async def test_stream_joins_versions_at_the_third_attempt(self) -> None:
+        """Callers name the request that brought the first event."""
+        await self._check(CallerPlan(_EVENTS_BEFORE_CUT, cuts=2))
+
+    async def test_stream_joins_versions_in_a_release(self) -> None:
+        """Another version takes the place of the first, then a third."""
+        fleet = await self.open_fleet(versions=(OLD_VERSION,))
+        plan = CallerPlan(_EVENTS_BEFORE_CUT, return_ms=300)
+        opened = asyncio.create_task(self.drive(plan, _RUN_MS))
+        await fleet.clock.sleep(1000)
+        await fleet.release(NEW_VERSION, 500)
+        await fleet.release('v3', 500)
+        await opened
+        self.check_streams()
+        self._check_share()
+
+    async def test_stream_that_nobody_knows_joins_versions(self) -> None:
+        """Callers do not name the request that brought the first event."""
+        await self.open_fleet()
+        plan = CallerPlan(_EVENTS_BEFORE_CUT, names_first=False)
+        await self.drive(plan, 2000)
+        self.check_streams()
+
+    async def test_stream_of_a_single_version_is_refused(self) -> None:
+        """Where one version serves, any server may go on."""
+        fleet = await self.open_fleet(versions=(OLD_VERSION,))
+        plan = CallerPlan(_EVENTS_BEFORE_CUT, names_first=False)
+        await fleet.clock.sleep(60_000)
+        await self.drive(plan, 2000)
+        self.check_streams()
+        self._check_share()
+
+    async def _check(self, plan: CallerPlan) -> None:
+        await self.open_fleet()
+        await self.drive(plan, _RUN_MS)
+        self.check_streams()
+        self._check_share()
+
+    def _check_share(self) -> None:
+        fleet = self.fleet
+        self.assertGreater(len(fleet.resumptions(serving=2)), 12)
+        self.assertGreaterEqual(
+            fleet.resumed_share(), _RESUMED_SHARE * fleet.started_share()
+        )
--- a/seampond/platform/tests/rows.py
+++ b/seampond/platform/tests/rows.py
@@ -37,6 +37,8 @@
         Limits on callers, with the names of the models.
     other_tenants : int
         Number of further tenants.
+    may_resume : bool
+        Whether a broken stream may be resumed.
 
     """
 
@@ -47,6 +49,7 @@
     connections_max: int = 0
     limits: dict[str, int] | None = None
     other_tenants: int = 0
+    may_resume: bool = False
 
     def make(self) -> dict[str, Any]:
         """Return the row as the store holds it."""
@@ -59,6 +62,7 @@
             'target-latency-ms': 1000,
             'service': POOL,
             'max-attempts': 2,
+            'stream-resume': self.may_resume,
         }
         if self.weights:
             route['traffic-split'] = [
--- a/seampond/testing/soak_faults.py
+++ b/seampond/testing/soak_faults.py
@@ -201,6 +201,22 @@
 )
 
 
+# For soaks in which servers of other versions are released.
+RELEASE_FAULTS: tuple[Fault, ...] = (
+    _kill,
+    _kill,
+    _stop,
+    _freeze,
+    _kill_all,
+    _store_away,
+    _orphan_feeds,
+)
+
+
+# For soaks in which only single gateways are killed.
+KILLS: tuple[Fault, ...] = (_kill,)
+
+
 # Adds server signals and store restores.  A tuple of its own, since the runs
 # of a seed depend on the faults to choose from.
 SIGNAL_FAULTS: tuple[Fault, ...] = (
