Resume a stream inside an answer only at the version that began it

Callers saw streams that held events of two software versions in one answer. Cause: after a broken connection the scheduler took any server of the pool.

A stream's pool and version are recorded with its first event; only servers of that version that take work go on with it, also one that was tried before where there is no other. Where none is left the stream ends at once instead of waiting. Each send asserts the rule (`single-version`), also against a row that changed while connecting.

--- a/seampond/forwarding/attempt.py
+++ b/seampond/forwarding/attempt.py
@@ -28,6 +28,7 @@
     parse_keep_alive_ms,
 )
 from seampond.forwarding.server_signals import parse_signals
+from seampond.forwarding.stream_origins import StreamOrigin
 from seampond.promises import Promises, Rule
 from seampond.quarantine import format_fingerprint
 from seampond.quarantine.quarantine import Quarantine
@@ -47,6 +48,8 @@
     ----------
     last_chunk_ms : int
         When the last chunk of a streamed answer arrived.
+    version : str
+        Version of the server when the request was sent.
     record : AttemptRecord
         Measurements of the attempt for the log.
 
@@ -61,6 +64,7 @@
     quarantine: Quarantine
     sent_ms: int = 0
     last_chunk_ms: int = 0
+    version: str = ''
     record: AttemptRecord = field(init=False)
 
     async def run(self) -> Outcome:
@@ -108,7 +112,8 @@
             return self._record_failure(error)
         if not self._may_send():
             # While connecting, the server may have started to drain, requested
-            # a back-off or set a limit, or the request may have become suspect.
+            # a back-off, set a limit or changed its version, or the request may
+            # have become suspect.
             self.backends.release_connection(self.backend, connection, None)
             return Outcome.unreachable
         keep_alive_ms: int | None = None
@@ -131,8 +136,14 @@
 
     def _may_send(self) -> bool:
         now_ms = self.clock.now()
+        job = self.progress.job
         may_send = self.backend.may_send(now_ms) and self._is_permitted(now_ms)
-        return may_send and self.quarantine.may_send(self.progress.job)
+        is_allowed = self.quarantine.may_send(job) and self._has_origin()
+        return may_send and is_allowed
+
+    def _has_origin(self) -> bool:
+        """Whether the server has the version that began the stream."""
+        return self.progress.job.may_run_on(self.backend.server)
 
     def _is_permitted(self, now_ms: int) -> bool:
         """Whether the server has no limit, or the request holds a permit."""
@@ -147,6 +158,7 @@
         job.last_event = progress.splitter.last_id
         progress.splitter.restart()
         self.sent_ms = self.clock.now()
+        self.version = self.backend.server.version
         encoded = encode_request(
             job, self.names, self.backend.server.id, self.sent_ms
         )
@@ -171,6 +183,7 @@
             ),
             (Rule.bounded_attempts, job.attempts < job.route.attempts),
             (Rule.quarantine, self.quarantine.may_send(job)),
+            (Rule.single_version, self._has_origin()),
         ):
             self.promises.check(rule, holds, step='send', peer=server.address)
 
@@ -233,6 +246,7 @@
             if events:
                 if not sink.has_started:
                     await sink.start(head, None)
+                self._record_origin()
                 progress.job.has_streamed = True
                 await sink.send(events)
         if progress.splitter.remainder:
@@ -242,6 +256,12 @@
         await sink.finish()
         self._record_stream(chunk_count)
 
+    def _record_origin(self) -> None:
+        """Record where the stream began, with its first event."""
+        job = self.progress.job
+        if job.origin is None:
+            job.origin = StreamOrigin(job.pool, self.version)
+
     def _record_first_byte(self) -> None:
         """Update speed estimates from the time to the first byte."""
         job, backend = self.progress.job, self.backend
--- a/seampond/forwarding/availability.py
+++ b/seampond/forwarding/availability.py
@@ -196,7 +196,7 @@
             limit = backend.signals.limit
             if limit.requested_ms is not None:
                 continue
-            if backend.server.id in waiter.avoid:
+            if not waiter.may_use(backend.server):
                 continue
             available_ms = self.permits.available_ms(
                 backend, for_retry=waiter.job.is_retry
--- a/seampond/forwarding/backend.py
+++ b/seampond/forwarding/backend.py
@@ -132,6 +132,18 @@
             return self.is_listed and now_ms < self.signals.drain_until_ms
         return now_ms < self.fallback_until_ms
 
+    def may_resume(self, now_ms: int) -> bool:
+        """Return True if it may go on with a stream.
+
+        Explanation
+        -----------
+        A server that drains does not, nor one whose row has gone and that
+        fails: the stream ends at once where no other server can go on.
+        """
+        if self.is_draining or not self.may_serve(now_ms):
+            return False
+        return self.is_listed or not self.consecutive_failures
+
     def may_send(self, now_ms: int) -> bool:
         """Return True if it may be sent to now, if only as a fallback."""
         return self.may_serve(now_ms) and not self.signals.is_backing_off(
--- a/seampond/forwarding/forwarder.py
+++ b/seampond/forwarding/forwarder.py
@@ -149,7 +149,7 @@
         if job.attempts >= job.route.attempts:
             return False
         return self._context.budget.try_acquire(
-            job.pool, is_resumed=job.has_streamed
+            job.pool, is_resumed=job.is_resumed
         )
 
     async def _answer_refusal(
--- a/seampond/forwarding/headroom.py
+++ b/seampond/forwarding/headroom.py
@@ -45,7 +45,7 @@
 
     def reserved_fraction(self, job: Job) -> float:
         """Return the fraction of slots that a request leaves free."""
-        if job.has_streamed or not zlib.crc32(job.request_id) % _EXEMPT_EVERY:
+        if job.is_resumed or not zlib.crc32(job.request_id) % _EXEMPT_EVERY:
             return 0
         return min(_MAX_FRACTION, self._steps(job) * _FRACTION_PER_STEP)
 
--- a/seampond/forwarding/job.py
+++ b/seampond/forwarding/job.py
@@ -3,7 +3,9 @@
 from dataclasses import dataclass
 
 from seampond.forwarding.models import RequestKind, Route, Tenant
+from seampond.forwarding.server import Server
 from seampond.forwarding.server_limit import Permit
+from seampond.forwarding.stream_origins import StreamOrigin
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -91,6 +93,8 @@
         Whether it may be sent once although it is in quarantine.
     permit : Permit or None
         Permit for the server where it has a slot, if that one has a limit.
+    origin : StreamOrigin or None
+        Where its stream began, None until the first event.
 
     """
 
@@ -119,6 +123,7 @@
     is_concurrent_duplicate: bool = False
     is_trial: bool = False
     permit: Permit | None = None
+    origin: StreamOrigin | None = None
 
     @property
     def session(self) -> str:
@@ -129,3 +134,14 @@
     def is_stream(self) -> bool:
         """Whether the response is a stream of events."""
         return self.route.kind is RequestKind.stream
+
+    @property
+    def is_resumed(self) -> bool:
+        """Whether the caller has received a part of the stream."""
+        return self.has_streamed or bool(self.last_event)
+
+    def may_run_on(self, server: Server) -> bool:
+        """Return True if a server has the version that began the stream."""
+        if self.origin is None:
+            return True
+        return self.origin == StreamOrigin(server.pool, server.version)
--- a/seampond/forwarding/queues.py
+++ b/seampond/forwarding/queues.py
@@ -7,6 +7,7 @@
 from seampond.forwarding.headroom import Headroom
 from seampond.forwarding.job import Job
 from seampond.forwarding.retry_times import RetrySchedule
+from seampond.forwarding.server import Server
 
 
 @dataclass(slots=True)
@@ -32,6 +33,12 @@
     expires_ms: int
     slot: 'asyncio.Future[Backend]'
 
+    def may_use(self, server: Server) -> bool:
+        """Return True if a server is neither avoided nor unable to resume."""
+        if self.job.origin is not None:
+            return self.job.may_run_on(server)
+        return server.id not in self.avoid
+
 
 @dataclass(slots=True)
 class Queue:
@@ -80,7 +87,7 @@
     return (
         job.priority,
         job.route.priority,
-        not job.has_streamed,
+        not job.is_resumed,
         not job.is_retry,
         waiter.target_end_ms,
     )
--- a/seampond/forwarding/refusals.py
+++ b/seampond/forwarding/refusals.py
@@ -22,6 +22,7 @@
     body_too_slow = 'body-too-slow'
     no_memory = 'no-memory'
     no_server = 'no-server'
+    version_gone = 'version-gone'
     overload = 'overload'
     servers_backing_off = 'servers-resting'
     servers_limited = 'servers-limited'
--- a/seampond/forwarding/scheduler.py
+++ b/seampond/forwarding/scheduler.py
@@ -12,6 +12,11 @@
 from seampond.forwarding.job import Job
 from seampond.forwarding.queues import Queue, Waiter
 from seampond.forwarding.refusals import Cause, Refusal
+from seampond.forwarding.resumption import (
+    ResumeTargets,
+    compute_resume_wait_ms,
+    select_avoided,
+)
 from seampond.forwarding.retry_times import spread_retry_ms
 from seampond.forwarding.scoring import Score, score_backend
 from seampond.forwarding.versions import ANY_VERSION, VersionPolicy
@@ -20,8 +25,6 @@
 # Fraction of the target latency: a refusal within a quarter of it leaves time
 # for a retry.
 _MAX_WAIT_FRACTION = 0.21
-# Callers tolerate gaps of two seconds in their streams.
-_RESUME_MAX_WAIT_MS = 1500
 _CHECK_INTERVAL_MS = 100
 _MAX_QUEUE_LENGTH = 500
 _EXTRA_SLOTS = 2
@@ -82,6 +85,7 @@
         self._compute_retry_ms = compute_retry_ms
         self._queues: dict[str, Queue] = {}
         self._rng = random.Random()
+        self._resume_targets = ResumeTargets(backends, versions, clock)
         self.availability = Availability(clock, self._rng)
 
     @property
@@ -125,6 +129,7 @@
         """
         queue = self._queues.setdefault(job.pool, Queue())
         queue.headroom.record(job)
+        self._resume_targets.check(job)
         if not queue.waiters:
             backend = self._find_backend(job, avoid)
             if backend is not None:
@@ -134,13 +139,13 @@
         try:
             return await self._wait(waiter)
         except asyncio.CancelledError:
-            if waiter.slot.done() and not waiter.slot.cancelled():
-                if waiter.slot.exception() is None:
-                    self.release(waiter.slot.result())
+            self._release_unused(waiter)
             raise
         except Refusal as refusal:
             queue.remove(waiter)
-            refusal.retry_after_ms = await self.reserve_retry_ms(job)
+            # No time to come back would hold for a version that is gone.
+            if refusal.cause is not Cause.version_gone:
+                refusal.retry_after_ms = await self.reserve_retry_ms(job)
             raise
         finally:
             queue.remove(waiter)
@@ -159,11 +164,13 @@
             return
         candidates = self._list_open_backends(pool)
         for waiter in list(queue.waiters):
-            if not candidates:
-                return
-            if waiter.slot.done():
+            # The sample of a large pool may hold no server of its version.
+            is_bound = waiter.job.origin is not None
+            if waiter.slot.done() or not (candidates or is_bound):
                 continue
-            backend = self._find_backend(waiter.job, waiter.avoid, candidates)
+            backend = self._find_backend(
+                waiter.job, waiter.avoid, None if is_bound else candidates
+            )
             if backend is not None:
                 queue.waiters.remove(waiter)
                 waiter.slot.set_result(self._claim_slot(backend, waiter.job))
@@ -240,6 +247,13 @@
             later_ms = available_ms - now_ms + round(draw * job.route.target_ms)
         return max(1, later_ms)
 
+    def _release_unused(self, waiter: Waiter) -> None:
+        """Release the slot of a waiter that was cancelled."""
+        if not waiter.slot.done() or waiter.slot.cancelled():
+            return
+        if waiter.slot.exception() is None:
+            self.release(waiter.slot.result())
+
     def _claim_slot(self, backend: Backend, job: Job) -> Backend:
         job.permit = self.availability.acquire_permit(backend, job)
         backend.record_dispatch()
@@ -257,9 +271,16 @@
             The servers to choose from, None to draw from the pool.
 
         """
-        if candidates is None:
+        if job.origin is not None:
+            candidates = self._resume_targets.sample(
+                job, self._rng, _MAX_CANDIDATES
+            )
+            avoid = select_avoided(avoid, candidates)
+        elif candidates is None:
             candidates = self._draw_candidates(job.pool)
-        capacity = self._capacity_limits(job.pool, self._reserved_fraction(job))
+        capacity = self._capacity_limits(
+            job.pool, self._queues[job.pool].headroom.reserved_fraction(job)
+        )
         for group in self._versions.group(job, candidates):
             found = self._find_best_of(job, avoid, group, capacity)
             if found is not None:
@@ -326,9 +347,6 @@
             and self.availability.is_available(backend, for_retry=True)
         ]
 
-    def _reserved_fraction(self, job: Job) -> float:
-        return self._queues[job.pool].headroom.reserved_fraction(job)
-
     def _capacity_limits(
         self, pool: str, reserved_fraction: float
     ) -> CapacityLimits:
@@ -368,8 +386,8 @@
     def _wait_until_ms(self, job: Job) -> int:
         """Return until when a request may wait for a slot."""
         max_wait_ms = _MAX_WAIT_FRACTION * job.route.target_ms
-        if job.has_streamed:
-            max_wait_ms = _RESUME_MAX_WAIT_MS
+        if job.is_resumed:
+            max_wait_ms = compute_resume_wait_ms(job.route)
         return min(job.deadline_ms, self._clock.now() + round(max_wait_ms))
 
     async def _wait(self, waiter: Waiter) -> Backend:
@@ -377,6 +395,8 @@
         while True:
             # A pause of a server may have ended, or a load report expired.
             self.process_queue(pool)
+            if not waiter.slot.done():
+                self._resume_targets.check(waiter.job)
             left_ms = waiter.expires_ms - self._clock.now()
             if left_ms <= 0 and not waiter.slot.done():
                 raise self._time_out(waiter.job)
--- a/seampond/forwarding/scoring.py
+++ b/seampond/forwarding/scoring.py
@@ -30,7 +30,7 @@
     load = backend.load(now_ms)
     first_ms = estimate_first_byte_ms(backend, job, pool, now_ms, load)
     latest_ms = job.route.target_ms + min_first_byte_ms(job)
-    if load and first_ms > latest_ms and not job.has_streamed:
+    if load and first_ms > latest_ms and not job.is_resumed:
         return None
     finish_ms = now_ms + first_ms + estimate_generation_ms(backend, job, pool)
     if (
--- a/seampond/promises/rules.py
+++ b/seampond/promises/rules.py
@@ -29,6 +29,7 @@
     proved_key = 'proved-key'
     nothing_open_when_done = 'nothing-open-when-done'
     quarantine = 'quarantine'
+    single_version = 'single-version'
 
 
 class Promises:
