Resume a caller's stream only at the version that began it

Callers that lost their connection, or whose gateway died, got the rest of their streams from servers of another software version. Cause: the header that names the attempt with the first event was read nowhere, so a gateway knew nothing of the stream that it went on with.

A gateway reports pool and version of a stream to two owners (consistent hashing over the live gateways) before it passes on the first event. One that resumes a stream asks up to four owners and waits 150 ms at most. Nothing is reported while one version alone has served a pool for longer than streams last; when that ends, the streams that began before are reported. Where nobody knows the stream it goes on only if a single version can have begun it, else the caller is refused with a time to come back; a gateway that has just started takes over from others which versions they have seen. Where the version no longer serves the refusal names no time to come back.

Messages only grow: a heartbeat tells that the sender keeps origins. Each send asserts that a resumed stream has a version and that the server has it.

--- a/seampond/forwarding/app.py
+++ b/seampond/forwarding/app.py
@@ -373,10 +373,16 @@
     """Return log fields of a stream that was resumed."""
     if not job.last_event:
         return {}
-    return {
+    fields: dict[str, object] = {
         'resumes': job.resumes.decode('latin-1'),
         'last_event': job.last_event.decode('latin-1'),
     }
+    if job.origin is not None:
+        fields['began_at'] = job.origin.version
+    if job.resumption is not None:
+        fields['origin_from'] = job.resumption.source
+        fields['origin_age_ms'] = job.resumption.age_ms
+    return fields
 
 
 def _body_message(payload: bytes, *, more: bool) -> dict[str, Any]:
--- a/seampond/forwarding/attempt.py
+++ b/seampond/forwarding/attempt.py
@@ -28,7 +28,11 @@
     parse_keep_alive_ms,
 )
 from seampond.forwarding.server_signals import parse_signals
-from seampond.forwarding.stream_origins import StreamOrigin
+from seampond.forwarding.stream_origins import (
+    NO_ORIGINS,
+    OriginSource,
+    StreamOrigin,
+)
 from seampond.promises import Promises, Rule
 from seampond.quarantine import format_fingerprint
 from seampond.quarantine.quarantine import Quarantine
@@ -62,6 +66,7 @@
     clock: Clock
     promises: Promises
     quarantine: Quarantine
+    origins: OriginSource = NO_ORIGINS
     sent_ms: int = 0
     last_chunk_ms: int = 0
     version: str = ''
@@ -143,7 +148,10 @@
 
     def _has_origin(self) -> bool:
         """Whether the server has the version that began the stream."""
-        return self.progress.job.may_run_on(self.backend.server)
+        job = self.progress.job
+        if job.is_resumed and job.origin is None:
+            return False
+        return job.may_run_on(self.backend.server)
 
     def _is_permitted(self, now_ms: int) -> bool:
         """Whether the server has no limit, or the request holds a permit."""
@@ -244,9 +252,10 @@
             self._record_chunk(chunk_count)
             events = progress.splitter.feed(chunk)
             if events:
+                # Before the caller can resume it at another gateway.
+                self._record_origin()
                 if not sink.has_started:
                     await sink.start(head, None)
-                self._record_origin()
                 progress.job.has_streamed = True
                 await sink.send(events)
         if progress.splitter.remainder:
@@ -261,6 +270,7 @@
         job = self.progress.job
         if job.origin is None:
             job.origin = StreamOrigin(job.pool, self.version)
+            self.origins.record(job)
 
     def _record_first_byte(self) -> None:
         """Update speed estimates from the time to the first byte."""
--- a/seampond/forwarding/forwarder.py
+++ b/seampond/forwarding/forwarder.py
@@ -14,6 +14,7 @@
 from seampond.forwarding.refusals import Cause, Refusal
 from seampond.forwarding.retries import RetryBudget
 from seampond.forwarding.scheduler import Scheduler
+from seampond.forwarding.stream_origins import NO_ORIGINS, OriginSource
 from seampond.forwarding.versions import ANY_VERSION, VersionPolicy
 from seampond.metrics.gateway import GatewayMetrics
 from seampond.promises import Promises
@@ -42,6 +43,8 @@
         Holds back requests that are suspected of crashing servers.
     versions : VersionPolicy
         Records the outcome of each attempt.
+    origins : OriginSource
+        Records which versions began streams.
 
     """
 
@@ -55,6 +58,7 @@
     promises: Promises
     quarantine: Quarantine
     versions: VersionPolicy = ANY_VERSION
+    origins: OriginSource = NO_ORIGINS
 
 
 class Forwarder:
@@ -82,11 +86,12 @@
 
         """
         job = progress.job
-        self._context.budget.record_first_attempt(job.pool)
         progress.splitter.last_id = job.last_event
         remaining_ms = max(0, job.deadline_ms - self._clock.now())
         try:
             async with asyncio.timeout(remaining_ms / MS_PER_SECOND):
+                await self._context.origins.resolve(job)
+                self._context.budget.record_first_attempt(job.pool)
                 await self._try_servers(progress)
         except TimeoutError:
             await self._answer_refusal(
@@ -127,6 +132,7 @@
             context.clock,
             context.promises,
             context.quarantine,
+            context.origins,
         )
         async with context.quarantine.admit(progress.job):
             try:
--- a/seampond/forwarding/job.py
+++ b/seampond/forwarding/job.py
@@ -5,7 +5,7 @@
 from seampond.forwarding.models import RequestKind, Route, Tenant
 from seampond.forwarding.server import Server
 from seampond.forwarding.server_limit import Permit
-from seampond.forwarding.stream_origins import StreamOrigin
+from seampond.forwarding.stream_origins import Resumption, StreamOrigin
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -95,6 +95,8 @@
         Permit for the server where it has a slot, if that one has a limit.
     origin : StreamOrigin or None
         Where its stream began, None until the first event.
+    resumption : Resumption or None
+        How the origin became known, if the caller resumes a stream.
 
     """
 
@@ -124,6 +126,7 @@
     is_trial: bool = False
     permit: Permit | None = None
     origin: StreamOrigin | None = None
+    resumption: Resumption | None = None
 
     @property
     def session(self) -> str:
@@ -138,7 +141,7 @@
     @property
     def is_resumed(self) -> bool:
         """Whether the caller has received a part of the stream."""
-        return self.has_streamed or bool(self.last_event)
+        return self.is_stream and (self.has_streamed or bool(self.last_event))
 
     def may_run_on(self, server: Server) -> bool:
         """Return True if a server has the version that began the stream."""
--- a/seampond/forwarding/models.py
+++ b/seampond/forwarding/models.py
@@ -59,6 +59,11 @@
     may_resume: bool = False
     pause_ms: int = 0
 
+    @property
+    def pools(self) -> tuple[str, ...]:
+        """Names of its pools."""
+        return tuple(share.pool for share in self.shares)
+
     @property
     def may_repeat(self) -> bool:
         """Whether a request that may have run may be sent again."""
--- a/seampond/forwarding/refusals.py
+++ b/seampond/forwarding/refusals.py
@@ -23,6 +23,7 @@
     no_memory = 'no-memory'
     no_server = 'no-server'
     version_gone = 'version-gone'
+    version_unknown = 'version-unknown'
     overload = 'overload'
     servers_backing_off = 'servers-resting'
     servers_limited = 'servers-limited'
--- a/seampond/gateway/components.py
+++ b/seampond/gateway/components.py
@@ -36,6 +36,7 @@
     RelayedPage,
     hash_name,
 )
+from seampond.streams.registry import OriginRegistry
 from seampond.watches import FreshnessProof, Page, TableFreshness, Watch
 
 _PROOF_SENT_MS = 1000
@@ -68,6 +69,7 @@
     quarantine: Quarantine
     permit_manager: PermitManager
     stalls: EventLoopStalls
+    origins: OriginRegistry
     watches: dict[str, Watch] = field(default_factory=dict)
     _pages_to_relay: list[RelayedPage] = field(default_factory=list)
 
@@ -162,6 +164,7 @@
             successes=self.quarantine.suspects.list_cleared(),
             limit_reports=self.permit_manager.collect_reports(),
             issues_permits=True,
+            keeps_origins=True,
         )
 
     def record_heartbeat_sent(self) -> None:
--- a/seampond/gateway/daemon.py
+++ b/seampond/gateway/daemon.py
@@ -51,6 +51,7 @@
 _TRIALS_RETRY_MS = 250
 _TRIALS_TRIES_MAX = 12
 _POLL_INTERVAL_MS = 100
+_ADOPT_INTERVAL_MS = 500
 _logger = logging.getLogger(__name__)
 
 
@@ -89,6 +90,13 @@
         _logger.info('gateway stopped', extra={'open': web.open_requests})
 
 
+async def _adopt_history(components: GatewayComponents) -> None:
+    """Learn which versions served before this gateway started."""
+    while True:
+        await components.origins.adopt_history()
+        await components.clock.sleep(_ADOPT_INTERVAL_MS)
+
+
 @asynccontextmanager
 async def _share_with_peers(
     components: GatewayComponents,
@@ -104,16 +112,19 @@
         clock,
         lambda kind: components.metrics.dropped.labels(kind).inc(),
         components.handle_permit_message,
+        components.origins.handle_message,
     )
     async with (
         open_table(settings.store.address, GATEWAYS_TABLE, clock) as table,
-        exchange_heartbeats(settings.peer_listen, sharing) as send_permit,
+        exchange_heartbeats(settings.peer_listen, sharing) as senders,
         run_tasks(
             register(table, components.peers, settings.peer_listen, clock)
         ),
     ):
-        components.permit_manager.send = send_permit
-        yield
+        components.permit_manager.send = senders.send_permit
+        components.origins.requests.send = senders.send_origin
+        async with run_tasks(_adopt_history(components)):
+            yield
         await unregister(table, components.peers)
 
 
--- a/seampond/gateway/followers.py
+++ b/seampond/gateway/followers.py
@@ -1,6 +1,7 @@
 """Configuration and servers, kept up to date from watched tables."""
 
 import logging
+from collections.abc import Callable, Iterable
 
 from seampond.clock import Clock
 from seampond.errors import PlatformError
@@ -76,12 +77,24 @@
         )
 
 
+def _ignore_servers(servers: Iterable[Server]) -> None:
+    """Ignore the servers."""
+
+
 class ServerFollower:
-    """Keeps the backends in line with the list of servers."""
+    """Keeps the backends in line with the list of servers.
+
+    Attributes
+    ----------
+    on_change : Callable[[Iterable[Server]], None]
+        Called with all servers after an answer of the store.
+
+    """
 
     def __init__(self, backends: Backends, scheduler: Scheduler) -> None:
         """Start without a list."""
         self.is_loaded = False
+        self.on_change: Callable[[Iterable[Server]], None] = _ignore_servers
         self._backends = backends
         self._scheduler = scheduler
         self._refused: set[tuple[str, str]] = set()
@@ -108,6 +121,7 @@
             self._backends.update(servers, removed)
         self._backends.mark_unreadable(unreadable)
         self.is_loaded = True
+        self.on_change(backend.server for backend in self._backends)
         self._scheduler.process_queues()
 
     def _log_refused(self, server_id: str, error: PlatformError) -> None:
--- a/seampond/gateway/wiring.py
+++ b/seampond/gateway/wiring.py
@@ -40,6 +40,7 @@
 from seampond.rollouts import Report, RolloutManager
 from seampond.settings.gateway import BoundSettings, GatewaySettings
 from seampond.sharing import Peers, Quotas, hash_name
+from seampond.streams.registry import OriginRegistry
 from seampond.watches import StoreClock, TableFreshness
 
 _INCARNATION_BITS = 48
@@ -208,6 +209,15 @@
     configuration_state.is_outdated = lambda: (
         freshness[CONFIGURATION_TABLE].is_behind
     )
+    origins = OriginRegistry(
+        peers,
+        clock,
+        lambda: clock.now() - freshness[SERVERS_TABLE].proved_ms,
+        random.Random(),
+        lambda source: metrics.resumed.labels(source).inc(),
+    )
+    server_follower = ServerFollower(backends, scheduler)
+    server_follower.on_change = origins.update_servers
     admission = Admission(
         configuration_state,
         HEADERS,
@@ -229,6 +239,7 @@
             promises,
             quarantine,
             versions,
+            origins,
         )
     )
     web = GatewayApp(
@@ -255,9 +266,10 @@
         retry_budget=retry_budget,
         is_heartbeat_due=is_heartbeat_due,
         incarnation=secrets.randbits(_INCARNATION_BITS),
-        server_follower=ServerFollower(backends, scheduler),
+        server_follower=server_follower,
         rollout_follower=RolloutFollower(rollouts, clock),
         quarantine=quarantine,
         permit_manager=permit_manager,
         stalls=stalls,
+        origins=origins,
     )
--- a/seampond/metrics/gateway.py
+++ b/seampond/metrics/gateway.py
@@ -42,6 +42,11 @@
             'Permits wanted for servers with a limit, by what became of it.',
             'outcome',
         )
+        self.resumed = self.count(
+            'seampond_gateway_resumed_streams',
+            'Streams that callers resume, by who knew the version.',
+            'source',
+        )
         self.trials = self.count(
             'seampond_quarantine_trials',
             'Trials of quarantined requests, by whether leave was given.',
--- a/seampond/sharing/heartbeat.capnp
+++ b/seampond/sharing/heartbeat.capnp
@@ -36,6 +36,7 @@
   limitRates @28 :List(Float64);
   limitSaidAgoMs @29 :List(UInt32);
   givesPermits @30 :Bool;
+  keepsOrigins @31 :Bool;
 }
 
 struct Rollout {
--- a/seampond/sharing/heartbeats.py
+++ b/seampond/sharing/heartbeats.py
@@ -102,6 +102,8 @@
         Limits reported by servers, by hash of the server's incarnation.
     issues_permits : bool
         Whether the sender may own server limits.
+    keeps_origins : bool
+        Whether the sender keeps the origins of streams for others.
 
     """
 
@@ -123,6 +125,7 @@
     successes: Mapping[int, int] = field(default_factory=dict)
     limit_reports: Mapping[int, LimitReport] = field(default_factory=dict)
     issues_permits: bool = False
+    keeps_origins: bool = False
 
 
 @functools.cache
@@ -273,6 +276,7 @@
             for report in heartbeat.limit_reports.values()
         ],
         givesPermits=heartbeat.issues_permits,
+        keepsOrigins=heartbeat.keeps_origins,
     )
     packed: bytes = message.to_bytes_packed()
     return packed
@@ -321,6 +325,7 @@
                 ),
             ),
             reader.givesPermits,
+            reader.keepsOrigins,
         )
     except _DECODE_ERRORS as error:
         raise ForeignMessageError(
--- a/seampond/sharing/peers.py
+++ b/seampond/sharing/peers.py
@@ -17,12 +17,12 @@
 # receive 1,130.
 _FULL_RATE_GATEWAYS = 30
 _SILENT_INTERVALS = 3
-# Expected number of gateways that reply to a newcomer; more than one, since
-# replies may be lost or come from gateways without levels.
-_SAMPLE_SIZE = 8
 # Gateways that follow the store's tables and relay changes: one may be frozen,
 # one disconnected and one just stopped before the others notice.
 _FOLLOWER_COUNT = 4
+# Expected number of gateways that reply to a newcomer; more than one, since
+# replies may be lost or come from gateways without levels.
+_SAMPLE_SIZE = 8
 _FORGET_AFTER_MS = 20_000
 # Spans several heartbeats, some of which may be lost.
 _NEWCOMER_UPTIME_MS = 2000
@@ -89,6 +89,8 @@
         Reachable ones with access to the store that precede this gateway.
     permit_issuers : tuple[str, ...]
         Names of reachable ones that issue permits.
+    origin_keepers : tuple[str, ...]
+        Names of reachable ones that keep the origins of streams.
 
     """
 
@@ -99,6 +101,7 @@
     has_newcomer: bool = False
     followers_before: int = 0
     permit_issuers: tuple[str, ...] = ()
+    origin_keepers: tuple[str, ...] = ()
 
 
 def compute_heartbeat_interval_ms(gateways: int) -> int:
@@ -116,6 +119,22 @@
     )
 
 
+def compute_sample_probability(gateways: int) -> float:
+    """Return the probability with which each does what a few of all should do.
+
+    Explanation
+    -----------
+    Keeps the number of replies from growing with the square of the fleet.
+
+    Examples
+    --------
+    >>> [compute_sample_probability(count) for count in (4, 80)]
+    [1.0, 0.1]
+
+    """
+    return min(1.0, _SAMPLE_SIZE / gateways)
+
+
 class Peers:
     """The other gateways, which share limits with this one.
 
@@ -166,16 +185,6 @@
         """Factor by which intervals grow in a large fleet."""
         return max(1, self.count / _FULL_RATE_GATEWAYS)
 
-    @property
-    def sample_probability(self) -> float:
-        """Probability with which a gateway does what a few of all should do.
-
-        Explanation
-        -----------
-        Keeps the number of replies from growing with the square of the fleet.
-        """
-        return min(1.0, _SAMPLE_SIZE / self.count)
-
     @property
     def rank(self) -> int:
         """Number of reachable gateways that precede this one by name."""
@@ -253,6 +262,11 @@
         """Names of the reachable gateways that issue permits."""
         return self._summary.permit_issuers
 
+    @property
+    def origin_keepers(self) -> tuple[str, ...]:
+        """Names of the reachable gateways that keep origins of streams."""
+        return self._summary.origin_keepers
+
     @property
     def has_newcomer(self) -> bool:
         """Whether a reachable gateway has just started."""
@@ -388,6 +402,11 @@
                 for heartbeat in reachable
                 if heartbeat.issues_permits
             ),
+            tuple(
+                heartbeat.name
+                for heartbeat in reachable
+                if heartbeat.keeps_origins
+            ),
         )
 
     def _apply_row(self, name: str, address: str) -> None:
--- a/seampond/sharing/quotas.py
+++ b/seampond/sharing/quotas.py
@@ -11,7 +11,7 @@
 from seampond.sharing.grant_window import GrantWindow
 from seampond.sharing.hashing import hash_name
 from seampond.sharing.heartbeats import Heartbeat
-from seampond.sharing.peers import Peers
+from seampond.sharing.peers import Peers, compute_sample_probability
 
 # Fractions of the margin's units: how far below zero the level may be before a
 # request is granted, and after.
@@ -201,7 +201,7 @@
         )
         reserve = self.margin.reserve(bucket.tenant)
         if interval_units > reserve * _INTERVAL_FRACTION:
-            max_units *= self._peers.sample_probability
+            max_units *= compute_sample_probability(self._peers.count)
         return unreported > max_units
 
     def _apply_levels(self, levels: Mapping[int, int]) -> None:
--- a/seampond/sharing/transport.py
+++ b/seampond/sharing/transport.py
@@ -19,7 +19,13 @@
 )
 from seampond.platform.gateways import encode_gateway, parse_gateway
 from seampond.sharing.heartbeats import Heartbeat, decode, encode
-from seampond.sharing.peers import Peers
+from seampond.sharing.peers import Peers, compute_sample_probability
+from seampond.streams.messages import (
+    OriginMessage,
+    decode_origin,
+    encode_origin,
+    is_origin_message,
+)
 from seampond.tasks import run_tasks
 from seampond.watches import Page, Row
 
@@ -62,6 +68,8 @@
         Counts an undecodable datagram by its kind.
     handle_permit : Callable[[PermitRequest | PermitReply], None]
         Handles a permit message of another gateway.
+    handle_origin : Callable[[str, OriginMessage], None]
+        Handles a message about streams of the gateway at an address.
 
     """
 
@@ -73,6 +81,15 @@
     clock: Clock
     count_dropped: Callable[[str], None]
     handle_permit: Callable[[PermitRequest | PermitReply], None]
+    handle_origin: Callable[[str, OriginMessage], None]
+
+
+@dataclass(frozen=True)
+class Senders:
+    """Functions that send a message to a gateway, by name or address."""
+
+    send_permit: Callable[[str, PermitRequest | PermitReply], None]
+    send_origin: Callable[[str, OriginMessage], None]
 
 
 class _Endpoint(asyncio.DatagramProtocol):
@@ -95,6 +112,9 @@
         if is_permit_message(packet):
             self._handle_permit(packet, addr[0])
             return
+        if is_origin_message(packet):
+            self._handle_origin(packet, f'{addr[0]}:{addr[1]}')
+            return
         try:
             heartbeat = decode(packet, peer=addr[0])
         except ForeignMessageError:
@@ -115,10 +135,11 @@
     ) -> None:
         """Send a permit message to one gateway."""
         address = self._context.peers.address_of(name)
-        if self._transport is None or not address:
-            return
-        host, _, port = address.rpartition(':')
-        self._transport.sendto(encode_permit(message), (host, int(port)))
+        self._send_to(address, encode_permit(message))
+
+    def send_origin(self, address: str, message: OriginMessage) -> None:
+        """Send a message about streams to the gateway at an address."""
+        self._send_to(address, encode_origin(message))
 
     def send_to_all(self) -> None:
         """Send a heartbeat to all other gateways."""
@@ -150,7 +171,7 @@
         Only a random few of the gateways reply, and only to the newcomer.
         """
         peers = self._context.peers
-        if random.random() < peers.sample_probability:
+        if random.random() < compute_sample_probability(peers.count):
             heartbeat = self._context.make_heartbeat(self._next_sequence())
             self._send(heartbeat, [peers.address_of(name)])
 
@@ -163,6 +184,22 @@
         if message.name in self._context.peers.names:
             self._context.handle_permit(message)
 
+    def _handle_origin(self, packet: bytes, peer: str) -> None:
+        if peer not in self._context.peers.addresses:
+            return
+        try:
+            message = decode_origin(packet, peer=peer)
+        except ForeignMessageError:
+            self._context.count_dropped('origin')
+            return
+        self._context.handle_origin(peer, message)
+
+    def _send_to(self, address: str, packet: bytes) -> None:
+        if self._transport is None or not address:
+            return
+        host, _, port = address.rpartition(':')
+        self._transport.sendto(packet, (host, int(port)))
+
     def _next_sequence(self) -> int:
         self._sequence += 1
         return self._sequence
@@ -255,13 +292,13 @@
 @asynccontextmanager
 async def exchange_heartbeats(
     address: str, context: TransportContext
-) -> AsyncIterator[Callable[[str, PermitRequest | PermitReply], None]]:
+) -> AsyncIterator[Senders]:
     """Exchange heartbeats within the `with` block.
 
     Returns
     -------
-    Callable[[str, Ask | Reply], None]
-        Sends a permit message to the gateway of a name.
+    Senders
+        Send messages to one gateway.
 
     """
     host, _, port = address.rpartition(':')
@@ -271,7 +308,7 @@
     )
     try:
         async with run_tasks(_send_heartbeats(context, endpoint)):
-            yield endpoint.send_permit
+            yield Senders(endpoint.send_permit, endpoint.send_origin)
         endpoint.send_final()
     finally:
         transport.close()
--- /dev/null
+++ b/seampond/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Which server version began each stream, shared among gateways."""
--- /dev/null
+++ b/seampond/streams/origin_table.py
@@ -0,0 +1,80 @@
+"""Origins of streams, kept as long as a caller may resume them."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from seampond.clock import Clock
+from seampond.streams.version_history import RETENTION_MS
+
+_ENTRIES_MAX = 65_536
+
+
+@dataclass(slots=True)
+class OriginEntry:
+    """Where a stream began.
+
+    Parameters
+    ----------
+    pool : int
+        Hash of the pool's name.
+    is_own : bool
+        Whether the stream began at this gateway.
+    is_reported : bool
+        Whether its owners have been told.
+
+    """
+
+    pool: int
+    version: str
+    recorded_ms: int
+    is_own: bool = False
+    is_reported: bool = False
+
+
+class OriginTable:
+    """The origins of recent streams, by stream key.
+
+    Examples
+    --------
+    >>> table = OriginTable(Clock(lambda: 0))
+    >>> table.add(5, OriginEntry(7, 'v1', 0))
+    >>> table.find(5).version
+    'v1'
+
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        """Start without streams."""
+        self._clock = clock
+        self._entries: dict[int, OriginEntry] = {}
+
+    def __len__(self) -> int:
+        """Return the number of entries, expired ones included."""
+        return len(self._entries)
+
+    def add(self, stream: int, entry: OriginEntry) -> None:
+        """Add the origin of a stream; the first one holds."""
+        self._expire()
+        self._entries.setdefault(stream, entry)
+
+    def find(self, stream: int) -> OriginEntry | None:
+        """Return the origin of a stream, None if it is not known."""
+        self._expire()
+        return self._entries.get(stream)
+
+    def list_unreported(self, pool: int) -> Iterator[tuple[int, OriginEntry]]:
+        """Yield this gateway's streams of a pool that no owner knows."""
+        for stream, entry in self._entries.items():
+            is_unknown = entry.is_own and not entry.is_reported
+            if is_unknown and entry.pool == pool:
+                yield stream, entry
+
+    def _expire(self) -> None:
+        """Drop the oldest entries, which come first."""
+        oldest_ms = self._clock.now() - RETENTION_MS
+        while self._entries:
+            stream, entry = next(iter(self._entries.items()))
+            is_kept = entry.recorded_ms >= oldest_ms
+            if is_kept and len(self._entries) < _ENTRIES_MAX:
+                return
+            self._entries.pop(stream)
