Do not resume at a server that may have restarted with another version

Callers would see joined streams where a server starts again under its id with other software while the rows at the gateways are old, as in an outage of the store. Cause: the version was always taken from the row.

A lost connection puts the row in doubt until it changes, until the list of servers is proved to be of a later moment, or until data arrives on a connection that is older than the loss. Where a pool has several versions, such a server neither goes on with a stream nor is known to have begun one. A server that only reset a stream goes on with it (second test).

--- a/seampond/forwarding/attempt.py
+++ b/seampond/forwarding/attempt.py
@@ -249,6 +249,9 @@
             if chunk is None:
                 break
             chunk_count += 1
+            self.backend.confirm_process(
+                connection.connected_ms, self.clock.now()
+            )
             self._record_chunk(chunk_count)
             events = progress.splitter.feed(chunk)
             if events:
@@ -266,9 +269,12 @@
         self._record_stream(chunk_count)
 
     def _record_origin(self) -> None:
-        """Record where the stream began, with its first event."""
-        job = self.progress.job
-        if job.origin is None:
+        """Record where the stream began, as soon as that is certain."""
+        job, backend = self.progress.job, self.backend
+        is_certain = self.backends.has_single_version(job.pool) or not (
+            backend.may_have_restarted
+        )
+        if job.origin is None and is_certain:
             job.origin = StreamOrigin(job.pool, self.version)
             self.origins.record(job)
 
@@ -344,6 +350,7 @@
 
     def _record_lost_connection(self, error: ExchangeError) -> None:
         job, server = self.progress.job, self.backend.server
+        self.backend.record_lost_connection(self.clock.now())
         if error.was_sent:
             self.quarantine.record_crash(job, server, self.sent_ms)
         else:
--- a/seampond/forwarding/backend.py
+++ b/seampond/forwarding/backend.py
@@ -15,6 +15,10 @@
 _REPLACED_PAUSE_MS = 4000
 _MAX_DOUBLINGS = 4
 _MAX_REPORT_AGE_MS = 1500
+# Data that arrived before the loss of another connection may be read after it.
+_BUFFERED_DATA_MS = 50
+# A server writes its row when it starts.
+_RESTART_ROW_MS = 1000
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,6 +74,9 @@
         Whether its row can be read.
     cold_until_ms : int
         Until when it is slow after its start.
+    lost_ms : int
+        When a connection to it was lost, which may have been the end of its
+        process; 0 if it is known to run on as its row says.
     remote_load : RemoteLoad or None
         Load of the other gateways, as they reported it.
     running : Counter[int]
@@ -101,6 +108,7 @@
     is_readable: bool = True
     fallback_until_ms: int = 0
     cold_until_ms: int = 0
+    lost_ms: int = 0
     report: LoadReport | None = None
     idle: list[Connection] = field(default_factory=list)
     connection_count: int = 0
@@ -132,6 +140,33 @@
             return self.is_listed and now_ms < self.signals.drain_until_ms
         return now_ms < self.fallback_until_ms
 
+    @property
+    def may_have_restarted(self) -> bool:
+        """Whether it may run another version than its row says."""
+        return bool(self.lost_ms)
+
+    def record_lost_connection(self, now_ms: int) -> None:
+        """Record a lost connection, which may have been the end of it."""
+        self.lost_ms = now_ms
+
+    def confirm_process(self, connected_ms: int, now_ms: int) -> None:
+        """Record data on a connection, which proves that its process lives.
+
+        Parameters
+        ----------
+        connected_ms : int
+            When the connection was made.
+
+        """
+        is_later = now_ms >= self.lost_ms + _BUFFERED_DATA_MS
+        if self.lost_ms and connected_ms < self.lost_ms and is_later:
+            self.lost_ms = 0
+
+    def confirm_row(self, proved_ms: int) -> None:
+        """Record that its row was current; a restart would have changed it."""
+        if proved_ms >= self.lost_ms + _RESTART_ROW_MS:
+            self.lost_ms = 0
+
     def may_resume(self, now_ms: int) -> bool:
         """Return True if it may go on with a stream.
 
--- a/seampond/forwarding/backends.py
+++ b/seampond/forwarding/backends.py
@@ -133,6 +133,11 @@
         """Return the servers of a pool, fallbacks included."""
         return self._by_pool.get(pool, [])
 
+    def has_single_version(self, pool: str) -> bool:
+        """Return True if all servers of a pool have the same version."""
+        versions = {backend.server.version for backend in self.in_pool(pool)}
+        return len(versions) <= 1
+
     def all_in_pool(self, pool: str) -> list[Backend]:
         """Return all servers of a pool, also those that only finish work."""
         return [
@@ -153,6 +158,11 @@
             self._remove_listing(server_id)
         self._index()
 
+    def confirm_rows(self, proved_ms: int) -> None:
+        """Record that the rows of all servers were current at a time."""
+        for backend in self._by_id.values():
+            backend.confirm_row(proved_ms)
+
     def mark_unreadable(self, server_ids: Iterable[str]) -> None:
         """Stop sending to servers whose rows cannot be read.
 
@@ -284,6 +294,7 @@
             self._signals.apply_row(server, backend.signals)
             backend.is_listed = True
             backend.is_readable = True
+            backend.lost_ms = 0
         # Otherwise the row of an earlier incarnation has arrived late.
 
     def _retire(self, backend: Backend) -> None:
--- a/seampond/forwarding/connection.py
+++ b/seampond/forwarding/connection.py
@@ -40,6 +40,8 @@
     ----------
     received_bytes : int
         Number of bytes received of the body of the current answer.
+    connected_ms : int
+        When the connection was made.
 
     """
 
@@ -60,6 +62,7 @@
         self.peer = peer
         self.idle_until_ms = 0
         self.received_bytes = 0
+        self.connected_ms = 0
         self._clock = clock
         self._id_header = id_header
         self._transport: asyncio.Transport | None = None
@@ -83,6 +86,7 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         self._is_connected = True
+        self.connected_ms = self._clock.now()
         tcp_socket = transport.get_extra_info('socket')
         with suppress(OSError):
             tcp_socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
--- a/seampond/forwarding/job.py
+++ b/seampond/forwarding/job.py
@@ -141,7 +141,7 @@
     @property
     def is_resumed(self) -> bool:
         """Whether the caller has received a part of the stream."""
-        return self.is_stream and (self.has_streamed or bool(self.last_event))
+        return self.has_streamed or (self.is_stream and bool(self.last_event))
 
     def may_run_on(self, server: Server) -> bool:
         """Return True if a server has the version that began the stream."""
--- a/seampond/forwarding/resumption.py
+++ b/seampond/forwarding/resumption.py
@@ -48,6 +48,10 @@
     def sample(self, job: Job, rng: random.Random, most: int) -> list[Backend]:
         """Return at most `most` of the servers, drawn at random."""
         targets = self.list_targets(job)
+        if not self._backends.has_single_version(job.pool):
+            targets = [
+                backend for backend in targets if not backend.may_have_restarted
+            ]
         return rng.sample(targets, most) if len(targets) > most else targets
 
     def check(self, job: Job) -> None:
@@ -56,9 +60,11 @@
         Raises
         ------
         Refusal
-            If no server may go on with the stream.
+            If no server may go on with the stream, or it is not known which.
 
         """
+        if job.is_resumed and job.origin is None:
+            raise Refusal(Cause.version_unknown, step=_STEP)
         if job.origin is None:
             return
         if not any(self._versions.group(job, self.list_targets(job))):
--- a/seampond/forwarding/scheduler.py
+++ b/seampond/forwarding/scheduler.py
@@ -32,6 +32,8 @@
 _SPARE_FRACTION = 0.75
 # Bounds the work for one request in a large pool.
 _MAX_CANDIDATES = 48
+# Nothing that a caller waits for would change them.
+_FINAL_CAUSES = (Cause.version_gone, Cause.version_unknown)
 _STEP = 'place'
 
 RetryAfterFunction = Callable[[Job, int, float], int]
@@ -143,8 +145,7 @@
             raise
         except Refusal as refusal:
             queue.remove(waiter)
-            # No time to come back would hold for a version that is gone.
-            if refusal.cause is not Cause.version_gone:
+            if refusal.cause not in _FINAL_CAUSES:
                 refusal.retry_after_ms = await self.reserve_retry_ms(job)
             raise
         finally:
--- a/seampond/gateway/tests/test_stream_versions.py
+++ b/seampond/gateway/tests/test_stream_versions.py
@@ -57,6 +57,40 @@
             self.assertLess(attempt.ended_ms - ended_ms, _END_MAX_MS)
 
 
+class RestartedServerTest(StreamingCase):
+    """A server starts again under its id while the store is away."""
+
+    async def test_stream_joins_versions_of_a_server_with_an_old_row(
+        self,
+    ) -> None:
+        """It runs another version than its row at the gateways says."""
+        fleet = await self.open_fleet()
+        plan = CallerPlan(_EVENTS_BEFORE_CUT)
+        opened = asyncio.create_task(self.drive(plan, _RUN_MS))
+        await fleet.clock.sleep(500)
+        self.store.is_down = True
+        for server in fleet.servers[:2]:
+            server.may_restart = True
+            server.crash()
+            server.row['version'] = NEW_VERSION
+        await opened
+        self.assertTrue(all(server.is_up for server in fleet.servers))
+        self.check_streams()
+
+    async def test_only_server_that_resets_a_stream_goes_on(self) -> None:
+        """It is still the process that its row describes."""
+        fleet = await self.open_fleet(versions=(NEW_VERSION,))
+        await fleet.add_servers(1, OLD_VERSION, break_every=4)
+        await self.wait_until_up()
+        await self.drive(CallerPlan(), _RUN_MS)
+        self.check_streams()
+        began = [
+            record for record in fleet.records if OLD_VERSION in record.versions
+        ]
+        complete = sum(record.is_complete for record in began)
+        self.assertGreaterEqual(complete, _RESUMED_SHARE * len(began))
+
+
 class ReturningCallerTest(StreamingCase):
     """Callers lose their connection and resume at another gateway."""
 
--- a/seampond/gateway/wiring.py
+++ b/seampond/gateway/wiring.py
@@ -196,7 +196,7 @@
             clock, store_clock, configuration_follower.record_proof
         ),
         SERVERS_TABLE: TableFreshness(
-            clock, store_clock, lambda proved_ms: None
+            clock, store_clock, backends.confirm_rows
         ),
         GATEWAYS_TABLE: TableFreshness(
             clock, store_clock, lambda proved_ms: None
