Virtual time lasts until the last clean-up of a test

On a machine that had been up for less than 17 minutes, over 50 tests on virtual time ended with `expected value >= 0` where a heartbeat is encoded; later the uptimes were wrong, unnoticed. Cause: the base set up its clock after the other bases, so its clean-up, in reverse order, handed the real clock back while the gateways of the test still stopped. The clock is now set first.

--- a/seampond/testing/virtual_time.py
+++ b/seampond/testing/virtual_time.py
@@ -14,8 +14,9 @@
 _DELIVERY_SECONDS = 0.001
 # What is delivered takes some time on any network.
 _LATENCY_SECONDS = 0.0001
-# Clocks must not start at 0, which some records use for never.
-_START_SECONDS = 1000.0
+# Not 0, which some records use for never, and later than the real clock of
+# most machines, so that time goes back where a test mixes the two clocks.
+_START_SECONDS = 1_000_000.0
 
 
 class _VirtualTimeSelector(selectors.DefaultSelector):
@@ -124,8 +125,7 @@
         asyncio.set_event_loop_policy(_LoopbackPolicy())
 
     async def asyncSetUp(self) -> None:
-        """Let clocks show the time of the loop."""
-        await super().asyncSetUp()
+        """Let clocks show the time of the loop, until the last clean-up."""
         loop = asyncio.get_running_loop()
 
         def read_ns() -> int:
@@ -133,3 +133,5 @@
 
         for name in ('read_steady_ns', 'read_awake_ns'):
             self.enterContext(mock.patch.object(clocks, name, read_ns))
+        # Clean-ups run in reverse, so those of the other bases come first.
+        await super().asyncSetUp()
