A heartbeat that cannot be encoded does not end the heartbeats

The task that sends heartbeats died of the first one that could not be encoded: the gateway went on serving, and the others counted it as silent. Evidence: the new test, in which nothing was sent after a negative uptime.

--- a/seampond/sharing/heartbeats.py
+++ b/seampond/sharing/heartbeats.py
@@ -9,7 +9,7 @@
 
 import capnp
 
-from seampond.errors import ForeignMessageError
+from seampond.errors import ForeignMessageError, LinkError
 from seampond.permits.messages import LimitReport, decode_rate, encode_rate
 from seampond.quarantine.models import CrashReport
 from seampond.rollouts.models import Report, Stage, Tally, TallyKey
@@ -19,6 +19,7 @@
 _SCHEMA_FILE = 'heartbeat.capnp'
 _Key = TypeVar('_Key')
 _Value = TypeVar('_Value')
+_ENCODE_ERRORS = (capnp.KjException, ValueError, OverflowError)
 _DECODE_ERRORS = (capnp.KjException, ValueError, KeyError, AttributeError)
 
 
@@ -221,12 +222,26 @@
 def encode(heartbeat: Heartbeat) -> bytes:
     """Encode a heartbeat into one datagram.
 
+    Raises
+    ------
+    LinkError
+        If a field cannot be encoded.
+
     Examples
     --------
     >>> decode(encode(Heartbeat('g1', 1, 2, 3, {7: 4.0}))).spent
     {7: 4}
 
     """
+    try:
+        return _pack(heartbeat)
+    except _ENCODE_ERRORS as error:
+        raise LinkError(
+            f'heartbeat cannot be encoded: {error}', step='encode'
+        ) from error
+
+
+def _pack(heartbeat: Heartbeat) -> bytes:
     spent, loads = heartbeat.spent, heartbeat.loads
     proofs, levels = heartbeat.proofs, heartbeat.levels
     message = _schema().Heartbeat.new_message(
--- a/seampond/sharing/tests/test_transport.py
+++ b/seampond/sharing/tests/test_transport.py
@@ -1,11 +1,17 @@
-"""Tests of applying rows of the gateways' table."""
+"""Tests of the heartbeat exchange and of rows of the gateways' table."""
 
+import asyncio
 import json
 import unittest
 
-from seampond.clock import ManualClock
+from seampond.clock import Clock, ManualClock
 from seampond.sharing import Peers
-from seampond.sharing.transport import apply_gateway_rows
+from seampond.sharing.heartbeats import Heartbeat
+from seampond.sharing.transport import (
+    TransportContext,
+    apply_gateway_rows,
+    exchange_heartbeats,
+)
 from seampond.watches import Page, Row
 
 
@@ -37,3 +43,33 @@
         """Changes to one row must not remove other gateways."""
         apply_gateway_rows(self.peers, build_page('g3', is_snapshot=False))
         self.assertEqual(self.peers.count, 4)
+
+
+class InvalidHeartbeatTest(unittest.IsolatedAsyncioTestCase):
+    """A heartbeat with a field that cannot be encoded."""
+
+    async def test_invalid_heartbeat_ends_all_later_ones(self) -> None:
+        """It is counted, and the next one is sent."""
+        dropped: list[str] = []
+        sent = asyncio.Event()
+        uptimes_ms = iter((-1, 5))
+
+        def make_heartbeat(sequence: int) -> Heartbeat:
+            uptime_ms = next(uptimes_ms, 5)
+            return Heartbeat('g0', 1, sequence, uptime_ms=uptime_ms)
+
+        context = TransportContext(
+            Peers('g0', Clock()),
+            make_heartbeat,
+            sent.set,
+            lambda heartbeat: None,
+            asyncio.Event(),
+            Clock(),
+            dropped.append,
+            lambda message: None,
+            lambda address, message: None,
+        )
+        async with asyncio.timeout(5):
+            async with exchange_heartbeats('127.0.0.1:0', context):
+                await sent.wait()
+        self.assertEqual(dropped, ['unsent-heartbeat'])
--- a/seampond/sharing/transport.py
+++ b/seampond/sharing/transport.py
@@ -9,7 +9,7 @@
 from typing import Protocol
 
 from seampond.clock import MS_PER_SECOND, Clock
-from seampond.errors import ForeignMessageError, PlatformError
+from seampond.errors import ForeignMessageError, LinkError, PlatformError
 from seampond.permits.messages import (
     PermitReply,
     PermitRequest,
@@ -145,8 +145,8 @@
         """Send a heartbeat to all other gateways."""
         context = self._context
         heartbeat = context.make_heartbeat(self._next_sequence())
-        context.record_sent()
-        self._send(heartbeat, context.peers.addresses)
+        if self._send(heartbeat, context.peers.addresses):
+            context.record_sent()
 
     def send_final(self) -> None:
         """Announce the end of a planned stop to all other gateways.
@@ -204,13 +204,23 @@
         self._sequence += 1
         return self._sequence
 
-    def _send(self, heartbeat: Heartbeat, addresses: Iterable[str]) -> None:
+    def _send(self, heartbeat: Heartbeat, addresses: Iterable[str]) -> bool:
+        """Send a heartbeat; return False if it cannot be encoded."""
         if self._transport is None:
-            return
-        packet = encode(heartbeat)
+            return True
+        try:
+            packet = encode(heartbeat)
+        except LinkError as error:
+            # The next one may be valid, and others count on hearing some.
+            self._context.count_dropped('unsent-heartbeat')
+            _logger.exception(
+                'heartbeat not sent', extra={'reason': error.message}
+            )
+            return False
         for address in addresses:
             host, _, port = address.rpartition(':')
             self._transport.sendto(packet, (host, int(port)))
+        return True
 
 
 def apply_gateway_rows(peers: Peers, page: Page) -> None:
