--- a/seampond/forwarding/attempt.py
+++ b/seampond/forwarding/attempt.py
@@ -270,13 +270,15 @@
 
     def _record_origin(self) -> None:
         """Record where the stream began, as soon as that is certain."""
-        job, backend = self.progress.job, self.backend
-        is_certain = self.backends.has_single_version(job.pool) or not (
-            backend.may_have_restarted
-        )
-        if job.origin is None and is_certain:
-            job.origin = StreamOrigin(job.pool, self.version)
-            self.origins.record(job)
+        job = self.progress.job
+        if job.origin is not None or not job.route.may_resume:
+            return
+        if self.backend.may_have_restarted and not (
+            self.backends.has_single_version(job.pool)
+        ):
+            return
+        job.origin = StreamOrigin(job.pool, self.version)
+        self.origins.record(job)
 
     def _record_first_byte(self) -> None:
         """Update speed estimates from the time to the first byte."""
