Tests of the origins of streams, and soaks with servers that crash

Servers in the soak also start again under their id, some as another version, and have slots for the load without faults.

--- a/seampond/gateway/tests/test_stream_versions.py
+++ b/seampond/gateway/tests/test_stream_versions.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+from http import HTTPStatus
 
 from seampond.gateway.tests.streaming_case import (
     NEW_VERSION,
@@ -55,6 +56,17 @@
         self.assertGreater(len(cut), 0)
         for attempt in cut:
             self.assertLess(attempt.ended_ms - ended_ms, _END_MAX_MS)
+        resumed = [
+            attempt
+            for record in fleet.records
+            for attempt in record.attempts
+            if attempt.last_event
+        ]
+        self.assertGreaterEqual(len(resumed), len(cut))
+        for attempt in resumed:
+            self.assertEqual(attempt.status, HTTPStatus.SERVICE_UNAVAILABLE)
+            self.assertIsNone(attempt.retry_after_ms)
+            self.assertLess(attempt.ended_ms - attempt.at_ms, _END_MAX_MS)
 
 
 class RestartedServerTest(StreamingCase):
--- a/seampond/testing/release_soak.py
+++ b/seampond/testing/release_soak.py
@@ -51,6 +51,8 @@
 _RESUMED_SHARE = 0.5
 _STREAM_INTERVAL_MS = 30
 _BREAK_EVERY = 12
+_CRASH_PAUSE_MS = (500, 3000)
+_CHANGED_VERSION_PROBABILITY = 0.3
 _VERSIONS = ('v1', 'v2', 'v3')
 _CONFIGURATION = ConfigurationRow(kind=STREAM, may_resume=True)
 _CALLER_PLANS = (
@@ -118,6 +120,22 @@
         await fleet.release(rng.choice(_VERSIONS), round(rng.uniform(50, 700)))
 
 
+async def _crash_servers(
+    fleet: StreamingFleet, rng: random.Random, until_ms: int
+) -> None:
+    """Crash servers that start again, some of them as another version."""
+    while fleet.clock.now() < until_ms:
+        await fleet.clock.sleep(rng.uniform(*_CRASH_PAUSE_MS))
+        running = [server for server in fleet.servers if server.takes_work]
+        if len(running) <= _SERVERS // 2:
+            continue
+        server = rng.choice(running)
+        server.may_restart = True
+        server.crash()
+        if rng.random() < _CHANGED_VERSION_PROBABILITY:
+            server.row['version'] = rng.choice(_VERSIONS)
+
+
 async def _send_load(
     context: SoakContext, fleet: StreamingFleet, for_ms: int
 ) -> None:
@@ -212,6 +230,7 @@
             if plan.earlier_build is not None:
                 group.create_task(replace_builds(context))
             group.create_task(_release(fleet, rng, context.until_ms))
+            group.create_task(_crash_servers(fleet, rng, context.until_ms))
             group.create_task(
                 _send_load(context, fleet, fault_ms + _RECOVERY_MS)
             )
--- a/seampond/testing/streaming.py
+++ b/seampond/testing/streaming.py
@@ -30,6 +30,7 @@
 EVENT_COUNT = 12
 _EVENT_INTERVAL_MS = 70
 _EVENTS_BEFORE_BREAK = 4
+_SLOTS = 8
 _DRAIN_MS = 1000
 _ATTEMPTS_MAX = 3
 # Callers give up a stream after such a gap.
@@ -269,7 +270,7 @@
                 self.clock,
                 _never,
                 self.deliveries.append,
-                row={'version': version},
+                row={'version': version, 'slots': _SLOTS},
                 may_restart=False,
                 **changes,
             )
