--- a/seampond/operators/explain.py
+++ b/seampond/operators/explain.py
@@ -47,6 +47,8 @@
         'overload': 'a request of a higher rank gave up, so lower ones had to',
         'servers-resting': 'each server of the pool had asked for rest',
         'timeout': "the route's time was over after it had been sent",
+        'version-gone': 'the version that began the stream no longer serves',
+        'version-unknown': 'nobody knew the version that began the stream',
         'waited-too-long': 'no server had a place that was in time',
         'wrong-key': 'it carried no key, or one that no tenant holds',
     }
