A young fleet goes on with streams that are younger

A caller states how long it still waits, so its stream began no earlier than its route's longest wait ago; now the versions of that time count, not those of 60 s. Where no wait is stated, or few requests have come on the route, 60 s hold as before.

--- a/seampond/forwarding/admission.py
+++ b/seampond/forwarding/admission.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from seampond.clock import Clock
+from seampond.forwarding.caller_waits import MAX_AGE_MS, CallerWaits
 from seampond.forwarding.job import Headers, Job, parse_prompt
 from seampond.forwarding.models import (
     Configuration,
@@ -25,9 +26,6 @@
 _OUTDATED_RETRY_MS = 250
 _DEADLINE_MS = 2000
 _DEFAULT_MAX_WAIT_MS = 60_000
-# A caller that waits for less than this fraction of the longest wait of its
-# route has used up some of its time.
-_RETRY_FRACTION = 0.97
 
 
 def _never() -> bool:
@@ -144,7 +142,7 @@
         self._refund = refund
         self._has_spare_capacity = has_spare_capacity
         self._rng = random.Random()
-        self._longest_wait_ms: dict[str, int] = {}
+        self._waits: dict[str, CallerWaits] = {}
 
     @property
     def limits(self) -> RequestLimits:
@@ -283,6 +281,11 @@
         if tenant is not None and tenant.priority is not None:
             priority = tenant.priority
         timeout_ms = min(route.timeout_ms, max_wait_ms)
+        waits = self._waits.setdefault(route.name, CallerWaits())
+        waits.record(max_wait_ms)
+        max_age_ms = MAX_AGE_MS
+        if stated_wait.isdigit():
+            max_age_ms = waits.max_age_ms(max_wait_ms, route.timeout_ms)
         return Job(
             request_id=head.get(names.request_id),
             method=head.method,
@@ -299,7 +302,8 @@
             prompt=prompt,
             last_event=head.get(names.last_event),
             resumes=head.get(names.resumes),
-            is_retry=self._is_retry(route, max_wait_ms),
+            is_retry=waits.is_retry(max_wait_ms),
+            max_age_ms=max_age_ms,
             fingerprint=fingerprint(
                 head.method,
                 head.get(b'host').lower(),
@@ -309,18 +313,6 @@
             ),
         )
 
-    def _is_retry(self, route: Route, max_wait_ms: int) -> bool:
-        """Return True if a caller seems to have been refused before.
-
-        Explanation
-        -----------
-        Each try has its own request id.  But callers of one route wait for
-        about the same time, and a retry states only the time that is left.
-        """
-        longest_ms = max(self._longest_wait_ms.get(route.name, 0), max_wait_ms)
-        self._longest_wait_ms[route.name] = longest_ms
-        return max_wait_ms < longest_ms * _RETRY_FRACTION
-
     def _check_quota(self, job: Job) -> None:
         tenant = job.tenant
         if tenant is None or not tenant.rate:
--- a/seampond/gateway/tests/test_stream_versions.py
+++ b/seampond/gateway/tests/test_stream_versions.py
@@ -141,7 +141,7 @@
         """Where one version serves, any server may go on."""
         fleet = await self.open_fleet(versions=(OLD_VERSION,))
         plan = CallerPlan(_EVENTS_BEFORE_CUT, names_first=False)
-        await fleet.clock.sleep(60_000)
+        await fleet.clock.sleep(_RUN_MS)
         await self.drive(plan, 2000)
         self.check_streams()
         self._check_share()
--- a/seampond/streams/registry.py
+++ b/seampond/streams/registry.py
@@ -3,7 +3,7 @@
 import hashlib
 import itertools
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 
 from seampond.clock import Clock
 from seampond.forwarding.job import Job
@@ -20,7 +20,7 @@
 from seampond.streams.origin_table import OriginEntry, OriginTable
 from seampond.streams.owners import GatewayDirectory, OriginOwners
 from seampond.streams.requests import OriginRequests
-from seampond.streams.version_history import RETENTION_MS, VersionHistory
+from seampond.streams.version_history import VersionHistory
 
 _OWNERS = 2
 # More than the owners, since gateways may differ in whom they know.
@@ -222,7 +222,7 @@
                 return self._make_resumption(
                     job, reply.pool, reply.version, 'asked', reply.age_ms
                 )
-        return self._infer(pool, replies) if pool else None
+        return self._infer(pool, replies, job.max_age_ms) if pool else None
 
     def _make_resumption(
         self, job: Job, pool: int, version: str, source: str, age_ms: int
@@ -232,18 +232,31 @@
         return Resumption(StreamOrigin(name, version), source, age_ms)
 
     def _infer(
-        self, pool: str, replies: Iterable[OriginReply]
+        self, pool: str, replies: Sequence[OriginReply], max_age_ms: int
     ) -> Resumption | None:
-        """Return the only version that may have begun a stream of a pool."""
-        has_reply = False
-        watched_ms = self._history.watched_ms(pool)
-        versions = set(self._history.seen_ago_ms(pool))
-        for reply in replies:
-            has_reply = True
-            watched_ms = max(watched_ms, reply.watched_ms)
-            versions.update(reply.seen_ago_ms)
-        is_current = has_reply or self._proof_age_ms() <= _MAX_PROOF_AGE_MS
-        if len(versions) != 1 or watched_ms < RETENTION_MS or not is_current:
+        """Return the only version that may have begun a stream.
+
+        Parameters
+        ----------
+        max_age_ms : int
+            Longest time since the stream may have begun.
+
+        """
+        own = OriginReply(
+            0,
+            watched_ms=self._history.watched_ms(pool),
+            seen_ago_ms=self._history.seen_ago_ms(pool),
+        )
+        known = (own, *replies)
+        versions = {
+            version
+            for reply in known
+            for version, ago_ms in reply.seen_ago_ms.items()
+            if ago_ms <= max_age_ms
+        }
+        is_covered = any(reply.watched_ms >= max_age_ms for reply in known)
+        is_current = replies or self._proof_age_ms() <= _MAX_PROOF_AGE_MS
+        if len(versions) != 1 or not (is_covered and is_current):
             return None
         return Resumption(StreamOrigin(pool, versions.pop()), 'single-version')
 
--- a/seampond/streams/tests/test_registry.py
+++ b/seampond/streams/tests/test_registry.py
@@ -225,6 +225,14 @@
             await self.fleet.resume('g0')
         self.assertIs(caught.exception.cause, Cause.version_unknown)
 
+    async def test_young_fleet_refuses_streams_that_are_younger(self) -> None:
+        """It has seen all versions since the caller's first attempt."""
+        self.fleet.clock.advance(5000)
+        job = await self.fleet.resume('g0', max_age_ms=4000, resumes=b'')
+        self.assertEqual(job.origin, _OLD)
+        with self.assertRaises(Refusal):
+            await self.fleet.resume('g0', max_age_ms=6000)
+
     async def test_newcomer_refuses_what_others_allow(self) -> None:
         """The others have been up for long."""
         self.fleet.clock.advance(_LONG_MS)
@@ -263,6 +271,8 @@
         self.fleet.list_servers('v2')
         with self.assertRaises(Refusal):
             await self.fleet.resume('g0')
+        job = await self.fleet.resume('g0', max_age_ms=RETENTION_MS // 2)
+        self.assertEqual(job.origin, StreamOrigin(POOL, 'v2'))
         self.fleet.clock.advance(2)
         job = await self.fleet.resume('g0')
         self.assertEqual(job.origin, StreamOrigin(POOL, 'v2'))
--- a/seampond/streams/version_history.py
+++ b/seampond/streams/version_history.py
@@ -3,10 +3,10 @@
 from collections.abc import Iterable, Mapping
 
 from seampond.clock import Clock
+from seampond.forwarding.caller_waits import MAX_AGE_MS
 from seampond.forwarding.server import Server
 
-# No caller resumes a stream that is older.
-RETENTION_MS = 60_000
+RETENTION_MS = MAX_AGE_MS
 # Gateways that start together do not load the servers at the same moment.
 _START_SPREAD_MS = 30_000
 
--- a/seampond/testing/streaming.py
+++ b/seampond/testing/streaming.py
@@ -36,8 +36,10 @@
 # Callers give up a stream after such a gap.
 _GAP_MAX_MS = 3200
 _RETRY_PAUSE_MS = 50
+_CALLER_WAIT_MS = 5000
 _LAST_EVENT_HEADER = HEADERS.last_event.decode()
 _RESUMES_HEADER = HEADERS.resumes.decode()
+_DEADLINE_HEADER = HEADERS.deadline.decode()
 _INSTANCE_HEADER = HEADERS.expect_instance.decode()
 _NOT_RUN_HEADER = HEADERS.not_run.decode()
 _HEAD_END = b'\r\n\r\n'
@@ -408,12 +410,19 @@
     return is_refusal and attempt.retry_after_ms is None
 
 
+def _compute_left_ms(record: StreamRecord, attempt: StreamAttempt) -> int:
+    """Return how much longer a caller waits."""
+    waited_ms = attempt.at_ms - record.attempts[0].at_ms
+    return max(1, _CALLER_WAIT_MS - waited_ms)
+
+
 def _encode_request(
     record: StreamRecord, attempt: StreamAttempt, plan: CallerPlan
 ) -> bytes:
     headers = {
         'Host': HOST,
         ID_HEADER: attempt.request_id,
+        _DEADLINE_HEADER: str(_compute_left_ms(record, attempt)),
         'Authorization': f'Token {KEY}',
         'Content-Length': str(len(record.body)),
     }
