Do not infer a version while a server may have restarted with another one

Two causes: where one version was known, a row was trusted however old; and a proof that the list is current ended the doubt while the server was still down, so that it could restart after it.

The doubt that a lost connection raises now counts with one version too, and ends with a proof of 0.5 s after a connection to the server that was made since. Replies to requests say that a server of the pool is in doubt, and then no version is inferred.

--- a/seampond/forwarding/attempt.py
+++ b/seampond/forwarding/attempt.py
@@ -115,6 +115,7 @@
             connection = await self.backends.acquire_connection(self.backend)
         except ExchangeError as error:
             return self._record_failure(error)
+        self.backend.record_connection(connection.connected_ms)
         if not self._may_send():
             # While connecting, the server may have started to drain, requested
             # a back-off, set a limit or changed its version, or the request may
@@ -273,9 +274,7 @@
         job = self.progress.job
         if job.origin is not None or not job.route.may_resume:
             return
-        if self.backend.may_have_restarted and not (
-            self.backends.has_single_version(job.pool)
-        ):
+        if self.backend.lost_ms:
             return
         job.origin = StreamOrigin(job.pool, self.version)
         self.origins.record(job)
--- a/seampond/forwarding/backend.py
+++ b/seampond/forwarding/backend.py
@@ -18,7 +18,7 @@
 # Data that arrived before the loss of another connection may be read after it.
 _BUFFERED_DATA_MS = 50
 # A server writes its row when it starts.
-_RESTART_ROW_MS = 1000
+_RESTART_ROW_MS = 500
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,6 +77,8 @@
     lost_ms : int
         When a connection to it was lost, which may have been the end of its
         process; 0 if it is known to run on as its row says.
+    reconnected_ms : int
+        When a connection was made after that, 0 for not yet.
     remote_load : RemoteLoad or None
         Load of the other gateways, as they reported it.
     running : Counter[int]
@@ -109,6 +111,7 @@
     fallback_until_ms: int = 0
     cold_until_ms: int = 0
     lost_ms: int = 0
+    reconnected_ms: int = 0
     report: LoadReport | None = None
     idle: list[Connection] = field(default_factory=list)
     connection_count: int = 0
@@ -140,14 +143,15 @@
             return self.is_listed and now_ms < self.signals.drain_until_ms
         return now_ms < self.fallback_until_ms
 
-    @property
-    def may_have_restarted(self) -> bool:
-        """Whether it may run another version than its row says."""
-        return bool(self.lost_ms)
-
     def record_lost_connection(self, now_ms: int) -> None:
         """Record a lost connection, which may have been the end of it."""
         self.lost_ms = now_ms
+        self.reconnected_ms = 0
+
+    def record_connection(self, connected_ms: int) -> None:
+        """Record a connection that was made."""
+        if not self.reconnected_ms and connected_ms >= self.lost_ms:
+            self.reconnected_ms = connected_ms
 
     def confirm_process(self, connected_ms: int, now_ms: int) -> None:
         """Record data on a connection, which proves that its process lives.
@@ -163,8 +167,15 @@
             self.lost_ms = 0
 
     def confirm_row(self, proved_ms: int) -> None:
-        """Record that its row was current; a restart would have changed it."""
-        if proved_ms >= self.lost_ms + _RESTART_ROW_MS:
+        """Record when its row was current.
+
+        Explanation
+        -----------
+        If the process to which the last connection was made had restarted, it
+        would have changed its row by then.
+        """
+        is_up = self.lost_ms and self.reconnected_ms
+        if is_up and proved_ms >= self.reconnected_ms + _RESTART_ROW_MS:
             self.lost_ms = 0
 
     def may_resume(self, now_ms: int) -> bool:
--- a/seampond/forwarding/backends.py
+++ b/seampond/forwarding/backends.py
@@ -133,10 +133,12 @@
         """Return the servers of a pool, fallbacks included."""
         return self._by_pool.get(pool, [])
 
-    def has_single_version(self, pool: str) -> bool:
-        """Return True if all servers of a pool have the same version."""
-        versions = {backend.server.version for backend in self.in_pool(pool)}
-        return len(versions) <= 1
+    def has_uncertain_version(self, pool: str) -> bool:
+        """Return True if a server may run another version than its row says."""
+        return any(
+            backend.lost_ms and backend.reconnected_ms
+            for backend in self.in_pool(pool)
+        )
 
     def all_in_pool(self, pool: str) -> list[Backend]:
         """Return all servers of a pool, also those that only finish work."""
--- a/seampond/forwarding/resumption.py
+++ b/seampond/forwarding/resumption.py
@@ -47,11 +47,9 @@
 
     def sample(self, job: Job, rng: random.Random, most: int) -> list[Backend]:
         """Return at most `most` of the servers, drawn at random."""
-        targets = self.list_targets(job)
-        if not self._backends.has_single_version(job.pool):
-            targets = [
-                backend for backend in targets if not backend.may_have_restarted
-            ]
+        targets = [
+            backend for backend in self.list_targets(job) if not backend.lost_ms
+        ]
         return rng.sample(targets, most) if len(targets) > most else targets
 
     def check(self, job: Job) -> None:
--- a/seampond/gateway/tests/test_stream_versions.py
+++ b/seampond/gateway/tests/test_stream_versions.py
@@ -89,6 +89,21 @@
         self.assertTrue(all(server.is_up for server in fleet.servers))
         self.check_streams()
 
+    async def test_stream_joins_versions_of_the_first_new_server(self) -> None:
+        """All rows at the gateways say the same version."""
+        fleet = await self.open_fleet(versions=(OLD_VERSION,))
+        opened = asyncio.create_task(
+            self.drive(CallerPlan(_EVENTS_BEFORE_CUT), _RUN_MS)
+        )
+        await fleet.clock.sleep(500)
+        self.store.is_down = True
+        server = fleet.servers[0]
+        server.may_restart = True
+        server.crash()
+        server.row['version'] = NEW_VERSION
+        await opened
+        self.check_streams()
+
     async def test_only_server_that_resets_a_stream_goes_on(self) -> None:
         """It is still the process that its row describes."""
         fleet = await self.open_fleet(versions=(NEW_VERSION,))
--- a/seampond/gateway/wiring.py
+++ b/seampond/gateway/wiring.py
@@ -213,6 +213,7 @@
         peers,
         clock,
         lambda: clock.now() - freshness[SERVERS_TABLE].proved_ms,
+        backends.has_uncertain_version,
         random.Random(),
         lambda source: metrics.resumed.labels(source).inc(),
     )
--- a/seampond/slopes/stream_origins.py
+++ b/seampond/slopes/stream_origins.py
@@ -83,6 +83,7 @@
                 Directory(name, others),
                 clock,
                 int,
+                lambda pool: False,
                 random.Random(1),
                 lambda source: None,
             )
--- a/seampond/streams/messages.py
+++ b/seampond/streams/messages.py
@@ -68,6 +68,9 @@
         For how long the replying gateway has known all versions.
     seen_ago_ms : Mapping[str, int]
         By version of the requested pool, when it was last listed.
+    is_uncertain : bool
+        Whether a server of that pool may run another version than its row
+        says.
 
     """
 
@@ -78,6 +81,7 @@
     age_ms: int = 0
     watched_ms: int = 0
     seen_ago_ms: Mapping[str, int] = field(default_factory=dict)
+    is_uncertain: bool = False
 
 
 OriginMessage = OriginReport | OriginRequest | OriginReply
@@ -158,6 +162,7 @@
         'version': reply.version,
         'ageMs': min(reply.age_ms, _MAX_UINT32),
         'watchedMs': min(reply.watched_ms, _MAX_UINT32),
+        'isUncertain': reply.is_uncertain,
         'seenVersions': list(reply.seen_ago_ms),
         'seenAgoMs': [
             min(ago_ms, _MAX_UINT32) for ago_ms in reply.seen_ago_ms.values()
@@ -183,4 +188,5 @@
         reply.ageMs,
         reply.watchedMs,
         seen_ago_ms,
+        reply.isUncertain,
     )
--- a/seampond/streams/registry.py
+++ b/seampond/streams/registry.py
@@ -4,6 +4,7 @@
 import itertools
 import random
 from collections.abc import Callable, Iterable, Sequence
+from dataclasses import replace
 
 from seampond.clock import Clock
 from seampond.forwarding.job import Job
@@ -63,6 +64,8 @@
     ----------
     proof_age_ms : Callable[[], int]
         Return the age of the proof that the list of servers is current.
+    has_uncertain_version : Callable[[str], bool]
+        Return whether a server of a pool may run an unknown version.
     count : Callable[[str], None]
         Counts resumed streams by the source of their origin.
 
@@ -78,6 +81,7 @@
         gateways: GatewayDirectory,
         clock: Clock,
         proof_age_ms: Callable[[], int],
+        has_uncertain_version: Callable[[str], bool],
         rng: random.Random,
         count: Callable[[str], None],
     ) -> None:
@@ -86,6 +90,7 @@
         self._gateways = gateways
         self._clock = clock
         self._proof_age_ms = proof_age_ms
+        self._has_uncertain_version = has_uncertain_version
         self._rng = rng
         self._count = count
         self._owners = OriginOwners(gateways)
@@ -168,22 +173,27 @@
             self._table.add(stream, entry)
 
     def _answer(self, request: OriginRequest) -> OriginReply:
-        pool = self._find_pool(request.pool, self._history.pools)
-        watched_ms = self._history.watched_ms(pool)
-        seen_ago_ms = self._history.seen_ago_ms(pool)
+        reply = self._describe_pool(
+            request.number, self._find_pool(request.pool, self._history.pools)
+        )
         entry = self._table.find(request.stream)
         if entry is None:
-            return OriginReply(
-                request.number, watched_ms=watched_ms, seen_ago_ms=seen_ago_ms
-            )
+            return reply
+        return replace(
+            reply,
+            is_known=True,
+            pool=entry.pool,
+            version=entry.version,
+            age_ms=self._clock.now() - entry.recorded_ms,
+        )
+
+    def _describe_pool(self, number: int, pool: str) -> OriginReply:
+        """Return a reply about the versions of a pool."""
         return OriginReply(
-            request.number,
-            True,
-            entry.pool,
-            entry.version,
-            self._clock.now() - entry.recorded_ms,
-            watched_ms,
-            seen_ago_ms,
+            number,
+            watched_ms=self._history.watched_ms(pool),
+            seen_ago_ms=self._history.seen_ago_ms(pool),
+            is_uncertain=self._has_uncertain_version(pool),
         )
 
     def _report(self, entries: Iterable[tuple[int, OriginEntry]]) -> None:
@@ -242,12 +252,7 @@
             Longest time since the stream may have begun.
 
         """
-        own = OriginReply(
-            0,
-            watched_ms=self._history.watched_ms(pool),
-            seen_ago_ms=self._history.seen_ago_ms(pool),
-        )
-        known = (own, *replies)
+        known = (self._describe_pool(0, pool), *replies)
         versions = {
             version
             for reply in known
@@ -258,6 +263,8 @@
         is_current = replies or self._proof_age_ms() <= _MAX_PROOF_AGE_MS
         if len(versions) != 1 or not (is_covered and is_current):
             return None
+        if any(reply.is_uncertain for reply in known):
+            return None
         return Resumption(StreamOrigin(pool, versions.pop()), 'single-version')
 
     def _addresses_of(self, names: Iterable[str]) -> list[str]:
--- a/seampond/streams/streams.capnp
+++ b/seampond/streams/streams.capnp
@@ -32,4 +32,5 @@
   watchedMs @5 :UInt32;
   seenVersions @6 :List(Text);
   seenAgoMs @7 :List(UInt32);
+  isUncertain @8 :Bool;
 }
--- a/seampond/streams/tests/test_registry.py
+++ b/seampond/streams/tests/test_registry.py
@@ -44,6 +44,8 @@
         Number of messages that are lost next.
     proof_age_ms : int
         Age of the proof of each list of servers.
+    has_restarted : bool
+        Whether a server may run another version than its row says.
 
     """
 
@@ -53,6 +55,7 @@
         self.dead: set[str] = set()
         self.drops = 0
         self.proof_age_ms = 0
+        self.has_restarted = False
         self.sources: list[str] = []
         self.sent: list[OriginMessage] = []
         self.registries: dict[str, OriginRegistry] = {}
@@ -65,6 +68,7 @@
             Directory(name, self),
             self.clock,
             lambda: self.proof_age_ms,
+            lambda pool: self.has_restarted,
             random.Random(1),
             self.sources.append,
         )
@@ -263,6 +267,13 @@
         job = await self.fleet.resume('g0')
         self.assertEqual(job.origin, _OLD)
 
+    async def test_restart_with_another_version_is_ignored(self) -> None:
+        """A server that has restarted may run another one than its row says."""
+        self.fleet.clock.advance(_LONG_MS)
+        self.fleet.has_restarted = True
+        with self.assertRaises(Refusal):
+            await self.fleet.resume('g0')
+
     async def test_version_that_went_is_forgotten(self) -> None:
         """A version that served a moment ago may have begun the stream."""
         self.fleet.clock.advance(_LONG_MS)
--- a/seampond/testing/release_soak.py
+++ b/seampond/testing/release_soak.py
@@ -53,6 +53,8 @@
 _BREAK_EVERY = 12
 _CRASH_PAUSE_MS = (500, 3000)
 _CHANGED_VERSION_PROBABILITY = 0.3
+# Streams that a report describes.
+_SHOWN = 3
 _VERSIONS = ('v1', 'v2', 'v3')
 _CONFIGURATION = ConfigurationRow(kind=STREAM, may_resume=True)
 _CALLER_PLANS = (
@@ -176,6 +178,9 @@
     )
     if fleet.joined:
         report.wrong.append(f'{report.joined} streams join versions')
+        report.wrong.extend(
+            f'joined: {record.describe()}' for record in fleet.joined[:_SHOWN]
+        )
     if fleet.disordered:
         report.wrong.append(f'{len(fleet.disordered)} streams lack events')
     least = _RESUMED_SHARE * report.started_share * report.resumed
--- a/seampond/testing/streaming.py
+++ b/seampond/testing/streaming.py
@@ -174,6 +174,11 @@
         """Whether it holds events of two versions."""
         return len(set(self.versions)) > 1
 
+    def describe(self) -> str:
+        """Return the ids of the requests and the version of each event."""
+        ids = [attempt.request_id for attempt in self.attempts]
+        return f'requests {ids}, versions {self.versions}'
+
     @property
     def is_in_order(self) -> bool:
         """Whether it holds each event up to the last one once."""
