--- a/seampond/forwarding/backend.py
+++ b/seampond/forwarding/backend.py
@@ -75,8 +75,8 @@
     cold_until_ms : int
         Until when it is slow after its start.
     lost_ms : int
-        When a connection to it was lost, which may have been the end of its
-        process; 0 if it is known to run on as its row says.
+        When a connection to it was lost, which may mean that its process
+        ended; 0 if it is known to run on as its row says.
     reconnected_ms : int
         When a connection was made after that, 0 for not yet.
     remote_load : RemoteLoad or None
@@ -144,12 +144,12 @@
         return now_ms < self.fallback_until_ms
 
     def record_lost_connection(self, now_ms: int) -> None:
-        """Record a lost connection, which may have been the end of it."""
+        """Record a lost connection, which may mean that its process ended."""
         self.lost_ms = now_ms
         self.reconnected_ms = 0
 
     def record_connection(self, connected_ms: int) -> None:
-        """Record a connection that was made."""
+        """Record a connection, the first one after a loss counts."""
         if not self.reconnected_ms and connected_ms >= self.lost_ms:
             self.reconnected_ms = connected_ms
 
--- a/seampond/forwarding/scheduler.py
+++ b/seampond/forwarding/scheduler.py
@@ -32,7 +32,7 @@
 _SPARE_FRACTION = 0.75
 # Bounds the work for one request in a large pool.
 _MAX_CANDIDATES = 48
-# Nothing that a caller waits for would change them.
+# Causes that do not pass with time, so that no time to come back is named.
 _FINAL_CAUSES = (Cause.version_gone, Cause.version_unknown)
 _STEP = 'place'
 
