Soak of releases: gateways that have just started are not in touch

By the rule a machine is in touch only when it has run for 3 s, so the start counts like a fault. The refusals of that second stand: nobody knows these streams, and they carry a time to come back.

--- a/seampond/testing/release_soak.py
+++ b/seampond/testing/release_soak.py
@@ -229,6 +229,9 @@
             plan.faults,
             plan.earlier_build,
         )
+        # A gateway is not in touch right after its start either.
+        for gateway in gateways:
+            context.record_disruption(gateway)
         async with asyncio.TaskGroup() as group:
             if plan.faults:
                 group.create_task(inject_faults(context))
