--- a/seampond/testing/crashing.py
+++ b/seampond/testing/crashing.py
@@ -155,6 +155,10 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        if not self.is_up:
+            # The kernel had accepted the connection before the crash.
+            writer.transport.abort()
+            return
         task = asyncio.current_task()
         assert task is not None
         self._tasks.add(task)
