Failing tests of streams that a frozen gateway begins

What callers see: a stream holds events of two versions. A gateway that was frozen sends streams to servers that have restarted meanwhile, records them at the version of the row that it still has, and tells the owners so; other gateways then go on at that version.

--- a/seampond/gateway/tests/test_release_soak.py
+++ b/seampond/gateway/tests/test_release_soak.py
@@ -14,6 +14,9 @@
 
 _SEED = 1
 _SECONDS = 8
+# Seeds with the number of gateways.
+_FREEZE_SEEDS = ((222, 3), (308, 4), (336, 2))
+_FREEZE_SECONDS = 6
 
 
 class ReleaseSoakTest(unittest.TestCase):
@@ -35,3 +38,14 @@
             report = asyncio.run(run_release_soak(Path(folder), plan))
         self.assertEqual(report.wrong, [])
         self.assertGreater(report.resumed, 0)
+
+    def test_stream_begun_by_a_frozen_gateway_joins_versions(self) -> None:
+        """Servers restart while it is frozen, as other versions."""
+        for seed, gateways in _FREEZE_SEEDS:
+            plan = ReleasePlan(seed, _FREEZE_SECONDS, gateways)
+            with (
+                self.subTest(seed=seed),
+                tempfile.TemporaryDirectory() as folder,
+            ):
+                report = asyncio.run(run_release_soak(Path(folder), plan))
+                self.assertEqual(report.wrong, [])
--- a/seampond/gateway/tests/test_stream_versions.py
+++ b/seampond/gateway/tests/test_stream_versions.py
@@ -4,14 +4,19 @@
 """
 
 import asyncio
+from collections.abc import Iterator
+from contextlib import contextmanager
 from http import HTTPStatus
+from unittest.mock import patch
 
+from seampond.gateway.daemon import RunningGateway
 from seampond.gateway.tests.streaming_case import (
     NEW_VERSION,
     OLD_VERSION,
     StreamingCase,
 )
-from seampond.testing.streaming import CallerPlan
+from seampond.platform.names import SERVERS_TABLE
+from seampond.testing.streaming import CallerPlan, StreamingServer
 
 _RUN_MS = 4000
 _EVENTS_BEFORE_CUT = 4
@@ -19,6 +24,30 @@
 _RESUMED_SHARE = 0.9
 # Well below the target latency of the route.
 _END_MAX_MS = 500
+_SERVERS_RESTARTED = 2
+_THAWED_STREAMS = 30
+_THAWED_INTERVAL_MS = 10
+# How long the gateway takes to read what it missed.
+_UNREAD_MS = 400
+
+
+@contextmanager
+def _without_server_rows(gateway: RunningGateway) -> Iterator[None]:
+    """Let a gateway receive neither rows of servers nor proofs of them."""
+    watch = gateway.components.watches[SERVERS_TABLE]
+    with (
+        patch.object(watch, '_try_apply', lambda page: False),
+        patch.object(watch.freshness, 'apply_proof', lambda proof: None),
+    ):
+        yield
+
+
+async def _restart(server: StreamingServer, version: str) -> None:
+    """Crash a server and wait until it serves another version."""
+    server.crash()
+    server.row['version'] = version
+    while not server.is_up:
+        await server.clock.sleep(10)
 
 
 class BrokenServerTest(StreamingCase):
@@ -118,6 +147,47 @@
         self.assertGreaterEqual(complete, _RESUMED_SHARE * len(began))
 
 
+class FrozenGatewayTest(StreamingCase):
+    """A gateway that was frozen has missed that servers restarted."""
+
+    async def test_stream_begun_with_old_rows_joins_versions(self) -> None:
+        """Others are told the version of the old row."""
+        await self._check(restarts=1)
+
+    async def test_stream_begun_between_two_restarts_joins_versions(
+        self,
+    ) -> None:
+        """The row that is read first is that of a process that has ended."""
+        await self._check(restarts=2)
+
+    async def _check(self, restarts: int) -> None:
+        fleet = await self.open_fleet()
+        restarted = fleet.servers[:_SERVERS_RESTARTED]
+        for server in restarted:
+            server.may_restart = True
+        with _without_server_rows(self.gateways[1]):
+            for number in range(restarts):
+                for server in restarted:
+                    await _restart(server, f'v{number + 3}')
+            thawed = asyncio.create_task(self._send_to(1))
+            await fleet.clock.sleep(_UNREAD_MS)
+        await thawed
+        self.check_streams()
+        self.assertGreater(len(fleet.records), 12)
+
+    async def _send_to(self, gateway: int) -> None:
+        """Open streams at one gateway, to be resumed at the next ones."""
+        order = [*self.addresses[gateway:], *self.addresses[:gateway]]
+        async with asyncio.TaskGroup() as group:
+            for _ in range(_THAWED_STREAMS):
+                group.create_task(
+                    self.fleet.send_stream(
+                        order, CallerPlan(_EVENTS_BEFORE_CUT)
+                    )
+                )
+                await self.fleet.clock.sleep(_THAWED_INTERVAL_MS)
+
+
 class ReturningCallerTest(StreamingCase):
     """Callers lose their connection and resume at another gateway."""
 
