Verify which process began a stream before its version counts

Cause: what was recorded of a beginning was the version of the row that the gateway had when it sent, not that of the process that answered. A gateway that was frozen, or has just started, has rows of processes that have ended. Backend.lost_ms does not help: it needs a lost connection that the gateway has noticed, and ended as soon as the row changed, also to that of a process that was gone again. The same belief let a gateway go on with a stream at a server that had restarted.

Change: a connection is bound to the row it was made under. It is verified by a proof of the list of servers from after it was made, or by later data on a verified connection; if the row has changed meanwhile, it never is. The first events of a new stream do not wait. Its origin is recorded and told to the owners as unverified, with the incarnation and the time of the connection, and each gateway verifies it by its own list. A stream that is resumed waits for that, and the events of a resumed stream are passed on when the connection is verified. A proof that is waited for is asked of the store by one call. Unverified origins are a message of their own, which earlier builds drop instead of taking them for certain.

Why it works: a process that had started before the connection was made would have changed the row by the time of the proof.

--- a/seampond/forwarding/attempt.py
+++ b/seampond/forwarding/attempt.py
@@ -27,6 +27,7 @@
     ResponseHead,
     parse_keep_alive_ms,
 )
+from seampond.forwarding.resumption import compute_resume_wait_ms
 from seampond.forwarding.server_signals import parse_signals
 from seampond.forwarding.stream_origins import (
     NO_ORIGINS,
@@ -41,6 +42,7 @@
 _ERRORS_BEFORE_PAUSE = 4
 _LOAD_FIELD_COUNT = 3
 _CHUNKS_PER_UPDATE = 4
+_VERIFICATION_CHECK_MS = 20
 _logger = logging.getLogger(__name__)
 
 
@@ -215,6 +217,8 @@
         self._check_stamp(head)
         outcome = Outcome.complete
         if job.is_stream and head.status == HTTPStatus.OK:
+            if not await self._may_relay_stream(connection):
+                return Outcome.in_doubt
             await self._relay_stream(connection, head)
         else:
             outcome = await self._relay_whole(connection, head)
@@ -240,6 +244,26 @@
         await sink.finish()
         return Outcome.complete
 
+    async def _may_relay_stream(self, connection: Connection) -> bool:
+        """Wait until the server is known to have the version of the stream.
+
+        Explanation
+        -----------
+        The events of a new stream need not wait: its origin follows from the
+        server that brought them.
+        """
+        job = self.progress.job
+        if job.origin is None:
+            return True
+        wait_ms = compute_resume_wait_ms(job.route)
+        until_ms = min(job.deadline_ms, self.sent_ms + wait_ms)
+        while not self.backend.is_verified(connection.connected_ms):
+            if self.clock.now() >= until_ms or not self.backend.is_current:
+                return False
+            self.origins.request_proof(self.backend, connection.connected_ms)
+            await self.clock.sleep(_VERIFICATION_CHECK_MS)
+        return True
+
     async def _relay_stream(
         self, connection: Connection, head: ResponseHead
     ) -> None:
@@ -251,13 +275,13 @@
                 break
             chunk_count += 1
             self.backend.confirm_process(
-                connection.connected_ms, self.clock.now()
+                connection.connected_ms, connection.received_ms
             )
             self._record_chunk(chunk_count)
             events = progress.splitter.feed(chunk)
             if events:
                 # Before the caller can resume it at another gateway.
-                self._record_origin()
+                self._record_origin(connection)
                 if not sink.has_started:
                     await sink.start(head, None)
                 progress.job.has_streamed = True
@@ -269,15 +293,19 @@
         await sink.finish()
         self._record_stream(chunk_count)
 
-    def _record_origin(self) -> None:
-        """Record where the stream began, as soon as that is certain."""
+    def _record_origin(self, connection: Connection) -> None:
+        """Record where the stream began, unverified until that is certain."""
         job = self.progress.job
         if job.origin is not None or not job.route.may_resume:
             return
-        if self.backend.lost_ms:
-            return
-        job.origin = StreamOrigin(job.pool, self.version)
-        self.origins.record(job)
+        origin = StreamOrigin(job.pool, self.version)
+        if self.backend.is_verified(connection.connected_ms):
+            job.origin = origin
+            self.origins.record(job)
+        elif not job.has_streamed:
+            self.origins.record_unverified(
+                job, origin, self.backend, connection.connected_ms
+            )
 
     def _record_first_byte(self) -> None:
         """Update speed estimates from the time to the first byte."""
--- a/seampond/forwarding/backend.py
+++ b/seampond/forwarding/backend.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from seampond.forwarding.connection import Connection
+from seampond.forwarding.process_state import ProcessState
 from seampond.forwarding.server import Server
 from seampond.forwarding.signal_state import SignalState
 from seampond.forwarding.speeds import Speed
@@ -15,10 +16,6 @@
 _REPLACED_PAUSE_MS = 4000
 _MAX_DOUBLINGS = 4
 _MAX_REPORT_AGE_MS = 1500
-# Data that arrived before the loss of another connection may be read after it.
-_BUFFERED_DATA_MS = 50
-# A server writes its row when it starts.
-_RESTART_ROW_MS = 500
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,7 +57,7 @@
 
 
 @dataclass(slots=True)
-class Backend:
+class Backend(ProcessState):
     """One server: its row, signals, observed state and connections.
 
     Parameters
@@ -74,11 +71,6 @@
         Whether its row can be read.
     cold_until_ms : int
         Until when it is slow after its start.
-    lost_ms : int
-        When a connection to it was lost, which may mean that its process
-        ended; 0 if it is known to run on as its row says.
-    reconnected_ms : int
-        When a connection was made after that, 0 for not yet.
     remote_load : RemoteLoad or None
         Load of the other gateways, as they reported it.
     running : Counter[int]
@@ -110,8 +102,6 @@
     is_readable: bool = True
     fallback_until_ms: int = 0
     cold_until_ms: int = 0
-    lost_ms: int = 0
-    reconnected_ms: int = 0
     report: LoadReport | None = None
     idle: list[Connection] = field(default_factory=list)
     connection_count: int = 0
@@ -143,41 +133,6 @@
             return self.is_listed and now_ms < self.signals.drain_until_ms
         return now_ms < self.fallback_until_ms
 
-    def record_lost_connection(self, now_ms: int) -> None:
-        """Record a lost connection, which may mean that its process ended."""
-        self.lost_ms = now_ms
-        self.reconnected_ms = 0
-
-    def record_connection(self, connected_ms: int) -> None:
-        """Record a connection, the first one after a loss counts."""
-        if not self.reconnected_ms and connected_ms >= self.lost_ms:
-            self.reconnected_ms = connected_ms
-
-    def confirm_process(self, connected_ms: int, now_ms: int) -> None:
-        """Record data on a connection, which proves that its process lives.
-
-        Parameters
-        ----------
-        connected_ms : int
-            When the connection was made.
-
-        """
-        is_later = now_ms >= self.lost_ms + _BUFFERED_DATA_MS
-        if self.lost_ms and connected_ms < self.lost_ms and is_later:
-            self.lost_ms = 0
-
-    def confirm_row(self, proved_ms: int) -> None:
-        """Record when its row was current.
-
-        Explanation
-        -----------
-        If the process to which the last connection was made had restarted, it
-        would have changed its row by then.
-        """
-        is_up = self.lost_ms and self.reconnected_ms
-        if is_up and proved_ms >= self.reconnected_ms + _RESTART_ROW_MS:
-            self.lost_ms = 0
-
     def may_resume(self, now_ms: int) -> bool:
         """Return True if it may go on with a stream.
 
@@ -284,6 +239,28 @@
         self.consecutive_failures += 1
         self.paused_until_ms = now_ms + _REPLACED_PAUSE_MS
 
+    def pop_idle(self) -> Connection:
+        """Remove and return an idle connection, a verified one if possible."""
+        for index in reversed(range(len(self.idle))):
+            if self.is_verified(self.idle[index].connected_ms):
+                return self.idle.pop(index)
+        # The one that will be verified first.
+        return self.idle.pop(0)
+
+    def retire(self) -> None:
+        """Retire the state of a process that a later one has replaced.
+
+        Explanation
+        -----------
+        Failures, reports, cached prompts and speeds of the earlier process do
+        not apply to the new one.  Open requests keep the old state, which
+        gets no new ones.
+        """
+        self.is_listed = False
+        self.is_current = False
+        self.fallback_until_ms = 0
+        self.close_idle_connections()
+
     def close_idle_connections(self) -> None:
         """Close the idle connections."""
         for connection in self.idle:
--- a/seampond/forwarding/backends.py
+++ b/seampond/forwarding/backends.py
@@ -32,6 +32,13 @@
     """Ignore the limit."""
 
 
+def _has_other_version(backend: Backend, server: Server) -> bool:
+    """Return True if a row names another version than the one known."""
+    known = backend.server
+    is_earlier = 0 < server.started_ms < known.started_ms
+    return known.version != server.version and not is_earlier
+
+
 class LimitCallback(Protocol):
     """Called with the limit that a response has reported."""
 
@@ -193,6 +200,10 @@
         names = {server.id for server in listed}.union(unreadable)
         self.update(listed, [name for name in self._by_id if name not in names])
 
+    def find_incarnation(self, key: int) -> Backend | None:
+        """Return the server incarnation with a key, None if not known."""
+        return self._by_key.get(key)
+
     def apply_signals(
         self, backend: Backend, reported: ServerSignals, sent_ms: int
     ) -> None:
@@ -243,7 +254,7 @@
 
         """
         while backend.idle:
-            connection = backend.idle.pop()
+            connection = backend.pop_idle()
             if connection.is_usable:
                 return connection
             connection.close()
@@ -285,8 +296,9 @@
     def _update_known(self, backend: Backend, server: Server) -> None:
         known_ms = backend.server.started_ms
         reported_ms = server.started_ms or known_ms
-        if 0 < known_ms < reported_ms:
-            self._retire(backend)
+        if 0 < known_ms < reported_ms or _has_other_version(backend, server):
+            backend.retire()
+            self._log('server started again', backend.server)
             self._add(server)
         elif reported_ms >= known_ms:
             if backend.server.is_draining != server.is_draining:
@@ -296,23 +308,8 @@
             self._signals.apply_row(server, backend.signals)
             backend.is_listed = True
             backend.is_readable = True
-            backend.lost_ms = 0
         # Otherwise the row of an earlier incarnation has arrived late.
 
-    def _retire(self, backend: Backend) -> None:
-        """Retire the state of an earlier incarnation.
-
-        Explanation
-        -----------
-        Failures, reports, cached prompts and speeds of the earlier process do
-        not apply to the new one.  Open requests keep the old state, which
-        gets no new ones.
-        """
-        backend.is_listed = False
-        backend.fallback_until_ms = 0
-        backend.close_idle_connections()
-        self._log('server started again', backend.server)
-
     def _remove_listing(self, server_id: str) -> None:
         backend = self._by_id.get(server_id)
         if backend is None or not backend.is_listed:
--- a/seampond/forwarding/connection.py
+++ b/seampond/forwarding/connection.py
@@ -42,6 +42,8 @@
         Number of bytes received of the body of the current answer.
     connected_ms : int
         When the connection was made.
+    received_ms : int
+        When data was last received.
 
     """
 
@@ -63,6 +65,7 @@
         self.idle_until_ms = 0
         self.received_bytes = 0
         self.connected_ms = 0
+        self.received_ms = 0
         self._clock = clock
         self._id_header = id_header
         self._transport: asyncio.Transport | None = None
@@ -215,6 +218,7 @@
         if not self._request_id or (self._is_complete and payload):
             self.close()
             return
+        self.received_ms = self._clock.now()
         try:
             self._parser.feed_data(payload)
         except httptools.HttpParserError as error:
--- a/seampond/forwarding/forwarder.py
+++ b/seampond/forwarding/forwarder.py
@@ -104,6 +104,8 @@
         job = progress.job
         scheduler = self._context.scheduler
         while True:
+            if job.is_resumed and job.origin is None:
+                await self._context.origins.resolve_begun(job)
             self._context.quarantine.check(job)
             backend = await scheduler.acquire(job, progress.tried_servers)
             try:
--- a/seampond/gateway/tables.py
+++ b/seampond/gateway/tables.py
@@ -13,6 +13,7 @@
     Page,
     Watch,
     compute_proof_age_ms,
+    probe_on_request,
     probe_when_stale,
 )
 
@@ -103,6 +104,7 @@
                 lambda: components.peers.rank,
                 clock,
             ),
+            probe_on_request(watch, clock),
         ):
             yield
 
--- a/seampond/gateway/wiring.py
+++ b/seampond/gateway/wiring.py
@@ -14,6 +14,7 @@
 from seampond.forwarding.forwarder import Forwarder, ForwarderContext
 from seampond.forwarding.retries import RetryBudget
 from seampond.forwarding.scheduler import Scheduler
+from seampond.forwarding.server_runs import ServerRuns
 from seampond.gateway.bounds import (
     compute_grace_ms,
     make_exposure_limits,
@@ -191,13 +192,16 @@
     configuration_follower = ConfigurationFollower(
         configuration_state, promises, metrics, clock
     )
+
+    def confirm_servers(proved_ms: int) -> None:
+        backends.confirm_rows(proved_ms)
+        origins.verify_runs()
+
     freshness = {
         CONFIGURATION_TABLE: TableFreshness(
             clock, store_clock, configuration_follower.record_proof
         ),
-        SERVERS_TABLE: TableFreshness(
-            clock, store_clock, backends.confirm_rows
-        ),
+        SERVERS_TABLE: TableFreshness(clock, store_clock, confirm_servers),
         GATEWAYS_TABLE: TableFreshness(
             clock, store_clock, lambda proved_ms: None
         ),
@@ -216,6 +220,12 @@
         backends.has_uncertain_version,
         random.Random(),
         lambda source: metrics.resumed.labels(source).inc(),
+        ServerRuns(
+            backends,
+            hash_name,
+            freshness[SERVERS_TABLE].request_proof,
+            clock,
+        ),
     )
     server_follower = ServerFollower(backends, scheduler)
     server_follower.on_change = origins.update_servers
--- a/seampond/streams/messages.py
+++ b/seampond/streams/messages.py
@@ -35,6 +35,28 @@
     streams: tuple[int, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class UnverifiedReport:
+    """Streams that began at one version, if the known process ran them.
+
+    Parameters
+    ----------
+    pool, version, streams :
+        As in `OriginReport`.
+    incarnation : int
+        Key of the server incarnation that the reporting gateway knew.
+    connected_ago_ms : int
+        How long ago the connection to it was made.
+
+    """
+
+    pool: int
+    version: str
+    streams: tuple[int, ...]
+    incarnation: int
+    connected_ago_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class OriginRequest:
     """Request for the version that began a stream.
@@ -71,6 +93,8 @@
     is_uncertain : bool
         Whether a server of that pool may run another version than its row
         says.
+    is_unverified : bool
+        Whether the origin is recorded, but not whether that version ran.
 
     """
 
@@ -82,9 +106,10 @@
     watched_ms: int = 0
     seen_ago_ms: Mapping[str, int] = field(default_factory=dict)
     is_uncertain: bool = False
+    is_unverified: bool = False
 
 
-OriginMessage = OriginReport | OriginRequest | OriginReply
+OriginMessage = OriginReport | UnverifiedReport | OriginRequest | OriginReply
 
 
 @functools.cache
@@ -143,6 +168,16 @@
                 'streams': list(message.streams),
             }
         }
+    if isinstance(message, UnverifiedReport):
+        return {
+            'unverified': {
+                'pool': message.pool,
+                'version': message.version,
+                'streams': list(message.streams),
+                'incarnation': message.incarnation,
+                'connectedAgoMs': min(message.connected_ago_ms, _MAX_UINT32),
+            }
+        }
     if isinstance(message, OriginRequest):
         return {
             'request': {
@@ -163,6 +198,7 @@
         'ageMs': min(reply.age_ms, _MAX_UINT32),
         'watchedMs': min(reply.watched_ms, _MAX_UINT32),
         'isUncertain': reply.is_uncertain,
+        'isUnverified': reply.is_unverified,
         'seenVersions': list(reply.seen_ago_ms),
         'seenAgoMs': [
             min(ago_ms, _MAX_UINT32) for ago_ms in reply.seen_ago_ms.values()
@@ -175,6 +211,15 @@
     if kind == 'report':
         report = reader.report
         return OriginReport(report.pool, report.version, tuple(report.streams))
+    if kind == 'unverified':
+        report = reader.unverified
+        return UnverifiedReport(
+            report.pool,
+            report.version,
+            tuple(report.streams),
+            report.incarnation,
+            report.connectedAgoMs,
+        )
     if kind == 'request':
         request = reader.request
         return OriginRequest(request.number, request.stream, request.pool)
@@ -189,4 +234,5 @@
         reply.watchedMs,
         seen_ago_ms,
         reply.isUncertain,
+        reply.isUnverified,
     )
--- a/seampond/streams/origin_table.py
+++ b/seampond/streams/origin_table.py
@@ -1,9 +1,10 @@
 """Origins of streams, kept as long as a caller may resume them."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
 from seampond.clock import Clock
+from seampond.forwarding.stream_origins import RunState, ServerRun
 from seampond.streams.version_history import RETENTION_MS
 
 _ENTRIES_MAX = 65_536
@@ -21,6 +22,9 @@
         Whether the stream began at this gateway.
     is_reported : bool
         Whether its owners have been told.
+    run : ServerRun or None
+        The run that began it as long as the server's process, and thus the
+        version, is not verified.
 
     """
 
@@ -29,6 +33,7 @@
     recorded_ms: int
     is_own: bool = False
     is_reported: bool = False
+    run: ServerRun | None = None
 
 
 class OriginTable:
@@ -47,15 +52,33 @@
         """Start without streams."""
         self._clock = clock
         self._entries: dict[int, OriginEntry] = {}
+        self._unverified: dict[int, OriginEntry] = {}
 
     def __len__(self) -> int:
         """Return the number of entries, expired ones included."""
         return len(self._entries)
 
     def add(self, stream: int, entry: OriginEntry) -> None:
-        """Add the origin of a stream; the first one holds."""
+        """Add the origin of a stream; the first one that is verified holds."""
         self._expire()
-        self._entries.setdefault(stream, entry)
+        known = self._entries.get(stream)
+        if known is None:
+            self._entries[stream] = entry
+            if entry.run is not None:
+                self._unverified[stream] = entry
+        elif known.run is not None and entry.run is None:
+            # In place, since entries expire in the order in which they came.
+            known.version = entry.version
+            known.run = None
+            self._unverified.pop(stream, None)
+
+    def verify_runs(self, check_run: Callable[[ServerRun], RunState]) -> None:
+        """Verify the origins whose runs have been confirmed by now."""
+        for stream, entry in list(self._unverified.items()):
+            assert entry.run is not None
+            if check_run(entry.run) is RunState.verified:
+                entry.run = None
+                self._unverified.pop(stream)
 
     def find(self, stream: int) -> OriginEntry | None:
         """Return the origin of a stream, None if it is not known."""
@@ -78,3 +101,4 @@
             if is_kept and len(self._entries) < _ENTRIES_MAX:
                 return
             self._entries.pop(stream)
+            self._unverified.pop(stream, None)
--- /dev/null
+++ b/seampond/streams/search.py
@@ -0,0 +1,174 @@
+"""Finding the version that began a stream."""
+
+import hashlib
+from collections.abc import Callable, Sequence
+
+from seampond.clock import Clock
+from seampond.forwarding.job import Job
+from seampond.forwarding.refusals import Cause, Refusal
+from seampond.forwarding.stream_origins import Resumption, StreamOrigin
+from seampond.sharing.hashing import hash_name
+from seampond.streams.known_origins import KnownOrigins, find_pool
+from seampond.streams.messages import OriginReply
+from seampond.streams.origin_table import OriginEntry
+from seampond.streams.owners import GatewayDirectory, OriginOwners
+from seampond.streams.requests import OriginRequests
+from seampond.streams.servers import ServerDirectory
+
+# More than the owners, since gateways may differ in whom they know.
+_ASKED = 4
+# A copy of the list of servers that was proved later than this holds any
+# version that may have begun a stream.
+_MAX_PROOF_AGE_MS = 3000
+# A run is verified by a proof that is up to 0.5 s younger than it.
+_VERIFICATION_WAIT_MS = 1200
+_VERIFICATION_CHECK_MS = 50
+_KEY_BYTES = 8
+_STEP = 'resume'
+
+
+def hash_stream(request_id: bytes) -> int:
+    """Return the key of the stream that a request began.
+
+    Examples
+    --------
+    >>> hash_stream(b'r1') == hash_stream(b'r1')
+    True
+
+    """
+    digest = hashlib.blake2b(request_id, digest_size=_KEY_BYTES).digest()
+    return int.from_bytes(digest)
+
+
+class OriginSearch:
+    """Finds origins here, at the owners, or by the versions that served.
+
+    Parameters
+    ----------
+    proof_age_ms : Callable[[], int]
+        Return the age of the proof that the list of servers is current.
+
+    """
+
+    def __init__(
+        self,
+        known: KnownOrigins,
+        gateways: GatewayDirectory,
+        owners: OriginOwners,
+        requests: OriginRequests,
+        servers: ServerDirectory,
+        proof_age_ms: Callable[[], int],
+        clock: Clock,
+    ) -> None:
+        """Initialize the search."""
+        self._known = known
+        self._gateways = gateways
+        self._owners = owners
+        self._requests = requests
+        self._servers = servers
+        self._proof_age_ms = proof_age_ms
+        self._clock = clock
+
+    async def find_verified(
+        self, job: Job, first_request: bytes
+    ) -> Resumption | None:
+        """Return the origin of a stream once it is verified, None if unknown.
+
+        Explanation
+        -----------
+        A caller that is back right after the first event waits, up to the time
+        in which the list of servers tells which process it came from.
+
+        Parameters
+        ----------
+        first_request : bytes
+            Id of the request that brought the first event, empty if unknown.
+
+        Raises
+        ------
+        Refusal
+            If no server of the likely version serves any more.
+
+        """
+        until_ms = self._clock.now() + _VERIFICATION_WAIT_MS
+        while True:
+            found = await self._find(job, first_request)
+            if found is None or found.is_verified:
+                return found
+            if not self._servers.has_version(found.origin):
+                raise Refusal(Cause.version_gone, step=_STEP)
+            if self._clock.now() >= until_ms:
+                return None
+            await self._clock.sleep(_VERIFICATION_CHECK_MS)
+
+    async def _find(self, job: Job, first_request: bytes) -> Resumption | None:
+        """Return the origin of a stream, None if unknown."""
+        if not first_request:
+            return await self._ask(job, 0)
+        stream = hash_stream(first_request)
+        entry = self._known.find(stream)
+        if entry is None:
+            return await self._ask(job, stream)
+        return self._describe_entry(job, entry)
+
+    async def _ask(self, job: Job, stream: int) -> Resumption | None:
+        """Return what other gateways know, else the only possible version."""
+        pool = job.route.pools[0] if len(job.route.pools) == 1 else ''
+        owners = self._owners.find_owners(stream, _ASKED)
+        replies = await self._requests.request(
+            stream,
+            hash_name(pool),
+            [self._gateways.address_of(name) for name in owners],
+        )
+        recorded = [
+            reply for reply in replies if reply.is_known or reply.is_unverified
+        ]
+        if recorded and stream:
+            best = max(recorded, key=lambda reply: reply.is_known)
+            return self._describe_reply(job, best)
+        return self._infer(pool, replies, job.max_age_ms) if pool else None
+
+    def _describe_entry(self, job: Job, entry: OriginEntry) -> Resumption:
+        # A pool that the route lacks has an empty name.
+        pool = find_pool(entry.pool, job.route.pools)
+        return Resumption(
+            StreamOrigin(pool, entry.version),
+            'own' if entry.is_own else 'owned',
+            self._clock.now() - entry.recorded_ms,
+            is_verified=entry.run is None,
+        )
+
+    def _describe_reply(self, job: Job, reply: OriginReply) -> Resumption:
+        pool = find_pool(reply.pool, job.route.pools)
+        return Resumption(
+            StreamOrigin(pool, reply.version),
+            'asked',
+            reply.age_ms,
+            is_verified=reply.is_known,
+        )
+
+    def _infer(
+        self, pool: str, replies: Sequence[OriginReply], max_age_ms: int
+    ) -> Resumption | None:
+        """Return the only version that may have begun a stream.
+
+        Parameters
+        ----------
+        max_age_ms : int
+            Longest time since the stream may have begun.
+
+        """
+        known = (self._known.describe_pool(0, pool), *replies)
+        versions = {
+            version
+            for reply in known
+            for version, ago_ms in reply.seen_ago_ms.items()
+            if ago_ms <= max_age_ms
+        }
+        is_covered = any(reply.watched_ms >= max_age_ms for reply in known)
+        is_current = replies or self._proof_age_ms() <= _MAX_PROOF_AGE_MS
+        if len(versions) != 1 or not (is_covered and is_current):
+            return None
+        if any(reply.is_uncertain for reply in known):
+            return None
+        return Resumption(StreamOrigin(pool, versions.pop()), 'single-version')
--- a/seampond/streams/streams.capnp
+++ b/seampond/streams/streams.capnp
@@ -8,6 +8,7 @@
     report @0 :Report;
     request @1 :Request;
     reply @2 :Reply;
+    unverified @3 :UnverifiedReport;
   }
 }
 
@@ -17,6 +18,15 @@
   streams @2 :List(UInt64);
 }
 
+# A message of its own: earlier releases would take these versions as certain.
+struct UnverifiedReport {
+  pool @0 :UInt64;
+  version @1 :Text;
+  streams @2 :List(UInt64);
+  incarnation @3 :UInt64;
+  connectedAgoMs @4 :UInt32;
+}
+
 struct Request {
   number @0 :UInt64;
   stream @1 :UInt64;
@@ -33,4 +43,5 @@
   seenVersions @6 :List(Text);
   seenAgoMs @7 :List(UInt32);
   isUncertain @8 :Bool;
+  isUnverified @9 :Bool;
 }
--- a/seampond/streams/tests/test_registry.py
+++ b/seampond/streams/tests/test_registry.py
@@ -6,10 +6,15 @@
 from typing import Any
 
 from seampond.clock import ManualClock
+from seampond.forwarding.backend import Backend
 from seampond.forwarding.job import Job
 from seampond.forwarding.models import PoolShare, RequestKind
 from seampond.forwarding.refusals import Cause, Refusal
-from seampond.forwarding.stream_origins import StreamOrigin
+from seampond.forwarding.stream_origins import (
+    RunState,
+    ServerRun,
+    StreamOrigin,
+)
 from seampond.streams.messages import (
     OriginMessage,
     OriginReport,
@@ -29,6 +34,7 @@
 _OLD = StreamOrigin(POOL, 'v1')
 _LONG_MS = 2 * RETENTION_MS
 _STALE_MS = 10_000
+_CHECK_MS = 500
 
 
 class Fleet:
@@ -46,6 +52,10 @@
         Age of the proof of each list of servers.
     has_restarted : bool
         Whether a server may run another version than its row says.
+    run_state : RunState
+        What the gateways know of all runs that are not verified.
+    proofs_requested : int
+        Number of requests for a proof of the list of servers.
 
     """
 
@@ -56,6 +66,8 @@
         self.drops = 0
         self.proof_age_ms = 0
         self.has_restarted = False
+        self.run_state = RunState.unverified
+        self.proofs_requested = 0
         self.sources: list[str] = []
         self.sent: list[OriginMessage] = []
         self.registries: dict[str, OriginRegistry] = {}
@@ -71,6 +83,7 @@
             lambda pool: self.has_restarted,
             random.Random(1),
             self.sources.append,
+            self,
         )
         registry.requests.send = lambda address, message: self._deliver(
             name, address, message
@@ -86,6 +99,40 @@
                 for version in versions
             )
 
+    def make_run(self, backend: Backend, connected_ms: int) -> ServerRun:
+        """Return a run of one incarnation."""
+        return ServerRun(1, connected_ms)
+
+    def check_run(self, run: ServerRun) -> RunState:
+        """Return what is known of all runs."""
+        return self.run_state
+
+    def request_proof(self, run: ServerRun) -> None:
+        """Count the requests."""
+        self.proofs_requested += 1
+
+    def has_version(self, origin: StreamOrigin) -> bool:
+        """Return True for the versions of the lists; time passes."""
+        if origin.version not in {'v1', 'v2'}:
+            return False
+        self.clock.advance(_CHECK_MS)
+        return True
+
+    def begin_unverified(self, name: str, version: str) -> None:
+        """Begin a stream over a connection that is not verified."""
+        self.registries[name].record_unverified(
+            build_stream('r1'),
+            StreamOrigin(POOL, version),
+            Backend(build_server('i-1')),
+            self.clock.now(),
+        )
+
+    def confirm(self, state: RunState) -> None:
+        """Let all gateways learn what became of the runs."""
+        self.run_state = state
+        for registry in self.registries.values():
+            registry.verify_runs()
+
     def begin(self, name: str, request_id: str = 'r1') -> Job:
         """Begin a stream of the first version at a gateway."""
         job = build_stream(request_id, origin=_OLD)
@@ -208,6 +255,52 @@
         self.assertIsNone(job.origin)
 
 
+class UnverifiedOriginTest(unittest.IsolatedAsyncioTestCase):
+    """A gateway does not know yet which process began a stream."""
+
+    def setUp(self) -> None:
+        """Begin a stream at the first of five gateways."""
+        self.fleet = Fleet(f'g{number}' for number in range(5))
+        self.fleet.list_servers('v1', 'v2')
+        self.fleet.begin_unverified('g0', 'v1')
+
+    async def test_version_that_did_not_run_is_told_as_certain(self) -> None:
+        """The callers' streams wait for a proof, then are refused."""
+        for name in ('g0', 'g1', 'g2', 'g3', 'g4'):
+            with self.assertRaises(Refusal) as caught:
+                await self.fleet.resume(name)
+            self.assertIs(caught.exception.cause, Cause.version_unknown)
+        self.assertGreater(self.fleet.proofs_requested, 0)
+
+    async def test_unverified_version_is_lost_with_the_gateway(self) -> None:
+        """Its owners verify it on their own."""
+        self.fleet.dead.add('g0')
+        self.fleet.confirm(RunState.verified)
+        # What was verified stays so, though the server has left.
+        self.fleet.run_state = RunState.unknown
+        for name in ('g1', 'g2', 'g3', 'g4'):
+            job = await self.fleet.resume(name)
+            self.assertEqual(job.origin, _OLD)
+
+    async def test_replaced_process_counts_as_the_origin(self) -> None:
+        """The list of servers says that another process has taken over."""
+        self.fleet.confirm(RunState.unknown)
+        for name in ('g0', 'g1'):
+            with self.assertRaises(Refusal):
+                await self.fleet.resume(name)
+
+    async def test_version_that_is_gone_is_waited_for(self) -> None:
+        """The stream is refused at once, without a time to come back."""
+        self.fleet.start('g0')
+        self.fleet.list_servers('v1', 'v2')
+        self.fleet.begin_unverified('g0', 'v0')
+        since_ms = self.fleet.clock.now()
+        with self.assertRaises(Refusal) as caught:
+            await self.fleet.resume('g0')
+        self.assertIs(caught.exception.cause, Cause.version_gone)
+        self.assertEqual(self.fleet.clock.now(), since_ms)
+
+
 class SingleVersionTest(unittest.IsolatedAsyncioTestCase):
     """Gateways that have seen a single version."""
 
--- a/seampond/testing/gateways.py
+++ b/seampond/testing/gateways.py
@@ -30,6 +30,8 @@
 from seampond.watches import StoreClock
 
 POOL = 'llm'
+# Rows count as current for the whole of a test.
+_PROVED_AHEAD_MS = 3_600_000
 ZONE = 'a'
 ID_HEADER = 'x-test-id'
 STAMP_HEADER = 'x-test-stamp'
@@ -173,6 +175,7 @@
 ) -> Forwarder:
     """Return a forwarder with a large retry budget by default."""
     clock = Clock()
+    backends.confirm_rows(clock.now() + _PROVED_AHEAD_MS)
     default_budget = RetryBudget(0, allowance, 10_000, lambda: gateways, clock)
     return Forwarder(
         ForwarderContext(
--- a/seampond/watches/__init__.py
+++ b/seampond/watches/__init__.py
@@ -4,6 +4,7 @@
 from seampond.watches.freshness import TableFreshness as TableFreshness
 from seampond.watches.hedging import HedgedSource as HedgedSource
 from seampond.watches.probe import compute_proof_age_ms as compute_proof_age_ms
+from seampond.watches.probe import probe_on_request as probe_on_request
 from seampond.watches.probe import probe_when_stale as probe_when_stale
 from seampond.watches.rows import HistoryGoneError as HistoryGoneError
 from seampond.watches.rows import LongChangesError as LongChangesError
--- a/seampond/watches/freshness.py
+++ b/seampond/watches/freshness.py
@@ -91,6 +91,9 @@
         self._missing_version = 0
         self._behind_since_ms = 0
         self._behind_event = asyncio.Event()
+        # Earliest local time of a requested proof, 0 for none.
+        self._requested_ms = 0
+        self._request_event = asyncio.Event()
         # Proofs of changes that are not held yet, the latest last.
         self._pending_proofs: deque[FreshnessProof] = deque(
             maxlen=_MAX_PENDING_PROOFS
@@ -186,6 +189,21 @@
             return self._behind_since_ms + max_behind_ms
         return self.proved_ms + max_age_ms
 
+    def request_proof(self, at_ms: int) -> None:
+        """Request a proof that the copy was complete at a local time."""
+        if self.proved_ms >= at_ms:
+            return
+        self._requested_ms = min(self._requested_ms or at_ms, at_ms)
+        self._request_event.set()
+
+    async def wait_for_request(self) -> int:
+        """Wait until a proof is requested; return for which time."""
+        await self._request_event.wait()
+        self._request_event.clear()
+        requested_ms = self._requested_ms
+        self._requested_ms = 0
+        return requested_ms
+
     async def wait_until_behind(self, timeout_ms: int) -> None:
         """Wait up to `timeout_ms` until a change is known to be missing."""
         if self._missing_version:
--- a/seampond/watches/probe.py
+++ b/seampond/watches/probe.py
@@ -23,6 +23,10 @@
 _MAX_JITTER_MS = 100
 
 
+# Bounds the calls to the store.
+_REQUEST_PAUSE_MS = 100
+
+
 def compute_proof_age_ms(deadline_ms: int) -> int:
     """Return the age at which the proof of a copy is renewed.
 
@@ -77,3 +81,14 @@
         elif not await watch.probe():
             pause_ms = min(_RETRY_PAUSE_MS, deadline_ms * _RETRY_PAUSE_PART)
             await clock.sleep(pause_ms * random.uniform(0.5, 1))
+
+
+async def probe_on_request(watch: Watch, clock: Clock) -> None:
+    """Probe a watch's table when a proof is requested; never ends."""
+    freshness = watch.freshness
+    while True:
+        requested_ms = await freshness.wait_for_request()
+        await clock.sleep(max(0, requested_ms - clock.now()))
+        if freshness.proved_ms < requested_ms:
+            await watch.probe()
+        await clock.sleep(_REQUEST_PAUSE_MS)
