Lend retries between gateways, and keep none for streams of pools without

What callers saw: of 120 requests, 44 were cut by two crashes and 97 to 107 were answered; the others got 502 after 0.4 s with over 4 s left, although the rule's budget (0.2 x 121 + 20 = 44) pays for all of them.

Cause: a gateway used 0.64 of its part: 0.8 as a margin, a fifth of that kept for streams that its pool did not have, and an equal part of the allowance, of which the gateways without requests used nothing. Neither the line of the request nor a metric said that the budget had refused: both do now (retries, seampond_gateway_retries).

Change: a pool that has had requests but no streams in the window keeps no part for streams. A lender records the retry as its own before it replies, and keeps half of what it has left if it has requests itself, so the sum over all gateways holds when replies are lost or late and when gateways freeze or die; the part used stays 0.8 of the rule's budget. Gateways of earlier builds neither lend nor are asked (lendsRetries).

--- a/seampond/forwarding/app.py
+++ b/seampond/forwarding/app.py
@@ -365,6 +365,7 @@
         'answer_tokens': job.prompt.answer_tokens,
         'end_ms': job.deadline_ms - job.arrived_ms,
         'fingerprint': format_fingerprint(job.fingerprint),
+        'retries': [source.value for source in progress.retry_sources],
     }
     return fields | _describe_resumption(job)
 
--- a/seampond/forwarding/forwarder.py
+++ b/seampond/forwarding/forwarder.py
@@ -1,7 +1,7 @@
 """Try servers in turn until a request has its final answer."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 from seampond.clock import MS_PER_SECOND, Clock
@@ -10,7 +10,7 @@
 from seampond.forwarding.backends import Backends
 from seampond.forwarding.job import Job
 from seampond.forwarding.models import HeaderNames
-from seampond.forwarding.progress import Outcome, Progress
+from seampond.forwarding.progress import Outcome, Progress, RetrySource
 from seampond.forwarding.refusals import Cause, Refusal
 from seampond.forwarding.retries import RetryBudget
 from seampond.forwarding.scheduler import Scheduler
@@ -29,6 +29,11 @@
     """The answer has begun and cannot be completed."""
 
 
+async def _borrow_nothing(pool: str) -> bool:
+    """Return False: no gateway lends retries."""
+    return False
+
+
 @dataclass(frozen=True)
 class ForwarderContext:
     """The dependencies of a forwarder.
@@ -45,6 +50,8 @@
         Records the outcome of each attempt.
     origins : OriginSource
         Records which versions began streams.
+    borrow_retry : Callable[[str], Awaitable[bool]]
+        Borrows a retry for a pool from another gateway if possible.
 
     """
 
@@ -59,6 +66,7 @@
     quarantine: Quarantine
     versions: VersionPolicy = ANY_VERSION
     origins: OriginSource = NO_ORIGINS
+    borrow_retry: Callable[[str], Awaitable[bool]] = _borrow_nothing
 
 
 class Forwarder:
@@ -91,7 +99,9 @@
         try:
             async with asyncio.timeout(remaining_ms / MS_PER_SECOND):
                 await self._context.origins.resolve(job)
-                self._context.budget.record_first_attempt(job.pool)
+                self._context.budget.record_first_attempt(
+                    job.pool, is_stream=job.is_stream
+                )
                 await self._try_servers(progress)
         except TimeoutError:
             await self._answer_refusal(
@@ -115,7 +125,7 @@
             self._context.metrics.attempts.labels(outcome.value).inc()
             if outcome is Outcome.complete:
                 return
-            if not self._may_retry(progress, outcome):
+            if not await self._may_retry(progress, outcome):
                 raise Refusal(
                     Cause.not_run,
                     step=_STEP,
@@ -145,7 +155,7 @@
                     progress.job, backend, attempt.record
                 )
 
-    def _may_retry(self, progress: Progress, outcome: Outcome) -> bool:
+    async def _may_retry(self, progress: Progress, outcome: Outcome) -> bool:
         job = progress.job
         if job.deadline_ms - self._clock.now() < _MIN_REMAINING_MS:
             return False
@@ -156,9 +166,19 @@
             return False
         if job.attempts >= job.route.attempts:
             return False
-        return self._context.budget.try_acquire(
-            job.pool, is_resumed=job.is_resumed
-        )
+        source = await self._acquire_retry(job)
+        progress.retry_sources.append(source)
+        self._context.metrics.retries.labels(source.value).inc()
+        return source is not RetrySource.exhausted
+
+    async def _acquire_retry(self, job: Job) -> RetrySource:
+        """Spend a retry of this gateway or of another one."""
+        context = self._context
+        if context.budget.try_acquire(job.pool, is_resumed=job.is_resumed):
+            return RetrySource.own
+        if await context.borrow_retry(job.pool):
+            return RetrySource.lent
+        return RetrySource.exhausted
 
     async def _answer_refusal(
         self, progress: Progress, refusal: Refusal
--- a/seampond/forwarding/progress.py
+++ b/seampond/forwarding/progress.py
@@ -35,6 +35,15 @@
     in_doubt = 'in-doubt'
 
 
+@enum.unique
+class RetrySource(enum.Enum):
+    """Whose budget a retry was spent from; the value is a metric label."""
+
+    own = 'own'
+    lent = 'lent'
+    exhausted = 'exhausted'
+
+
 @dataclass(slots=True)
 class BufferedAnswer:
     """A complete answer, kept in case every other attempt fails."""
@@ -108,6 +117,8 @@
         A server's error answer, relayed if no other attempt succeeds.
     unreached_count : int
         Number of attempts in which the request was not sent.
+    retry_sources : list[RetrySource]
+        For each retry that was wanted, where it came from.
 
     """
 
@@ -117,4 +128,5 @@
     tried_servers: set[str] = field(default_factory=set)
     attempt_records: list[AttemptRecord] = field(default_factory=list)
     unreached_count: int = 0
+    retry_sources: list[RetrySource] = field(default_factory=list)
     fallback_answer: BufferedAnswer | None = None
--- a/seampond/forwarding/retries.py
+++ b/seampond/forwarding/retries.py
@@ -6,6 +6,8 @@
 from seampond.clock import MS_PER_SECOND, Clock
 
 _USABLE_SHARE = 0.8
+# Of what a gateway has left, for its own requests may be cut next.
+_LENT_SHARE = 0.5
 # Leaves budget to resume the many streams that a server crash breaks.
 _RETRY_SHARE = 0.8
 
@@ -17,8 +19,8 @@
     -----------
     In any window, all gateways together may make `ratio` retries for each
     first attempt and `allowance` more.  Each gateway counts its own first
-    attempts and uses an equal part of the allowance, so that no messages are
-    needed.
+    attempts and uses an equal part of the allowance.  It may lend retries to
+    other gateways, which count here.
 
     Parameters
     ----------
@@ -59,6 +61,7 @@
         self._count_gateways = count_gateways
         self._clock = clock
         self._first_attempts: dict[str, Counter[int]] = {}
+        self._streams: dict[str, Counter[int]] = {}
         self._retries: dict[str, Counter[int]] = {}
 
     def set_bounds(self, ratio: float, allowance: float) -> None:
@@ -66,9 +69,13 @@
         self._ratio = ratio
         self._allowance = allowance
 
-    def record_first_attempt(self, pool: str) -> None:
+    def record_first_attempt(
+        self, pool: str, *, is_stream: bool = True
+    ) -> None:
         """Record the first attempt of a request."""
         self._increment(self._first_attempts, pool)
+        if is_stream:
+            self._increment(self._streams, pool)
 
     def try_acquire(self, pool: str, *, is_resumed: bool = True) -> bool:
         """Spend one retry and return True if the budget allows it.
@@ -80,15 +87,48 @@
             part of the budget for these.
 
         """
-        gateways = max(1, self._count_gateways())
-        budget = self._ratio * self._sum(self._first_attempts, pool)
-        budget += self._allowance / gateways
-        share = _USABLE_SHARE if is_resumed else _USABLE_SHARE * _RETRY_SHARE
-        if self._sum(self._retries, pool) + 1 > budget * share:
+        share = _USABLE_SHARE
+        if not is_resumed and self._may_break_streams(pool):
+            share *= _RETRY_SHARE
+        if self._left(pool, share) < 1:
+            return False
+        self._increment(self._retries, pool)
+        return True
+
+    def lend(self, pool: str) -> bool:
+        """Spend one retry for another gateway and return True if possible.
+
+        Examples
+        --------
+        >>> clock = Clock(lambda: 0)
+        >>> budget = RetryBudget(0.2, 10, 10_000, lambda: 2, clock)
+        >>> [budget.lend('llm') for _ in range(6)].count(True)
+        4
+
+        """
+        share = _USABLE_SHARE
+        if self._sum(self._streams, pool):
+            share *= _RETRY_SHARE
+        left = self._left(pool, share)
+        if self._sum(self._first_attempts, pool):
+            left *= _LENT_SHARE
+        if left < 1:
             return False
         self._increment(self._retries, pool)
         return True
 
+    def _left(self, pool: str, share: float) -> float:
+        """Return how many retries are left of a share of the budget."""
+        gateways = max(1, self._count_gateways())
+        budget = self._ratio * self._sum(self._first_attempts, pool)
+        budget += self._allowance / gateways
+        return budget * share - self._sum(self._retries, pool)
+
+    def _may_break_streams(self, pool: str) -> bool:
+        """Whether streams of a pool may have to be resumed."""
+        has_attempts = self._sum(self._first_attempts, pool) > 0
+        return not has_attempts or self._sum(self._streams, pool) > 0
+
     def _increment(self, counts: dict[str, Counter[int]], pool: str) -> None:
         second = self._clock.now() // MS_PER_SECOND
         counts.setdefault(pool, Counter())[second] += 1
--- a/seampond/gateway/components.py
+++ b/seampond/gateway/components.py
@@ -22,6 +22,7 @@
 from seampond.gateway.followers import ConfigurationFollower, ServerFollower
 from seampond.gateway.rollouts import RolloutFollower
 from seampond.gateway.stalls import EventLoopStalls
+from seampond.loans.manager import RetryLoans
 from seampond.metrics.gateway import GatewayMetrics
 from seampond.permits.manager import PermitManager
 from seampond.permits.messages import PermitReply, PermitRequest
@@ -70,6 +71,7 @@
     permit_manager: PermitManager
     stalls: EventLoopStalls
     origins: OriginRegistry
+    loans: RetryLoans
     watches: dict[str, Watch] = field(default_factory=dict)
     _pages_to_relay: list[RelayedPage] = field(default_factory=list)
 
@@ -165,6 +167,7 @@
             limit_reports=self.permit_manager.collect_reports(),
             issues_permits=True,
             keeps_origins=True,
+            lends_retries=True,
         )
 
     def record_heartbeat_sent(self) -> None:
--- a/seampond/gateway/tests/test_crashing.py
+++ b/seampond/gateway/tests/test_crashing.py
@@ -240,6 +240,42 @@
         self.assertGreaterEqual(served, _SERVED_FRACTION)
 
 
+class CutRequestTest(CrashingCase):
+    """Servers crash with twenty requests on each, for any reason."""
+
+    async def test_request_cut_by_a_crash_is_given_up(self) -> None:
+        """One server crashes."""
+        self.assertEqual(await self._answer_burst(1), 20 * _SERVERS)
+
+    async def test_unused_retries_of_a_gateway_are_left(self) -> None:
+        """Two servers crash at once; one gateway has all the requests."""
+        answered = await self._answer_burst(2)
+        self.assertGreaterEqual(answered, _SERVED_FRACTION * 20 * _SERVERS)
+
+    async def test_retries_are_kept_for_streams_of_a_pool_without(self) -> None:
+        """Two servers crash at once; both gateways have requests."""
+        answered = await self._answer_burst(2, gateways_used=2)
+        self.assertGreaterEqual(answered, _SERVED_FRACTION * 20 * _SERVERS)
+
+    async def _answer_burst(self, crashes: int, gateways_used: int = 1) -> int:
+        """Send the requests, crash servers, return the number answered."""
+        fleet, gateways = await self.open_fleet(slots=64)
+        fleet.timeout_ms = 4000
+        for server in fleet.servers:
+            server.service_ms = 800
+        addresses = [gateway.components.settings.listen for gateway in gateways]
+        asked = []
+        for number in range(20 * _SERVERS):
+            address = addresses[number % gateways_used]
+            body = _make_harmless_body(number)
+            asked.append(asyncio.create_task(fleet.send_request(address, body)))
+            await asyncio.sleep(0.004)
+        for server in fleet.servers[:crashes]:
+            server.crash()
+        statuses = [await request for request in asked]
+        return statuses.count(HTTPStatus.OK)
+
+
 class HarmlessRequestTest(CrashingCase):
     """Servers crash or fail independently of the requests."""
 
--- a/seampond/gateway/wiring.py
+++ b/seampond/gateway/wiring.py
@@ -25,6 +25,7 @@
 from seampond.gateway.rollouts import RolloutFollower
 from seampond.gateway.stalls import EventLoopStalls
 from seampond.gateway.version_policy import RolloutVersionPolicy
+from seampond.loans.manager import RetryLoans
 from seampond.metrics.gateway import GatewayMetrics
 from seampond.permits.manager import PermitManager
 from seampond.platform import HEADERS
@@ -180,6 +181,7 @@
         lambda: peers.count,
         clock,
     )
+    loans = RetryLoans(peers, retry_budget, random.Random())
     quarantine = Quarantine(
         Suspects(clock),
         Trials(store_clock, clock),
@@ -251,6 +253,7 @@
             quarantine,
             versions,
             origins,
+            loans.borrow,
         )
     )
     web = GatewayApp(
@@ -283,4 +286,5 @@
         permit_manager=permit_manager,
         stalls=stalls,
         origins=origins,
+        loans=loans,
     )
--- /dev/null
+++ b/seampond/loans/__init__.py
@@ -0,0 +1,1 @@
+"""Retries that gateways lend each other."""
--- /dev/null
+++ b/seampond/loans/loans.capnp
@@ -0,0 +1,20 @@
+@0xe54f4a59bd59943a;
+# Messages by which a gateway borrows single retries from another one, one per
+# datagram.
+
+struct Message {
+  union {
+    request @0 :Request;
+    reply @1 :Reply;
+  }
+}
+
+struct Request {
+  number @0 :UInt64;
+  pool @1 :Text;
+}
+
+struct Reply {
+  number @0 :UInt64;
+  isLent @1 :Bool;
+}
--- /dev/null
+++ b/seampond/loans/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of lent retries."""
--- a/seampond/metrics/gateway.py
+++ b/seampond/metrics/gateway.py
@@ -27,6 +27,11 @@
             'Sends to servers by how they ended.',
             'outcome',
         )
+        self.retries = self.count(
+            'seampond_gateway_retries',
+            'Retries that were wanted, by whose budget they were spent from.',
+            'source',
+        )
         self.store_failures = self.count(
             'seampond_store_failures',
             'Calls to the store that failed, by step.',
--- a/seampond/sharing/heartbeat.capnp
+++ b/seampond/sharing/heartbeat.capnp
@@ -37,6 +37,7 @@
   limitSaidAgoMs @29 :List(UInt32);
   givesPermits @30 :Bool;
   keepsOrigins @31 :Bool;
+  lendsRetries @32 :Bool;
 }
 
 struct Rollout {
--- a/seampond/sharing/heartbeats.py
+++ b/seampond/sharing/heartbeats.py
@@ -105,6 +105,8 @@
         Whether the sender may own server limits.
     keeps_origins : bool
         Whether the sender keeps the origins of streams for others.
+    lends_retries : bool
+        Whether the sender lends retries.
 
     """
 
@@ -127,6 +129,7 @@
     limit_reports: Mapping[int, LimitReport] = field(default_factory=dict)
     issues_permits: bool = False
     keeps_origins: bool = False
+    lends_retries: bool = False
 
 
 @functools.cache
@@ -292,6 +295,7 @@
         ],
         givesPermits=heartbeat.issues_permits,
         keepsOrigins=heartbeat.keeps_origins,
+        lendsRetries=heartbeat.lends_retries,
     )
     packed: bytes = message.to_bytes_packed()
     return packed
@@ -341,6 +345,7 @@
             ),
             reader.givesPermits,
             reader.keepsOrigins,
+            reader.lendsRetries,
         )
     except _DECODE_ERRORS as error:
         raise ForeignMessageError(
--- a/seampond/sharing/peers.py
+++ b/seampond/sharing/peers.py
@@ -63,6 +63,13 @@
         """Whether it has completed a planned stop."""
         return self.heartbeat is not None and self.heartbeat.has_stopped
 
+    def has_been_silent(self, now_ms: int, interval_ms: float) -> bool:
+        """Return True if heartbeats at this interval are missing."""
+        if self.heartbeat is None:
+            return True
+        silent_ms = now_ms - self.last_seen_ms
+        return silent_ms > _SILENT_INTERVALS * interval_ms
+
     def update_load_totals(
         self, totals: LoadTotals, loads: Mapping[int, Load]
     ) -> None:
@@ -91,6 +98,8 @@
         Names of reachable ones that issue permits.
     origin_keepers : tuple[str, ...]
         Names of reachable ones that keep the origins of streams.
+    lenders : tuple[str, ...]
+        Names of reachable ones that lend retries.
 
     """
 
@@ -102,6 +111,7 @@
     followers_before: int = 0
     permit_issuers: tuple[str, ...] = ()
     origin_keepers: tuple[str, ...] = ()
+    lenders: tuple[str, ...] = ()
 
 
 def compute_heartbeat_interval_ms(gateways: int) -> int:
@@ -191,7 +201,9 @@
         return sum(
             peer.name < self.name and not peer.has_stopped
             for peer in self._peers.values()
-            if not self._is_silent(peer)
+            if not peer.has_been_silent(
+                self._clock.now(), self.heartbeat_interval_ms
+            )
         )
 
     @property
@@ -267,6 +279,11 @@
         """Names of the reachable gateways that keep origins of streams."""
         return self._summary.origin_keepers
 
+    @property
+    def lenders(self) -> tuple[str, ...]:
+        """Names of the reachable gateways that lend retries."""
+        return self._summary.lenders
+
     @property
     def has_newcomer(self) -> bool:
         """Whether a reachable gateway has just started."""
@@ -347,7 +364,12 @@
     def record_silent_peers(self) -> None:
         """Record and log the gateways that have become silent."""
         for peer in self._peers.values():
-            if self._is_silent(peer) and not peer.is_silent:
+            if (
+                peer.has_been_silent(
+                    self._clock.now(), self.heartbeat_interval_ms
+                )
+                and not peer.is_silent
+            ):
                 peer.is_silent = True
                 self._cached_summary = None
                 peer.update_load_totals(self.load_totals, {})
@@ -407,6 +429,11 @@
                 for heartbeat in reachable
                 if heartbeat.keeps_origins
             ),
+            tuple(
+                heartbeat.name
+                for heartbeat in reachable
+                if heartbeat.lends_retries
+            ),
         )
 
     def _apply_row(self, name: str, address: str) -> None:
@@ -421,12 +448,6 @@
             self._peers.pop(name)
             _logger.info('gateway removed', extra={'peer': name})
 
-    def _is_silent(self, peer: Peer) -> bool:
-        if peer.heartbeat is None:
-            return True
-        silent_ms = self._clock.now() - peer.last_seen_ms
-        return silent_ms > _SILENT_INTERVALS * self.heartbeat_interval_ms
-
 
 def _precedes(heartbeat: Heartbeat, name: str) -> bool:
     if heartbeat.is_stopping or heartbeat.is_store_unreachable:
--- a/seampond/sharing/transport.py
+++ b/seampond/sharing/transport.py
@@ -10,6 +10,12 @@
 
 from seampond.clock import MS_PER_SECOND, Clock
 from seampond.errors import ForeignMessageError, LinkError, PlatformError
+from seampond.loans.messages import (
+    LoanMessage,
+    decode_loan,
+    encode_loan,
+    is_loan_message,
+)
 from seampond.permits.messages import (
     PermitReply,
     PermitRequest,
@@ -50,6 +56,10 @@
         """Remove the row if it still has this version."""
 
 
+def _ignore_loan(address: str, message: LoanMessage) -> None:
+    """Ignore the message."""
+
+
 @dataclass(frozen=True)
 class TransportContext:
     """Dependencies of the heartbeat exchange.
@@ -70,6 +80,8 @@
         Handles a permit message of another gateway.
     handle_origin : Callable[[str, OriginMessage], None]
         Handles a message about streams of the gateway at an address.
+    handle_loan : Callable[[str, LoanMessage], None]
+        Handles a message about lent retries, likewise.
 
     """
 
@@ -82,6 +94,7 @@
     count_dropped: Callable[[str], None]
     handle_permit: Callable[[PermitRequest | PermitReply], None]
     handle_origin: Callable[[str, OriginMessage], None]
+    handle_loan: Callable[[str, LoanMessage], None] = _ignore_loan
 
 
 @dataclass(frozen=True)
@@ -90,6 +103,7 @@
 
     send_permit: Callable[[str, PermitRequest | PermitReply], None]
     send_origin: Callable[[str, OriginMessage], None]
+    send_loan: Callable[[str, LoanMessage], None]
 
 
 class _Endpoint(asyncio.DatagramProtocol):
@@ -115,6 +129,9 @@
         if is_origin_message(packet):
             self._handle_origin(packet, f'{addr[0]}:{addr[1]}')
             return
+        if is_loan_message(packet):
+            self._handle_loan(packet, f'{addr[0]}:{addr[1]}')
+            return
         try:
             heartbeat = decode(packet, peer=addr[0])
         except ForeignMessageError:
@@ -141,6 +158,10 @@
         """Send a message about streams to the gateway at an address."""
         self._send_to(address, encode_origin(message))
 
+    def send_loan(self, address: str, message: LoanMessage) -> None:
+        """Send a message about lent retries to the gateway at an address."""
+        self._send_to(address, encode_loan(message))
+
     def send_to_all(self) -> None:
         """Send a heartbeat to all other gateways."""
         context = self._context
@@ -194,6 +215,16 @@
             return
         self._context.handle_origin(peer, message)
 
+    def _handle_loan(self, packet: bytes, peer: str) -> None:
+        if peer not in self._context.peers.addresses:
+            return
+        try:
+            message = decode_loan(packet, peer=peer)
+        except ForeignMessageError:
+            self._context.count_dropped('loan')
+            return
+        self._context.handle_loan(peer, message)
+
     def _send_to(self, address: str, packet: bytes) -> None:
         if self._transport is None or not address:
             return
@@ -318,7 +349,9 @@
     )
     try:
         async with run_tasks(_send_heartbeats(context, endpoint)):
-            yield Senders(endpoint.send_permit, endpoint.send_origin)
+            yield Senders(
+                endpoint.send_permit, endpoint.send_origin, endpoint.send_loan
+            )
         endpoint.send_final()
     finally:
         transport.close()
