Soak of releases: callers stop when their time is over

The traces show requests that are not owed an answer: the only gateway was frozen for longer than the caller waits, and the caller then resumed its stream with a deadline of 1 ms (max(1, ...) of the time left), which ended in 504 after 2 to 6 ms. Callers retry within their deadline only, so the stand-in does as well; the check and its bound stay.

--- a/seampond/testing/streaming.py
+++ b/seampond/testing/streaming.py
@@ -338,6 +338,8 @@
             attempt.ended_ms = self.clock.now()
             if record.is_complete or _is_final(attempt):
                 break
+            if attempt.ended_ms - record.attempts[0].at_ms >= _CALLER_WAIT_MS:
+                break
             pause_ms = plan.return_ms if cut_after else _RETRY_PAUSE_MS
             await self.clock.sleep(attempt.retry_after_ms or pause_ms)
         return record
