Infer a version only from a list that is newer than the request

Cause, from its logs: g1 was frozen from 20.4 to 22.18; i-0 restarted as v2 at 21.58; the stream began there, at g0, at 22.10. g1 got the caller at 22.2, when all others counted as silent, so that it asked nobody, and inferred v1 as the only version from a list proved less than 3 s before.

Change: where no gateway replies, the list of servers has to be proved at a time after the request came; the proof is asked of the store, and the request waits for it as for an unverified origin.

Why it works: a version that began the stream had its row before the caller came back. The new test infers v1 without the change.

--- a/seampond/forwarding/server_runs.py
+++ b/seampond/forwarding/server_runs.py
@@ -18,6 +18,11 @@
     request_proof : Callable[[int], None]
         Requests a proof that the list of servers was current at a time.
 
+    Attributes
+    ----------
+    request_list_proof : Callable[[int], None]
+        The same.
+
     """
 
     def __init__(
@@ -30,7 +35,7 @@
         """Initialize the view of the servers."""
         self._backends = backends
         self._hash_name = hash_name
-        self._request_proof = request_proof
+        self.request_list_proof = request_proof
         self._clock = clock
 
     def make_run(self, backend: Backend, connected_ms: int) -> ServerRun:
@@ -51,7 +56,7 @@
         """Request a proof of the rows that verifies a run."""
         backend = self._backends.find_incarnation(run.incarnation)
         if backend is not None:
-            self._request_proof(backend.proof_needed_ms(run.connected_ms))
+            self.request_list_proof(backend.proof_needed_ms(run.connected_ms))
 
     def has_version(self, origin: StreamOrigin) -> bool:
         """Return True if a server may go on with streams of a version."""
--- a/seampond/streams/search.py
+++ b/seampond/streams/search.py
@@ -2,6 +2,7 @@
 
 import hashlib
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 
 from seampond.clock import Clock
 from seampond.forwarding.job import Job
@@ -17,9 +18,6 @@
 
 # More than the owners, since gateways may differ in whom they know.
 _ASKED = 4
-# A copy of the list of servers that was proved later than this holds any
-# version that may have begun a stream.
-_MAX_PROOF_AGE_MS = 3000
 # A run is verified by a proof that is up to 0.5 s younger than it.
 _VERIFICATION_WAIT_MS = 1200
 _VERIFICATION_CHECK_MS = 50
@@ -90,9 +88,10 @@
             If no server of the likely version serves any more.
 
         """
-        until_ms = self._clock.now() + _VERIFICATION_WAIT_MS
+        since_ms = self._clock.now()
+        until_ms = since_ms + _VERIFICATION_WAIT_MS
         while True:
-            found = await self._find(job, first_request)
+            found = await self._find(job, first_request, since_ms)
             if found is None or found.is_verified:
                 return found
             if not self._servers.has_version(found.origin):
@@ -101,17 +100,21 @@
                 return None
             await self._clock.sleep(_VERIFICATION_CHECK_MS)
 
-    async def _find(self, job: Job, first_request: bytes) -> Resumption | None:
-        """Return the origin of a stream, None if unknown."""
+    async def _find(
+        self, job: Job, first_request: bytes, since_ms: int
+    ) -> Resumption | None:
+        """Return the origin of a stream that began before a time."""
         if not first_request:
-            return await self._ask(job, 0)
+            return await self._ask(job, 0, since_ms)
         stream = hash_stream(first_request)
         entry = self._known.find(stream)
         if entry is None:
-            return await self._ask(job, stream)
+            return await self._ask(job, stream, since_ms)
         return self._describe_entry(job, entry)
 
-    async def _ask(self, job: Job, stream: int) -> Resumption | None:
+    async def _ask(
+        self, job: Job, stream: int, since_ms: int
+    ) -> Resumption | None:
         """Return what other gateways know, else the only possible version."""
         pool = job.route.pools[0] if len(job.route.pools) == 1 else ''
         owners = self._owners.find_owners(stream, _ASKED)
@@ -126,7 +129,12 @@
         if recorded and stream:
             best = max(recorded, key=lambda reply: reply.is_known)
             return self._describe_reply(job, best)
-        return self._infer(pool, replies, job.max_age_ms) if pool else None
+        if not pool:
+            return None
+        inferred = self._infer(pool, replies, job.max_age_ms)
+        if inferred is None or replies:
+            return inferred
+        return self._check_list(inferred, since_ms)
 
     def _describe_entry(self, job: Job, entry: OriginEntry) -> Resumption:
         # A pool that the route lacks has an empty name.
@@ -166,9 +174,21 @@
             if ago_ms <= max_age_ms
         }
         is_covered = any(reply.watched_ms >= max_age_ms for reply in known)
-        is_current = replies or self._proof_age_ms() <= _MAX_PROOF_AGE_MS
-        if len(versions) != 1 or not (is_covered and is_current):
+        if len(versions) != 1 or not is_covered:
             return None
         if any(reply.is_uncertain for reply in known):
             return None
         return Resumption(StreamOrigin(pool, versions.pop()), 'single-version')
+
+    def _check_list(self, inferred: Resumption, since_ms: int) -> Resumption:
+        """Return an inference, unverified if the list of servers is older.
+
+        Explanation
+        -----------
+        The list of a gateway that was frozen lacks the versions that have come
+        meanwhile, and so do the names of those that could tell.
+        """
+        is_current = self._clock.now() - self._proof_age_ms() >= since_ms
+        if not is_current:
+            self._servers.request_list_proof(since_ms)
+        return replace(inferred, is_verified=is_current)
--- a/seampond/streams/servers.py
+++ b/seampond/streams/servers.py
@@ -18,6 +18,9 @@
     def request_proof(self, run: ServerRun) -> None:
         """Request a proof of the rows that verifies a run."""
 
+    def request_list_proof(self, at_ms: int) -> None:
+        """Request a proof that the list of servers was current at a time."""
+
     def has_version(self, origin: StreamOrigin) -> bool:
         """Return True if a server may go on with streams of a version."""
 
@@ -36,6 +39,9 @@
     def request_proof(self, run: ServerRun) -> None:
         """Do nothing."""
 
+    def request_list_proof(self, at_ms: int) -> None:
+        """Do nothing."""
+
     def has_version(self, origin: StreamOrigin) -> bool:
         """Return False."""
         return False
--- a/seampond/streams/tests/test_registry.py
+++ b/seampond/streams/tests/test_registry.py
@@ -111,6 +111,10 @@
         """Count the requests."""
         self.proofs_requested += 1
 
+    def request_list_proof(self, at_ms: int) -> None:
+        """Count the requests."""
+        self.proofs_requested += 1
+
     def has_version(self, origin: StreamOrigin) -> bool:
         """Return True for the versions of the lists; time passes."""
         if origin.version not in {'v1', 'v2'}:
@@ -360,6 +364,15 @@
         job = await self.fleet.resume('g0')
         self.assertEqual(job.origin, _OLD)
 
+    async def test_thawed_gateway_infers_from_its_old_list(self) -> None:
+        """It hears nobody yet, and its list was proved a moment ago."""
+        self.fleet.clock.advance(_LONG_MS)
+        self.fleet.dead.update(('g1', 'g2'))
+        self.fleet.proof_age_ms = 1500
+        with self.assertRaises(Refusal):
+            await self.fleet.resume('g0')
+        self.assertGreater(self.fleet.proofs_requested, 0)
+
     async def test_restart_with_another_version_is_ignored(self) -> None:
         """A server that has restarted may run another one than its row says."""
         self.fleet.clock.advance(_LONG_MS)
