--- a/seampond/testing/known_red.py
+++ b/seampond/testing/known_red.py
@@ -89,7 +89,9 @@
         return Tally(test_id, 0, 0)
     failed = 0
     for _ in range(times):
-        outcome = unittest.TextTestRunner(verbosity=2).run(_copy(test))
+        # A suite also sets up the class of the test.
+        suite = unittest.TestSuite([_copy(test)])
+        outcome = unittest.TextTestRunner(verbosity=2).run(suite)
         failed += not outcome.wasSuccessful()
     return Tally(test_id, times, failed)
 
--- a/seampond/testing/tests/test_known_red.py
+++ b/seampond/testing/tests/test_known_red.py
@@ -12,6 +12,16 @@
     """Stands for the project's tests; its name keeps it uncollected."""
 
     counter = itertools.count()
+    is_set_up = False
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        """Set up what the tests of the class need."""
+        cls.is_set_up = True
+
+    def check_set_up(self) -> None:
+        """Fail without the set-up of the class."""
+        self.assertTrue(self.is_set_up)
 
     def check_failing(self) -> None:
         """Fail always."""
@@ -50,6 +60,11 @@
             with self.subTest(name):
                 self.assertIs(self.run_test(_Case(name)), verdict)
 
+    def test_listed_test_runs_without_the_setup_of_its_class(self) -> None:
+        """Tests on virtual time then run on real time."""
+        verdict = self.run_test(_Case('check_set_up'))
+        self.assertIs(verdict, Verdict.passing)
+
     def test_entry_without_a_test(self) -> None:
         """It is reported as missing, not as passing."""
         tally = run_listed(['pkg.test_gone'], [], _TIMES)[0]
