Report the origin of a stream once

An origin that was reported as unverified went to its owners a second time when its gateway had verified it, which they do on their own.

--- a/seampond/streams/origin_table.py
+++ b/seampond/streams/origin_table.py
@@ -43,6 +43,7 @@
     --------
     >>> table = OriginTable(Clock(lambda: 0))
     >>> table.add(5, OriginEntry(7, 'v1', 0))
+    True
     >>> table.find(5).version
     'v1'
 
@@ -58,19 +59,28 @@
         """Return the number of entries, expired ones included."""
         return len(self._entries)
 
-    def add(self, stream: int, entry: OriginEntry) -> None:
-        """Add the origin of a stream; the first one that is verified holds."""
+    def add(self, stream: int, entry: OriginEntry) -> bool:
+        """Add the origin of a stream; the first one that is verified holds.
+
+        Returns
+        -------
+        bool
+            Whether no origin of the stream was known.
+
+        """
         self._expire()
         known = self._entries.get(stream)
         if known is None:
             self._entries[stream] = entry
             if entry.run is not None:
                 self._unverified[stream] = entry
-        elif known.run is not None and entry.run is None:
+            return True
+        if known.run is not None and entry.run is None:
             # In place, since entries expire in the order in which they came.
             known.version = entry.version
             known.run = None
             self._unverified.pop(stream, None)
+        return False
 
     def verify_runs(self, check_run: Callable[[ServerRun], RunState]) -> None:
         """Verify the origins whose runs have been confirmed by now."""
--- a/seampond/streams/registry.py
+++ b/seampond/streams/registry.py
@@ -207,8 +207,9 @@
             is_own=True,
             run=run,
         )
-        self._table.add(stream, entry)
-        if not self._history.is_settled(origin.pool):
+        # Owners that know of it verify it themselves.
+        is_new = self._table.add(stream, entry)
+        if is_new and not self._history.is_settled(origin.pool):
             self._reporter.report([(stream, entry)])
 
     def _apply_report(
