--- a/seampond/forwarding/attempt.py
+++ b/seampond/forwarding/attempt.py
@@ -259,11 +259,23 @@
         until_ms = min(job.deadline_ms, self.sent_ms + wait_ms)
         while not self.backend.is_verified(connection.connected_ms):
             if self.clock.now() >= until_ms or not self.backend.is_current:
+                self._log_unverified()
                 return False
             self.origins.request_proof(self.backend, connection.connected_ms)
             await self.clock.sleep(_VERIFICATION_CHECK_MS)
         return True
 
+    def _log_unverified(self) -> None:
+        """Log that an answer is not passed on."""
+        _logger.warning(
+            'server process not verified',
+            extra={
+                'request': self.progress.job.request_id.decode('latin-1'),
+                'server': self.backend.server.id,
+                'is_current': self.backend.is_current,
+            },
+        )
+
     async def _relay_stream(
         self, connection: Connection, head: ResponseHead
     ) -> None:
--- a/seampond/forwarding/retries.py
+++ b/seampond/forwarding/retries.py
@@ -90,7 +90,7 @@
         share = _USABLE_SHARE
         if not is_resumed and self._may_break_streams(pool):
             share *= _RETRY_SHARE
-        if self._left(pool, share) < 1:
+        if self._remaining(pool, share) < 1:
             return False
         self._increment(self._retries, pool)
         return True
@@ -109,15 +109,15 @@
         share = _USABLE_SHARE
         if self._sum(self._streams, pool):
             share *= _RETRY_SHARE
-        left = self._left(pool, share)
+        remaining = self._remaining(pool, share)
         if self._sum(self._first_attempts, pool):
-            left *= _LENT_SHARE
-        if left < 1:
+            remaining *= _LENT_SHARE
+        if remaining < 1:
             return False
         self._increment(self._retries, pool)
         return True
 
-    def _left(self, pool: str, share: float) -> float:
+    def _remaining(self, pool: str, share: float) -> float:
         """Return how many retries are left of a share of the budget."""
         gateways = max(1, self._count_gateways())
         budget = self._ratio * self._sum(self._first_attempts, pool)
--- a/seampond/forwarding/server_runs.py
+++ b/seampond/forwarding/server_runs.py
@@ -18,11 +18,6 @@
     request_proof : Callable[[int], None]
         Requests a proof that the list of servers was current at a time.
 
-    Attributes
-    ----------
-    request_list_proof : Callable[[int], None]
-        The same.
-
     """
 
     def __init__(
@@ -35,7 +30,7 @@
         """Initialize the view of the servers."""
         self._backends = backends
         self._hash_name = hash_name
-        self.request_list_proof = request_proof
+        self._request_proof = request_proof
         self._clock = clock
 
     def make_run(self, backend: Backend, connected_ms: int) -> ServerRun:
@@ -58,6 +53,10 @@
         if backend is not None:
             self.request_list_proof(backend.proof_needed_ms(run.connected_ms))
 
+    def request_list_proof(self, at_ms: int) -> None:
+        """Request a proof that the list of servers was current at a time."""
+        self._request_proof(at_ms)
+
     def has_version(self, origin: StreamOrigin) -> bool:
         """Return True if a server may go on with streams of a version."""
         now_ms = self._clock.now()
