--- a/seampond/testing/gateway_processes.py
+++ b/seampond/testing/gateway_processes.py
@@ -8,7 +8,7 @@
 import sys
 import tarfile
 from collections.abc import AsyncIterator, Sequence
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass
 from itertools import islice
 from pathlib import Path
@@ -77,8 +77,10 @@
 
     def signal(self, number: signal.Signals) -> None:
         """Send a signal if the process is running."""
-        if self.process is not None and self.process.returncode is None:
-            os.kill(self.process.pid, number)
+        if self.process is not None:
+            # It may have ended, and been reaped, a moment before.
+            with suppress(ProcessLookupError):
+                self.process.send_signal(number)
 
     async def wait(self) -> None:
         """Wait for the process to end."""
