Logs: parts of prompts, known crashes and connections left

The logs of the incident named the size of a prompt and not its parts, nor what a gateway believed of a request, so that blame by whole request and lost evidence could not be told apart; and a crash looked like a server that resets one connection. Each request now logs fingerprints of the shared parts of its prompt and the crashes known under it, each failed attempt also how many connections to the server are left. No decision changes.

--- a/seampond/forwarding/admission.py
+++ b/seampond/forwarding/admission.py
@@ -16,7 +16,7 @@
     Tenant,
 )
 from seampond.forwarding.refusals import Cause, Refusal
-from seampond.quarantine import fingerprint
+from seampond.quarantine import fingerprint, fingerprint_part
 
 _STEP = 'admit'
 _NOT_READY_RETRY_MS = 500
@@ -26,6 +26,8 @@
 _OUTDATED_RETRY_MS = 250
 _DEADLINE_MS = 2000
 _DEFAULT_MAX_WAIT_MS = 60_000
+# Bounds the work for a prompt of many parts.
+_PARTS_MAX = 32
 
 
 def _never() -> bool:
@@ -286,6 +288,7 @@
         max_age_ms = MAX_AGE_MS
         if stated_wait.isdigit():
             max_age_ms = waits.max_age_ms(max_wait_ms, route.timeout_ms)
+        pool = choose_pool(route, self._rng)
         return Job(
             request_id=head.get(names.request_id),
             method=head.method,
@@ -294,7 +297,7 @@
             body=body,
             route=route,
             tenant=tenant,
-            pool=choose_pool(route, self._rng),
+            pool=pool,
             priority=priority,
             arrived_ms=head.arrived_ms,
             max_wait_ms=max_wait_ms,
@@ -311,6 +314,10 @@
                 tenant.name if tenant else '',
                 body,
             ),
+            part_fingerprints=tuple(
+                fingerprint_part(pool, part)
+                for part in prompt.shared_parts[:_PARTS_MAX]
+            ),
         )
 
     def _check_quota(self, job: Job) -> None:
--- a/seampond/forwarding/app.py
+++ b/seampond/forwarding/app.py
@@ -365,6 +365,8 @@
         'answer_tokens': job.prompt.answer_tokens,
         'end_ms': job.deadline_ms - job.arrived_ms,
         'fingerprint': format_fingerprint(job.fingerprint),
+        'parts': list(map(format_fingerprint, job.part_fingerprints)),
+        'crashes': job.crash_count,
         'retries': [source.value for source in progress.retry_sources],
     }
     return fields | _describe_resumption(job)
--- a/seampond/forwarding/attempt.py
+++ b/seampond/forwarding/attempt.py
@@ -414,12 +414,17 @@
                 'fingerprint': format_fingerprint(
                     self.progress.job.fingerprint
                 ),
+                'parts': list(
+                    map(format_fingerprint, self.progress.job.part_fingerprints)
+                ),
+                'crashes': self.progress.job.crash_count,
                 'server': backend.server.id,
                 'address': backend.server.address,
                 'step': error.step,
                 'reason': error.message,
                 'was_sent': error.was_sent,
                 'in_flight': backend.in_flight,
+                'open_connections': backend.open_connections,
                 'failures': backend.consecutive_failures,
             },
         )
--- a/seampond/forwarding/backend.py
+++ b/seampond/forwarding/backend.py
@@ -78,6 +78,8 @@
     suspect_count, trial_count : int
         How many of these are suspected of crashing servers, and how many
         run as trials.
+    connections : set[Connection]
+        This gateway's connections to it, idle ones included.
     is_probing : bool
         Whether a request there probes if the server has recovered.
     unanswered : dict[bytes, tuple[int, int]]
@@ -104,9 +106,14 @@
     cold_until_ms: int = 0
     report: LoadReport | None = None
     idle: list[Connection] = field(default_factory=list)
-    connection_count: int = 0
+    connections: set[Connection] = field(default_factory=set)
     cached_parts: dict[str, int] = field(default_factory=dict)
 
+    @property
+    def open_connections(self) -> int:
+        """Number of connections that the server has not closed."""
+        return sum(connection.is_open for connection in self.connections)
+
     @property
     def own_pending_tokens(self) -> int:
         """Pending tokens of this gateway's requests."""
@@ -265,7 +272,7 @@
         """Close the idle connections."""
         for connection in self.idle:
             connection.close()
-            self.connection_count -= 1
+            self.connections.discard(connection)
         self.idle.clear()
 
     def _end_run(
--- a/seampond/forwarding/backends.py
+++ b/seampond/forwarding/backends.py
@@ -258,14 +258,14 @@
             if connection.is_usable:
                 return connection
             connection.close()
-            backend.connection_count -= 1
+            backend.connections.discard(connection)
         connection = await open_connection(
             backend.server.address,
             self._clock,
             self._id_header,
             _CONNECT_TIMEOUT_MS,
         )
-        backend.connection_count += 1
+        backend.connections.add(connection)
         return connection
 
     def release_connection(
@@ -279,7 +279,7 @@
         if connection.finish(idle_ms):
             backend.idle.append(connection)
         else:
-            backend.connection_count -= 1
+            backend.connections.discard(connection)
 
     def _add(self, server: Server) -> None:
         load = self._remote_loads.get(self._hash_name(server.incarnation))
--- a/seampond/forwarding/connection.py
+++ b/seampond/forwarding/connection.py
@@ -75,14 +75,15 @@
         self._waiter: asyncio.Future[None] | None = None
         self._reset()
 
+    @property
+    def is_open(self) -> bool:
+        """Whether neither side has closed the connection."""
+        return self._is_connected and not self._is_broken
+
     @property
     def is_usable(self) -> bool:
         """Whether another request may be sent on the connection."""
-        return (
-            self._is_connected
-            and not self._is_broken
-            and self._clock.now() < self.idle_until_ms
-        )
+        return self.is_open and self._clock.now() < self.idle_until_ms
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and enable TCP keep-alive."""
@@ -199,7 +200,7 @@
 
         """
         assert self._transport is not None
-        is_intact = self._is_connected and not self._is_broken
+        is_intact = self.is_open
         # An early answer may leave a part of the request unsent.
         is_sent = self._transport.get_write_buffer_size() == 0
         is_closing = self._head.get(b'connection').lower() == b'close'
--- a/seampond/forwarding/job.py
+++ b/seampond/forwarding/job.py
@@ -27,6 +27,11 @@
     answer_tokens: int = 0
     parts: tuple[tuple[str, int], ...] = ()
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Names of the parts that other requests may contain too."""
+        return tuple(name for name, _ in self.parts[:-1])
+
     @property
     def total(self) -> int:
         """All tokens that count against a quota."""
@@ -85,6 +90,8 @@
         Whether the caller has received a part of its stream.
     fingerprint : int
         Hash of method, host, path, workspace and body, the same for a retry.
+    part_fingerprints : tuple[int, ...]
+        Hashes of the pool and of each shared part of its prompt.
     crash_count : int
         Number of servers that crashed while they ran it, earlier tries
         included.
@@ -124,6 +131,7 @@
     is_retry: bool = False
     has_streamed: bool = False
     fingerprint: int = 0
+    part_fingerprints: tuple[int, ...] = ()
     crash_count: int = 0
     is_concurrent_duplicate: bool = False
     is_trial: bool = False
--- a/seampond/quarantine/fingerprints.py
+++ b/seampond/quarantine/fingerprints.py
@@ -1,8 +1,12 @@
-"""Fingerprints of requests, independent of request ids."""
+"""Fingerprints of requests and of prompt parts, independent of request ids."""
 
+import functools
 import hashlib
+from collections.abc import Iterable
 
 _KEY_BYTES = 8
+_PART_DOMAIN = b'part'
+_CACHED_PARTS = 4096
 
 
 def fingerprint(
@@ -24,11 +28,22 @@
     False
 
     """
-    digest = hashlib.blake2b(digest_size=_KEY_BYTES)
-    for part in (method, host, target, workspace.encode(), body):
-        digest.update(b'%d:' % len(part))
-        digest.update(part)
-    return int.from_bytes(digest.digest())
+    return _digest((method, host, target, workspace.encode(), body))
+
+
+@functools.lru_cache(maxsize=_CACHED_PARTS)
+def fingerprint_part(pool: str, part: str) -> int:
+    """Return a 64-bit key of a part of prompts for the servers of a pool.
+
+    Examples
+    --------
+    >>> fingerprint_part('llm', 'ab') == fingerprint_part('llm', 'ab')
+    True
+    >>> fingerprint_part('llm', 'ab') == fingerprint_part('small', 'ab')
+    False
+
+    """
+    return _digest((_PART_DOMAIN, pool.encode(), part.encode()))
 
 
 def format_fingerprint(key: int) -> str:
@@ -41,3 +56,11 @@
 
     """
     return '%016x' % key
+
+
+def _digest(fields: Iterable[bytes]) -> int:
+    digest = hashlib.blake2b(digest_size=_KEY_BYTES)
+    for field in fields:
+        digest.update(b'%d:' % len(field))
+        digest.update(field)
+    return int.from_bytes(digest.digest())
