--- a/seampond/gateway/tests/signalling_case.py
+++ b/seampond/gateway/tests/signalling_case.py
@@ -13,6 +13,7 @@
     ConfigurationRow,
     put_configuration,
 )
+from seampond.testing.crashing import AnswerStyle, Content
 from seampond.testing.gateways import wait_until
 from seampond.testing.signalling import SignallingFleet, run_signalling
 from seampond.testing.virtual_time import VirtualTimeCase
@@ -35,7 +36,8 @@
             run_signalling(self.store, SERVERS, **row)
         )
         for server in self.fleet.signalling_servers:
-            server.is_stream = kind == STREAM
+            if kind == STREAM:
+                server.style = AnswerStyle.stream
         names = [f'g{number}' for number in range(gateways)]
         self.gateways = await asyncio.gather(*map(self.open_gateway, names))
         await wait_until(
@@ -58,7 +60,7 @@
         ]
         await self.fleet.send_requests(
             addresses,
-            lambda number: b'%d' % number,
+            lambda number: Content(b'%d' % number),
             _REQUEST_INTERVAL_MS,
             for_ms,
         )
--- a/seampond/gateway/tests/test_crashing.py
+++ b/seampond/gateway/tests/test_crashing.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import itertools
+from collections.abc import Callable
 from contextlib import AsyncExitStack
 from http import HTTPStatus
 from typing import Any
@@ -27,6 +28,8 @@
 from seampond.quarantine import fingerprint, trials
 from seampond.testing.crashing import (
     CRASHING_BODY,
+    AnswerStyle,
+    Content,
     CrashingFleet,
     run_crashing_fleet,
 )
@@ -58,7 +61,8 @@
             run_crashing_fleet(self.store, _SERVERS, **row)
         )
         for server in fleet.servers:
-            server.is_stream = kind == STREAM
+            if kind == STREAM:
+                server.style = AnswerStyle.stream
         return fleet, await self.start_gateways()
 
     async def start_gateways(self) -> list[RunningGateway]:
@@ -85,20 +89,40 @@
         for_ms: int = _RUN_MS,
     ) -> int:
         """Send 20 harmless requests a second and others; return the start."""
+        return await self.drive_contents(
+            fleet,
+            gateways,
+            (_make_harmless_content, 50),
+            *((_same_body(body), every_ms) for body, every_ms in extra),
+            for_ms=for_ms,
+        )
+
+    async def drive_contents(
+        self,
+        fleet: CrashingFleet,
+        gateways: list[RunningGateway],
+        *streams: tuple[Callable[[int], Content], int],
+        for_ms: int = _RUN_MS,
+    ) -> int:
+        """Send requests, each kind at its interval; return the start."""
         since_ms = fleet.clock.now()
         addresses = [gateway.components.settings.listen for gateway in gateways]
         async with asyncio.TaskGroup() as group:
-            group.create_task(
-                fleet.send_requests(addresses, _make_harmless_body, 50, for_ms)
-            )
-            for body, every_ms in extra:
+            for make_content, every_ms in streams:
                 group.create_task(
                     fleet.send_requests(
-                        addresses, _same_body(body), every_ms, for_ms
+                        addresses, make_content, every_ms, for_ms
                     )
                 )
         return since_ms
 
+    def crash_servers(
+        self, fleet: CrashingFleet, count: int, interval_ms: int
+    ) -> None:
+        """Crash the first servers at each interval, a single one in turn."""
+        crashes = asyncio.create_task(_crash_in_turn(fleet, count, interval_ms))
+        self.addCleanup(crashes.cancel)
+
 
 class CrashingRequestTest(CrashingCase):
     """A body that crashes its server is sent every 250 ms."""
@@ -282,8 +306,7 @@
     async def test_popular_body_is_served_while_servers_crash(self) -> None:
         """Half of all requests have one body; servers crash each second."""
         fleet, gateways = await self.open_fleet()
-        crashes = asyncio.create_task(_crash_in_turn(fleet))
-        self.addCleanup(crashes.cancel)
+        self.crash_servers(fleet, 1, 1000)
         since_ms = await self.drive(
             fleet, gateways, (b'popular', 50), for_ms=_SHORT_RUN_MS
         )
@@ -323,7 +346,7 @@
     return fingerprint(b'POST', HOST.encode(), b'/x/y', TENANT, body)
 
 
-def _never(body: bytes) -> bool:
+def _never(content: Content) -> bool:
     return False
 
 
@@ -331,12 +354,25 @@
     return b'sound %d' % number
 
 
-def _same_body(body: bytes):  # type: ignore[no-untyped-def]
-    return lambda number: body
+def _make_harmless_content(number: int) -> Content:
+    return Content(_make_harmless_body(number))
 
 
-async def _crash_in_turn(fleet: CrashingFleet) -> None:
+def _same_body(body: bytes) -> Callable[[int], Content]:
+    return lambda number: Content(body)
+
+
+async def _crash_in_turn(
+    fleet: CrashingFleet, count: int, interval_ms: int
+) -> None:
     clock = Clock()
-    for number in itertools.count():
-        await clock.sleep(1000)
-        fleet.servers[number % len(fleet.servers)].crash()
+    # The same ones each time, or a single one in turn.
+    groups = (
+        [fleet.servers[:count]]
+        if count > 1
+        else [[server] for server in fleet.servers]
+    )
+    for group in itertools.cycle(groups):
+        await clock.sleep(interval_ms)
+        for server in group:
+            server.crash()
--- a/seampond/platform/tests/rows.py
+++ b/seampond/platform/tests/rows.py
@@ -19,6 +19,8 @@
 ID_HEADER = names.HEADERS.request_id.decode()
 STAMP_HEADER = names.HEADERS.stamp.decode()
 TENANT_HEADER = names.HEADERS.tenant.decode()
+PARTS_HEADER = names.HEADERS.prompt.decode()
+TOKENS_HEADER = names.HEADERS.tokens.decode()
 
 
 @dataclass(frozen=True, slots=True)
--- a/seampond/testing/crashing.py
+++ b/seampond/testing/crashing.py
@@ -1,7 +1,9 @@
 """Servers that crash on some requests, and their callers."""
 
 import asyncio
+import enum
 import itertools
+import math
 import time
 from collections.abc import AsyncIterator, Callable, Mapping, Sequence
 from contextlib import asynccontextmanager, suppress
@@ -16,7 +18,9 @@
     HOST,
     ID_HEADER,
     KEY,
+    PARTS_HEADER,
     STAMP_HEADER,
+    TOKENS_HEADER,
     put_server,
 )
 from seampond.tasks import cancel_all
@@ -24,6 +28,7 @@
     ReceivedRequest,
     format_chunked_response,
     format_response,
+    format_unframed_response,
     read_request,
     reset_connection,
 )
@@ -34,6 +39,8 @@
 EVENT = b'id: 1\ndata: x\n\n'
 LAST_CHUNK = b'0\r\n\r\n'
 _DOWNTIME_MS = 1000
+_PART_TOKENS = 100
+_ANSWER_TOKENS = 10
 _CLIENT_CONNECTIONS = 300
 _DISCONNECT_ERRORS = (
     asyncio.IncompleteReadError,
@@ -42,6 +49,35 @@
 )
 
 
+Parts = tuple[str, ...]
+
+
+@enum.unique
+class AnswerStyle(enum.Enum):
+    """How much of an answer a server writes before it may crash."""
+
+    whole = 'whole'
+    half_body = 'half a body'
+    stream = 'chunked stream'
+    unframed_stream = 'stream without length or chunks'
+    half_event = 'the same, an event and a half'
+
+
+@dataclass(frozen=True, slots=True)
+class Content:
+    """What a caller asks.
+
+    Parameters
+    ----------
+    parts : tuple[str, ...]
+        Names of the parts of the prompt, empty for none.
+
+    """
+
+    body: bytes
+    parts: Parts = ()
+
+
 @dataclass(frozen=True, slots=True)
 class Delivery:
     """A request that a server received.
@@ -50,6 +86,8 @@
     ----------
     incarnation : int
         Start time of the server, in milliseconds since the epoch.
+    is_crashing : bool
+        Whether it crashes the server.
 
     """
 
@@ -58,6 +96,7 @@
     body: bytes
     request_id: str = ''
     incarnation: int = 0
+    is_crashing: bool = False
 
 
 @dataclass
@@ -68,33 +107,38 @@
     ----------
     id : str
         Server id, kept across restarts.
-    crashes_on : Callable[[bytes], bool]
-        Whether a request body crashes the server.
+    crashes_on : Callable[[Content], bool]
+        Whether a request crashes the server.
     resets_connections : bool
         Whether it runs each request, then resets the connection.
     crash_times_ms : list[int]
         Times of all crashes.
     caused_crash_times_ms : list[int]
-        Times of the crashes caused by a request body.
-    is_stream : bool
-        Whether it answers with an event stream whose first event is sent
-        at once.
+        Times of the crashes caused by a request.
+    style : AnswerStyle
+        How it answers; the first event of a stream is sent at once.
     service_ms : int
         Service time of a request that does not crash the server.
+    connections_max : int
+        Connections that it accepts, 0 for any number.
+    reset_count : int
+        Connections that it has reset since they were too many.
 
     """
 
     id: str
     store: StandInStore
     clock: Clock
-    crashes_on: Callable[[bytes], bool]
+    crashes_on: Callable[[Content], bool]
     on_delivery: Callable[[Delivery], None]
     crash_times_ms: list[int] = field(default_factory=list)
     caused_crash_times_ms: list[int] = field(default_factory=list)
     resets_connections: bool = False
-    is_stream: bool = False
+    style: AnswerStyle = AnswerStyle.whole
     service_ms: int = 50
     may_restart: bool = True
+    connections_max: int = 0
+    reset_count: int = 0
     row: dict[str, Any] = field(default_factory=dict)
     started_ms: int = 0
     _address: str = ''
@@ -159,6 +203,10 @@
             # The kernel had accepted the connection before the crash.
             writer.transport.abort()
             return
+        if self.connections_max and len(self._writers) >= self.connections_max:
+            self.reset_count += 1
+            reset_connection(writer)
+            return
         task = asyncio.current_task()
         assert task is not None
         self._tasks.add(task)
@@ -177,6 +225,7 @@
             request.body,
             request.get(ID_HEADER),
             self.started_ms,
+            self.crashes_on(read_content(request)),
         )
         self.on_delivery(delivery)
         return delivery
@@ -184,11 +233,10 @@
     async def _answer(
         self, request: ReceivedRequest, writer: asyncio.StreamWriter
     ) -> None:
-        self._record_delivery(request)
+        delivery = self._record_delivery(request)
         headers = {ID_HEADER: request.get(ID_HEADER), STAMP_HEADER: 's'}
-        if self.is_stream:
-            writer.write(format_chunked_response(headers, EVENT))
-        if self.crashes_on(request.body):
+        writer.write(_format_beginning(self.style, headers))
+        if delivery.is_crashing:
             await self.clock.sleep(_CRASH_DELAY_MS)
             if self._listening is not None:
                 self.caused_crash_times_ms.append(self.clock.now())
@@ -197,11 +245,65 @@
         await self.clock.sleep(self.service_ms)
         if self.resets_connections:
             reset_connection(writer)
-        elif self.is_stream:
-            writer.write(LAST_CHUNK)
-        else:
-            writer.write(format_response(200, headers, b'whole'))
+            return
+        writer.write(_format_rest(self.style, headers))
         await writer.drain()
+        if self.style in _UNFRAMED_STYLES:
+            writer.close()
+
+
+_UNFRAMED_STYLES = (AnswerStyle.unframed_stream, AnswerStyle.half_event)
+_WHOLE_BODY = b'whole'
+_HALF = 7
+
+
+def _format_beginning(style: AnswerStyle, headers: Mapping[str, str]) -> bytes:
+    """Return what a server writes at once."""
+    if style is AnswerStyle.half_body:
+        head = format_response(200, headers, length=len(_WHOLE_BODY))
+        return head + _WHOLE_BODY[:2]
+    if style is AnswerStyle.stream:
+        return format_chunked_response(headers, EVENT)
+    if style is AnswerStyle.unframed_stream:
+        return format_unframed_response(headers, EVENT)
+    if style is AnswerStyle.half_event:
+        return format_unframed_response(headers, EVENT + EVENT[:_HALF])
+    return b''
+
+
+def _format_rest(style: AnswerStyle, headers: Mapping[str, str]) -> bytes:
+    """Return what a server writes after its service time."""
+    if style is AnswerStyle.half_body:
+        return _WHOLE_BODY[2:]
+    if style is AnswerStyle.stream:
+        return LAST_CHUNK
+    if style is AnswerStyle.unframed_stream:
+        return b''
+    if style is AnswerStyle.half_event:
+        return EVENT[_HALF:]
+    return format_response(200, headers, _WHOLE_BODY)
+
+
+def read_content(request: ReceivedRequest) -> Content:
+    """Return what a request asks."""
+    return Content(request.body, _parse_parts(request.get(PARTS_HEADER)))
+
+
+def _parse_parts(header: str) -> Parts:
+    """Return the names of the parts of a prompt."""
+    parts = [part.partition(':')[0] for part in header.split(',')]
+    return tuple(part for part in parts if part)
+
+
+def _format_tokens(parts: Parts) -> str:
+    """Return the header with the tokens of a prompt and of its answer."""
+    tokens = _PART_TOKENS * len(parts)
+    return f'{tokens},{_ANSWER_TOKENS}'
+
+
+def _format_parts(parts: Parts) -> str:
+    """Return the header that describes the parts of a prompt."""
+    return ','.join(f'{part}:{_PART_TOKENS}' for part in parts)
 
 
 @dataclass
@@ -223,6 +325,7 @@
 
     at_ms: int
     body: bytes
+    is_crashing: bool = False
     gateway: str = ''
     request_id: str = ''
     status: int = 0
@@ -231,6 +334,10 @@
     headers: Mapping[str, str] = field(default_factory=dict)
 
 
+def _has_crashing_body(content: Content) -> bool:
+    return content.body == CRASHING_BODY
+
+
 @dataclass
 class CrashingFleet:
     """Servers that may crash, and records of requests on both sides."""
@@ -240,7 +347,7 @@
     servers: list[CrashingServer] = field(default_factory=list)
     deliveries: list[Delivery] = field(default_factory=list)
     caller_requests: list[CallerRequest] = field(default_factory=list)
-    crashes_on: Callable[[bytes], bool] = CRASHING_BODY.__eq__
+    crashes_on: Callable[[Content], bool] = _has_crashing_body
     timeout_ms: int = 1500
     _client: aiosonic.HTTPClient = field(
         default_factory=lambda: make_client(
@@ -255,39 +362,61 @@
         crash_lists = (server.crash_times_ms for server in self.servers)
         return sorted(itertools.chain.from_iterable(crash_lists))
 
-    def count_late_sends(self, after_ms: int) -> int:
-        """Count crashing requests delivered too long after the third crash."""
+    @property
+    def caused_crash_times_ms(self) -> list[int]:
+        """Sorted times of the crashes that requests have caused."""
         caused = (server.caused_crash_times_ms for server in self.servers)
-        times_ms = sorted(itertools.chain.from_iterable(caused))
-        if len(times_ms) < 3:
+        return sorted(itertools.chain.from_iterable(caused))
+
+    @property
+    def crashing_deliveries(self) -> list[Delivery]:
+        """Deliveries of requests that crash servers."""
+        return [
+            delivery for delivery in self.deliveries if delivery.is_crashing
+        ]
+
+    def count_late_sends(self, after_ms: int, crashes: int = 3) -> int:
+        """Count crashing requests delivered too long after some crashes."""
+        times_ms = self.caused_crash_times_ms
+        if len(times_ms) < crashes:
             return 0
-        since_ms = times_ms[2] + after_ms
+        since_ms = times_ms[crashes - 1] + after_ms
         return sum(
-            delivery.at_ms > since_ms and self.crashes_on(delivery.body)
-            for delivery in self.deliveries
+            delivery.at_ms > since_ms for delivery in self.crashing_deliveries
         )
 
-    def served_share(self, since_ms: int) -> float:
+    def served_share(self, since_ms: int, until_ms: float = math.inf) -> float:
         """Return the share of non-crashing requests that were answered."""
         harmless = [
             request
             for request in self.caller_requests
-            if request.at_ms >= since_ms and not self.crashes_on(request.body)
+            if since_ms <= request.at_ms < until_ms and not request.is_crashing
         ]
         return sum(request.status == 200 for request in harmless) / len(
             harmless
         )
 
-    async def send_request(self, address: str, body: bytes) -> int:
+    async def send_request(
+        self, address: str, body: bytes, parts: Parts = ()
+    ) -> int:
         """Send a request; return the status, 0 if the response was cut."""
         request_id = f'r{next(self._ids)}'
-        request = CallerRequest(self.clock.now(), body, address, request_id)
+        request = CallerRequest(
+            self.clock.now(),
+            body,
+            self.crashes_on(Content(body, parts)),
+            address,
+            request_id,
+        )
         self.caller_requests.append(request)
         headers = {
             'Host': HOST,
             ID_HEADER: request_id,
             'Authorization': f'Token {KEY}',
         }
+        if parts:
+            headers[PARTS_HEADER] = _format_parts(parts)
+            headers[TOKENS_HEADER] = _format_tokens(parts)
         with suppress(Exception):
             async with asyncio.timeout(self.timeout_ms / MS_PER_SECOND):
                 response = await self._client.request(
@@ -308,7 +437,7 @@
     async def send_requests(
         self,
         addresses: Sequence[str],
-        make_body: Callable[[int], bytes],
+        make_content: Callable[[int], Content],
         interval_ms: int,
         for_ms: int,
     ) -> None:
@@ -319,7 +448,10 @@
                 if self.clock.now() >= until_ms:
                     return
                 address = addresses[number % len(addresses)]
-                group.create_task(self.send_request(address, make_body(number)))
+                content = make_content(number)
+                group.create_task(
+                    self.send_request(address, content.body, content.parts)
+                )
                 await self.clock.sleep(interval_ms)
 
 
@@ -331,8 +463,8 @@
     clock = Clock()
     fleet = CrashingFleet(store, clock)
 
-    def crashes_on(body: bytes) -> bool:
-        return fleet.crashes_on(body)
+    def crashes_on(content: Content) -> bool:
+        return fleet.crashes_on(content)
 
     fleet.servers.extend(
         CrashingServer(
--- a/seampond/testing/gateway_soak.py
+++ b/seampond/testing/gateway_soak.py
@@ -21,7 +21,7 @@
     ConfigurationRow,
     put_configuration,
 )
-from seampond.testing.crashing import CRASHING_BODY
+from seampond.testing.crashing import CRASHING_BODY, Content
 from seampond.testing.gateway_processes import (
     GATEWAY_COUNT,
     GatewayProcess,
@@ -131,16 +131,16 @@
     return wrong
 
 
-def _make_distinct_body(number: int) -> bytes:
-    return b'sound %d' % number
+def _make_distinct_content(number: int) -> Content:
+    return Content(b'sound %d' % number)
 
 
-def _make_repeated_body(number: int) -> bytes:
-    return b'popular'
+def _make_repeated_content(number: int) -> Content:
+    return Content(b'popular')
 
 
-def _make_crashing_body(number: int) -> bytes:
-    return CRASHING_BODY
+def _make_crashing_content(number: int) -> Content:
+    return Content(CRASHING_BODY)
 
 
 async def _send_load(
@@ -154,13 +154,15 @@
         group.create_task(inject_faults(context))
         if context.earlier_build is not None:
             group.create_task(replace_builds(context))
-        for make_body, interval_ms in (
-            (_make_distinct_body, 40),
-            (_make_repeated_body, 120),
-            (_make_crashing_body, 350),
+        for make_content, interval_ms in (
+            (_make_distinct_content, 40),
+            (_make_repeated_content, 120),
+            (_make_crashing_content, 350),
         ):
             group.create_task(
-                fleet.send_requests(addresses, make_body, interval_ms, total_ms)
+                fleet.send_requests(
+                    addresses, make_content, interval_ms, total_ms
+                )
             )
 
 
--- a/seampond/testing/scripted.py
+++ b/seampond/testing/scripted.py
@@ -136,6 +136,13 @@
     return b''.join((head, _HEAD_END, body))
 
 
+def format_unframed_response(headers: Mapping[str, str], body: bytes) -> bytes:
+    """Return a response that ends when its connection does."""
+    lines = ['HTTP/1.1 200 OK', 'Connection: close']
+    lines.extend(f'{name}: {text}' for name, text in headers.items())
+    return b''.join(('\r\n'.join(lines).encode(), _HEAD_END, body))
+
+
 def format_chunked_response(
     headers: Mapping[str, str], *chunks: bytes
 ) -> bytes:
--- a/seampond/testing/signalling.py
+++ b/seampond/testing/signalling.py
@@ -14,9 +14,12 @@
 from seampond.testing.crashing import (
     EVENT,
     LAST_CHUNK,
+    AnswerStyle,
+    Content,
     CrashingFleet,
     CrashingServer,
     Delivery,
+    read_content,
     run_servers,
 )
 from seampond.testing.scripted import (
@@ -119,7 +122,7 @@
     async def _answer(
         self, request: ReceivedRequest, writer: asyncio.StreamWriter
     ) -> None:
-        if self.crashes_on(request.body):
+        if self.crashes_on(read_content(request)):
             await super()._answer(request, writer)
             return
         delivery = self._record_delivery(request)
@@ -133,7 +136,7 @@
             headers[LIMIT_HEADER] = self.limit
         if self._must_reject():
             self._reject(delivery, headers, writer)
-        elif self.is_stream:
+        elif self.style is AnswerStyle.stream:
             arrival.answered_ms = self.clock.now()
             await self._serve_response(headers, writer)
         else:
@@ -164,10 +167,10 @@
         self, headers: dict[str, str], writer: asyncio.StreamWriter
     ) -> None:
         headers[STAMP_HEADER] = self.id
-        if self.is_stream:
+        if self.style is AnswerStyle.stream:
             writer.write(format_chunked_response(headers, EVENT))
         await self.clock.sleep(self.service_ms)
-        if self.is_stream:
+        if self.style is AnswerStyle.stream:
             writer.write(LAST_CHUNK)
         else:
             writer.write(format_response(200, headers, b'whole'))
@@ -274,8 +277,8 @@
     return gateway, delivery.server, delivery.incarnation
 
 
-def _never(body: bytes) -> bool:
-    """Return False for every body."""
+def _never(content: Content) -> bool:
+    """Return False for every request."""
     return False
 
 
@@ -283,7 +286,7 @@
 async def run_signalling(
     store: StandInStore,
     count: int,
-    crashes_on: Callable[[bytes], bool] = _never,
+    crashes_on: Callable[[Content], bool] = _never,
     **row: Any,
 ) -> AsyncIterator[SignallingFleet]:
     """Run a fleet of signalling servers."""
--- a/seampond/testing/streaming.py
+++ b/seampond/testing/streaming.py
@@ -17,7 +17,12 @@
     STAMP_HEADER,
     drop_server,
 )
-from seampond.testing.crashing import LAST_CHUNK, CrashingServer, Delivery
+from seampond.testing.crashing import (
+    LAST_CHUNK,
+    Content,
+    CrashingServer,
+    Delivery,
+)
 from seampond.testing.scripted import (
     ReceivedRequest,
     format_chunk,
@@ -402,8 +407,8 @@
                 return
 
 
-def _never(body: bytes) -> bool:
-    """Return False for every body."""
+def _never(content: Content) -> bool:
+    """Return False for every request."""
     return False
 
 
