--- a/seampond/forwarding/attempt.py
+++ b/seampond/forwarding/attempt.py
@@ -132,7 +132,7 @@
         except ExchangeError as error:
             outcome = self._record_failure(error)
         except asyncio.CancelledError:
-            self.quarantine.record_abandoned_run(
+            self.quarantine.runs.record_abandoned(
                 self.progress.job, self.backend.server, self.sent_ms
             )
             raise
@@ -204,7 +204,7 @@
         # Only a rejection by the server can prove now that it has not run.
         job.may_have_run = True
         head = await connection.read_head()
-        self.quarantine.record_response(
+        self.quarantine.runs.record_response(
             self.backend.server, connection.connected_ms
         )
         self._record_load(head)
@@ -225,11 +225,11 @@
             await self._relay_stream(connection, head)
         else:
             outcome = await self._relay_whole(connection, head)
-        self.quarantine.record_success(
+        self.quarantine.runs.record_success(
             job,
             self.backend.server,
             self.sent_ms,
-            is_framed=connection.is_framed,
+            is_framed=not connection.ends_at_eof,
         )
         return outcome
 
@@ -309,7 +309,7 @@
         if progress.splitter.remainder:
             raise self._make_error(
                 'stream ended inside an event',
-                is_lost=not connection.is_framed,
+                is_lost=connection.ends_at_eof,
             )
         if not sink.has_started:
             await sink.start(head, None)
@@ -404,14 +404,14 @@
         job, server = self.progress.job, self.backend.server
         self.backend.record_lost_connection(self.clock.now())
         if error.was_sent:
-            self.quarantine.record_lost_run(
+            self.quarantine.runs.record_lost(
                 job,
                 server,
                 self.sent_ms,
                 has_connections=self.backend.open_connections > 0,
             )
         else:
-            self.quarantine.record_refused_connection(server)
+            self.quarantine.runs.record_refused_connection(server)
 
     def _make_error(
         self, message: str, *, is_lost: bool = False
--- a/seampond/forwarding/backends.py
+++ b/seampond/forwarding/backends.py
@@ -278,7 +278,7 @@
             _CONNECT_TIMEOUT_MS,
         )
         backend.connections.add(connection)
-        connection.on_lost = functools.partial(self._check_exit, backend)
+        connection.on_lost = functools.partial(_report_exit, self, backend)
         return connection
 
     def release_connection(
@@ -294,11 +294,6 @@
         else:
             backend.connections.discard(connection)
 
-    def _check_exit(self, backend: Backend) -> None:
-        """Report a server whose connections have all ended."""
-        if not backend.open_connections:
-            self.on_connections_lost(backend.server)
-
     def _add(self, server: Server) -> None:
         load = self._remote_loads.get(self._hash_name(server.incarnation))
         signals = self._signals.state_of(server)
@@ -368,3 +363,9 @@
                 'known': len(self._by_id),
             },
         )
+
+
+def _report_exit(backends: Backends, backend: Backend) -> None:
+    """Report a server whose connections have all ended."""
+    if not backend.open_connections:
+        backends.on_connections_lost(backend.server)
--- a/seampond/forwarding/connection.py
+++ b/seampond/forwarding/connection.py
@@ -49,6 +49,8 @@
         When the connection was made.
     received_ms : int
         When data was last received.
+    ends_at_eof : bool
+        Whether the current answer ends with the connection.
     on_lost : Callable[[], None]
         Called when the connection has ended, unless an answer without a
         length has ended with it.
@@ -60,7 +62,6 @@
     _parsed_head: ResponseHead
     _has_head: bool
     _has_body: bool
-    _ends_at_eof: bool
     _is_complete: bool
     _error: str
     _is_lost: bool
@@ -74,6 +75,7 @@
         self.received_bytes = 0
         self.connected_ms = 0
         self.received_ms = 0
+        self.ends_at_eof = False
         self.on_lost: Callable[[], None] = _do_nothing
         self._clock = clock
         self._id_header = id_header
@@ -89,11 +91,6 @@
         """Whether neither side has closed the connection."""
         return self._is_connected and not self._is_broken
 
-    @property
-    def is_framed(self) -> bool:
-        """Whether the answer does not end with the connection."""
-        return not self._ends_at_eof
-
     @property
     def is_usable(self) -> bool:
         """Whether another request may be sent on the connection."""
@@ -137,8 +134,7 @@
 
         """
         while not self._has_head:
-            self._raise_if_failed('head')
-            await self._wait_for_data()
+            await self._wait_for_data('head')
         return self._head
 
     async def read_chunk(self) -> bytes | None:
@@ -153,8 +149,7 @@
         while not self._chunks:
             if self._is_complete:
                 return None
-            self._raise_if_failed('body')
-            await self._wait_for_data()
+            await self._wait_for_data('body')
         chunk = b''.join(self._chunks)
         self._chunks.clear()
         if self._buffered_bytes > _HIGH_WATER_BYTES and self._transport:
@@ -244,7 +239,7 @@
 
     def eof_received(self) -> None:
         """Complete an answer that has no length."""
-        if self._has_head and self._ends_at_eof and not self._error:
+        if self._has_head and self.ends_at_eof and not self._error:
             self._is_complete = True
         self._is_broken = True
 
@@ -256,7 +251,7 @@
             self._is_lost = not self._error
             self._fail(type(exc).__name__ if exc else 'closed')
         self._wake_reader()
-        if not (self._is_complete and self._ends_at_eof):
+        if not (self._is_complete and self.ends_at_eof):
             self.on_lost()
 
     # Callbacks of the parser.
@@ -285,7 +280,7 @@
             # The parser expects a body of the stated length: do not reuse.
             self._is_complete = True
             self._is_broken = True
-        self._ends_at_eof = not (
+        self.ends_at_eof = not (
             head.has(b'content-length')
             or head.has(b'transfer-encoding')
             or head.status in _STATUSES_WITHOUT_BODY
@@ -303,7 +298,7 @@
 
     def on_message_complete(self) -> None:
         """Complete the answer if it is the current one."""
-        if self._is_current_response and not self._ends_at_eof:
+        if self._is_current_response and not self.ends_at_eof:
             self._is_complete = True
 
     @property
@@ -331,7 +326,7 @@
         self._parsed_head = ResponseHead()
         self._has_head = False
         self._has_body = True
-        self._ends_at_eof = False
+        self.ends_at_eof = False
         self._is_complete = False
         self._error = ''
         self._is_lost = False
@@ -339,7 +334,7 @@
         self._buffered_bytes = 0
         self.received_bytes = 0
 
-    def _raise_if_failed(self, step: str) -> None:
+    async def _wait_for_data(self, step: str) -> None:
         if self._error:
             raise ExchangeError(
                 self._error, step=step, peer=self.peer, is_lost=self._is_lost
@@ -348,19 +343,17 @@
             raise ExchangeError(
                 'connection lost', step=step, peer=self.peer, is_lost=True
             )
-
-    def _fail(self, reason: str) -> None:
-        self._is_broken = True
-        if not self._is_complete:
-            self._error = self._error or reason
-
-    async def _wait_for_data(self) -> None:
         self._waiter = asyncio.get_running_loop().create_future()
         try:
             await self._waiter
         finally:
             self._waiter = None
 
+    def _fail(self, reason: str) -> None:
+        self._is_broken = True
+        if not self._is_complete:
+            self._error = self._error or reason
+
     def _wake_reader(self) -> None:
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
--- a/seampond/gateway/wiring.py
+++ b/seampond/gateway/wiring.py
@@ -190,8 +190,8 @@
         lambda permission: metrics.trials.labels(permission).inc(),
         clock,
     )
-    backends.on_connections_lost = quarantine.record_lost_connections
-    backends.on_restart = quarantine.record_restart
+    backends.on_connections_lost = quarantine.runs.record_lost_connections
+    backends.on_restart = quarantine.runs.record_restart
     metrics.suspects.set_function(lambda: len(quarantine.suspects))
     configuration_follower = ConfigurationFollower(
         configuration_state, promises, metrics, clock
--- a/seampond/quarantine/quarantine.py
+++ b/seampond/quarantine/quarantine.py
@@ -9,16 +9,10 @@
 from seampond.clock import MS_PER_MINUTE, MS_PER_SECOND, Clock
 from seampond.forwarding.job import Job
 from seampond.forwarding.refusals import Cause, Refusal
-from seampond.forwarding.server import Server
 from seampond.quarantine.fingerprints import format_fingerprint
-from seampond.quarantine.interrupted import (
-    CONNECTION_REFUSED_MS,
-    CONNECTIONS_LOST_MS,
-    RESTART_SEEN_MS,
-    InterruptedRun,
-    InterruptedRuns,
-)
+from seampond.quarantine.interrupted import InterruptedRun
 from seampond.quarantine.models import CrashReport
+from seampond.quarantine.outcomes import RunOutcomes
 from seampond.quarantine.suspects import QUARANTINE_CRASHES, Suspects
 from seampond.quarantine.trials import Trials
 
@@ -54,6 +48,11 @@
     count_trial : Callable[[str], None]
         Counts requested trials by whether they were permitted.
 
+    Attributes
+    ----------
+    runs : RunOutcomes
+        Records how the runs of this gateway end.
+
     """
 
     def __init__(
@@ -68,13 +67,12 @@
         """Start without active requests."""
         self.suspects = suspects
         self.trials = trials
-        self._hash_name = hash_name
         self._notify_peers = notify_peers
         self._count_trial = count_trial
         self._clock = clock
         self._active: Counter[int] = Counter()
         self._active_ended = asyncio.Event()
-        self._interrupted = InterruptedRuns(clock)
+        self.runs = RunOutcomes(hash_name, self._add_crash, self._clear, clock)
         self._lift_tasks: set[asyncio.Task[None]] = set()
 
     def is_quarantined(self, job: Job) -> bool:
@@ -101,7 +99,7 @@
                 step=_STEP,
                 retry_after_ms=_NOT_READY_RETRY_MS,
             )
-        self._clear_expired()
+        self.runs.clear_expired()
         job.crash_count = max(map(self._count_crashes, job.fingerprints))
         has_active_copy = self._active[job.fingerprint] > 0
         job.is_concurrent_duplicate = (
@@ -143,76 +141,6 @@
         self.suspects.apply_reports(crashes, successes)
         self.trials.forget(successes)
 
-    def record_lost_run(
-        self,
-        job: Job,
-        server: Server,
-        started_ms: int,
-        *,
-        has_connections: bool,
-    ) -> None:
-        """Record that a connection broke during a run of a request.
-
-        Parameters
-        ----------
-        has_connections : bool
-            Whether other connections to the server are open.
-
-        """
-        self._add_interrupted(job, server, started_ms)
-        if not has_connections:
-            self.record_lost_connections(server)
-
-    def record_lost_connections(self, server: Server) -> None:
-        """Record that all connections to a server have ended."""
-        self._record_exit(server, CONNECTIONS_LOST_MS)
-
-    def record_refused_connection(self, server: Server) -> None:
-        """Record that a server refuses connections."""
-        self._record_exit(server, CONNECTION_REFUSED_MS)
-
-    def record_restart(self, server: Server) -> None:
-        """Record that a later process has replaced that of a server."""
-        self._record_exit(server, RESTART_SEEN_MS)
-
-    def record_abandoned_run(
-        self, job: Job, server: Server, started_ms: int
-    ) -> None:
-        """Record that a run was abandoned while the server worked on it."""
-        self._add_interrupted(job, server, started_ms)
-
-    def record_response(self, server: Server, connected_ms: int) -> None:
-        """Record that a response to a request has begun.
-
-        Parameters
-        ----------
-        connected_ms : int
-            When its connection was made.
-
-        """
-        self._clear_answered(
-            self._interrupted.take_survived(
-                self._hash_name(server.incarnation), connected_ms
-            )
-        )
-
-    def record_success(
-        self, job: Job, server: Server, started_ms: int, *, is_framed: bool
-    ) -> None:
-        """Record a successful response, which clears the request.
-
-        Parameters
-        ----------
-        is_framed : bool
-            Whether the end of the response was marked.  If not, a crash may
-            have ended it, so it counts once the server has survived it.
-
-        """
-        if is_framed:
-            self._clear(job.fingerprints, self._clock.now())
-        else:
-            self._add_interrupted(job, server, started_ms, is_answered=True)
-
     def _is_quarantined(self, fingerprint: int) -> bool:
         crash_count = self.suspects.count_crashes(fingerprint)
         return crash_count >= QUARANTINE_CRASHES or self.trials.is_quarantined(
@@ -247,57 +175,28 @@
             key=self.suspects.has_succeeded,
         )
 
-    def _add_interrupted(
-        self,
-        job: Job,
-        server: Server,
-        started_ms: int,
-        *,
-        is_answered: bool = False,
-    ) -> None:
-        self._interrupted.add(
-            InterruptedRun(
-                job.fingerprints,
-                self._hash_name(server.incarnation),
-                started_ms,
-                self._clock.now(),
-                is_answered,
+    def _add_crash(self, run: InterruptedRun) -> None:
+        """Blame the fingerprints of a run for the crash of its server."""
+        for fingerprint in run.fingerprints:
+            before = self.suspects.count_crashes(fingerprint)
+            self.suspects.record_crash(
+                fingerprint, run.incarnation, run.started_ms
             )
-        )
-
-    def _record_exit(self, server: Server, within_ms: int) -> None:
-        incarnation = self._hash_name(server.incarnation)
-        for run in self._interrupted.take_crashed(incarnation, within_ms):
-            for fingerprint in run.fingerprints:
-                self._add_crash(fingerprint, run)
-
-    def _add_crash(self, fingerprint: int, run: InterruptedRun) -> None:
-        before = self.suspects.count_crashes(fingerprint)
-        self.suspects.record_crash(fingerprint, run.incarnation, run.started_ms)
-        crash_count = self.suspects.count_crashes(fingerprint)
-        if crash_count == before or not self._count_crashes(fingerprint):
-            return
-        self._notify_peers()
-        if crash_count >= QUARANTINE_CRASHES:
-            _logger.warning(
-                'request quarantined',
-                extra={
-                    'fingerprint': format_fingerprint(fingerprint),
-                    'is_part': fingerprint != run.fingerprints[0],
-                    'ends': crash_count,
-                },
-            )
-
-    def _clear_expired(self) -> None:
-        self._clear_answered(self._interrupted.take_expired())
-
-    def _clear_answered(self, survived: Iterable[InterruptedRun]) -> None:
-        for run in survived:
-            if run.is_answered:
-                self._clear(run.fingerprints, run.ended_ms)
+            crash_count = self._count_crashes(fingerprint)
+            if crash_count > before:
+                self._notify_peers()
+            if crash_count > max(before, QUARANTINE_CRASHES - 1):
+                _logger.warning(
+                    'request quarantined',
+                    extra={
+                        'fingerprint': format_fingerprint(fingerprint),
+                        'is_part': fingerprint != run.fingerprints[0],
+                        'ends': crash_count,
+                    },
+                )
 
     def _clear(self, fingerprints: Iterable[int], at_ms: int) -> None:
-        """Clear fingerprints of a successful request."""
+        """Clear the fingerprints of a successful request."""
         for fingerprint in fingerprints:
             is_quarantined = self._is_quarantined(fingerprint)
             self.suspects.record_success(fingerprint, at_ms)
