Gateways lend each other connections to servers

Now it borrows what others do not need, as they lend retries: a lender reduces its own part before it replies and restores it 20 s after the borrower may last have used it, so the sum holds when replies are lost and gateways end.

--- a/seampond/forwarding/backend.py
+++ b/seampond/forwarding/backend.py
@@ -80,6 +80,9 @@
         run as trials.
     connections : set[Connection]
         This gateway's connections to it, idle ones included.
+    extra_connections : int
+        Connections that this gateway may have beyond its equal part, negative
+        if it has lent some.
     is_probing : bool
         Whether a request there probes if the server has recovered.
     unanswered : dict[bytes, tuple[int, int]]
@@ -107,6 +110,7 @@
     report: LoadReport | None = None
     idle: list[Connection] = field(default_factory=list)
     connections: set[Connection] = field(default_factory=set)
+    extra_connections: int = 0
     cached_parts: dict[str, int] = field(default_factory=dict)
 
     @property
@@ -275,6 +279,13 @@
             self.connections.discard(connection)
         self.idle.clear()
 
+    def close_surplus(self, limit: int) -> None:
+        """Close idle connections beyond a limit."""
+        while self.idle and len(self.connections) > limit:
+            connection = self.idle.pop(0)
+            connection.close()
+            self.connections.discard(connection)
+
     def _end_run(
         self, fingerprint: int, *, is_suspect: bool, is_trial: bool
     ) -> None:
--- a/seampond/forwarding/capacity.py
+++ b/seampond/forwarding/capacity.py
@@ -22,7 +22,8 @@
     gateway_count : int
         Number of gateways that share the servers.
     max_in_flight : int
-        Greatest number of requests of this gateway on one server.
+        Greatest number of requests of this gateway on one server, apart from
+        connections that it has borrowed or lent.
     reserved_fraction : float
         Fraction of the slots that stays free.
     extra_slots : int
@@ -43,7 +44,7 @@
 
     def has_slot(self, backend: Backend, load: int) -> bool:
         """Return True if a server with this load has a slot for a request."""
-        if backend.in_flight >= self.max_in_flight:
+        if backend.in_flight >= self.max_in_flight + backend.extra_connections:
             return False
         slots = backend.server.slots
         slots -= round(self.reserved_fraction * slots)
--- a/seampond/forwarding/scheduler.py
+++ b/seampond/forwarding/scheduler.py
@@ -39,6 +39,10 @@
 RetryAfterFunction = Callable[[Job, int, float], int]
 
 
+def _ignore_pool(pool: str) -> None:
+    """Ignore the pool."""
+
+
 class Scheduler:
     """Assign a slot on a server to each request, the most urgent first.
 
@@ -64,6 +68,8 @@
     ----------
     availability : Availability
         Availability of servers that back off or have a limit.
+    on_waiting : Callable[[str], None]
+        Called with a pool for whose servers a request waits.
 
     """
 
@@ -89,6 +95,7 @@
         self._rng = random.Random()
         self._resume_targets = ResumeTargets(backends, versions, clock)
         self.availability = Availability(clock, self._rng)
+        self.on_waiting: Callable[[str], None] = _ignore_pool
 
     @property
     def waiting(self) -> int:
@@ -397,6 +404,7 @@
             # A pause of a server may have ended, or a load report expired.
             self.process_queue(pool)
             if not waiter.slot.done():
+                self.on_waiting(pool)
                 self._resume_targets.check(waiter.job)
             left_ms = waiter.expires_ms - self._clock.now()
             if left_ms <= 0 and not waiter.slot.done():
--- a/seampond/gateway/components.py
+++ b/seampond/gateway/components.py
@@ -22,7 +22,9 @@
 from seampond.gateway.followers import ConfigurationFollower, ServerFollower
 from seampond.gateway.rollouts import RolloutFollower
 from seampond.gateway.stalls import EventLoopStalls
+from seampond.loans.connections import ConnectionLoans
 from seampond.loans.manager import RetryLoans
+from seampond.loans.messages import LoanMessage, LoanReply, LoanRequest
 from seampond.metrics.gateway import GatewayMetrics
 from seampond.permits.manager import PermitManager
 from seampond.permits.messages import PermitReply, PermitRequest
@@ -72,6 +74,7 @@
     stalls: EventLoopStalls
     origins: OriginRegistry
     loans: RetryLoans
+    connection_loans: ConnectionLoans
     watches: dict[str, Watch] = field(default_factory=dict)
     _pages_to_relay: list[RelayedPage] = field(default_factory=list)
 
@@ -144,9 +147,17 @@
         else:
             self.permit_manager.handle_reply(message)
 
+    def handle_loan_message(self, address: str, message: LoanMessage) -> None:
+        """Handle a request or reply about loans from another gateway."""
+        if isinstance(message, LoanRequest | LoanReply):
+            self.loans.handle_message(address, message)
+        else:
+            self.connection_loans.handle_message(address, message)
+
     def make_heartbeat(self, sequence: int) -> Heartbeat:
         """Return the heartbeat to send to the other gateways."""
         self.permit_manager.expire()
+        self.connection_loans.expire()
         self.metrics.peers.set(self.peers.count)
         return Heartbeat(
             self.settings.name,
@@ -168,6 +179,7 @@
             issues_permits=True,
             keeps_origins=True,
             lends_retries=True,
+            lends_connections=True,
         )
 
     def record_heartbeat_sent(self) -> None:
--- a/seampond/gateway/daemon.py
+++ b/seampond/gateway/daemon.py
@@ -113,7 +113,7 @@
         lambda kind: components.metrics.dropped.labels(kind).inc(),
         components.handle_permit_message,
         components.origins.handle_message,
-        components.loans.handle_message,
+        components.handle_loan_message,
     )
     async with (
         open_table(settings.store.address, GATEWAYS_TABLE, clock) as table,
@@ -125,6 +125,7 @@
         components.permit_manager.send = senders.send_permit
         components.origins.requests.send = senders.send_origin
         components.loans.send = senders.send_loan
+        components.connection_loans.send = senders.send_loan
         async with run_tasks(_adopt_history(components)):
             yield
         await unregister(table, components.peers)
--- a/seampond/gateway/wiring.py
+++ b/seampond/gateway/wiring.py
@@ -25,6 +25,7 @@
 from seampond.gateway.rollouts import RolloutFollower
 from seampond.gateway.stalls import EventLoopStalls
 from seampond.gateway.version_policy import RolloutVersionPolicy
+from seampond.loans.connections import ConnectionLoans
 from seampond.loans.manager import RetryLoans
 from seampond.metrics.gateway import GatewayMetrics
 from seampond.permits.manager import PermitManager
@@ -182,6 +183,22 @@
         clock,
     )
     loans = RetryLoans(peers, retry_budget, random.Random())
+    loan_counter = metrics.count(
+        'seampond_connection_loans',
+        'Loans of connections to servers, by the side of this gateway.',
+        'side',
+    )
+    connection_loans = ConnectionLoans(
+        peers,
+        lambda: peers.summary.connection_lenders,
+        backends,
+        hash_name,
+        lambda side: loan_counter.labels(side).inc(),
+        clock,
+        random.Random(),
+    )
+    connection_loans.on_borrowed = scheduler.process_queue
+    scheduler.on_waiting = connection_loans.request
     quarantine = Quarantine(
         Suspects(clock),
         Trials(store_clock, clock),
@@ -289,4 +306,5 @@
         stalls=stalls,
         origins=origins,
         loans=loans,
+        connection_loans=connection_loans,
     )
--- a/seampond/loans/messages.py
+++ b/seampond/loans/messages.py
@@ -1,8 +1,10 @@
-"""Encoding of the messages by which gateways borrow and lend retries."""
+"""Encoding of the messages by which gateways borrow and lend."""
 
 import functools
+from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
+from types import MappingProxyType
 from typing import Any
 
 import capnp
@@ -40,7 +42,50 @@
     is_lent: bool
 
 
-LoanMessage = LoanRequest | LoanReply
+@dataclass(frozen=True, slots=True)
+class ConnectionRequest:
+    """Request for connections to some servers.
+
+    Parameters
+    ----------
+    servers : tuple[int, ...]
+        Keys of the server incarnations.
+    count : int
+        Number of connections to each of them.
+
+    """
+
+    number: int
+    servers: tuple[int, ...]
+    count: int
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectionReply:
+    """Reply to the request with the same number: what is lent of it."""
+
+    number: int
+    servers: tuple[int, ...]
+    count: int
+
+
+RetryMessage = LoanRequest | LoanReply
+ConnectionMessage = ConnectionRequest | ConnectionReply
+LoanMessage = RetryMessage | ConnectionMessage
+
+
+_CONNECTION_FIELDS = MappingProxyType(
+    {'number': 'number', 'servers': 'servers', 'count': 'count'}
+)
+# Name of the union's member, and attributes by the names of its fields.
+_FIELDS: Mapping[type, tuple[str, Mapping[str, str]]] = MappingProxyType(
+    {
+        LoanRequest: ('request', {'number': 'number', 'pool': 'pool'}),
+        LoanReply: ('reply', {'number': 'number', 'isLent': 'is_lent'}),
+        ConnectionRequest: ('connectionRequest', _CONNECTION_FIELDS),
+        ConnectionReply: ('connectionReply', _CONNECTION_FIELDS),
+    }
+)
 
 
 @functools.cache
@@ -63,13 +108,14 @@
     True
 
     """
-    if isinstance(message, LoanRequest):
-        fields = {'request': {'number': message.number, 'pool': message.pool}}
-    else:
-        fields = {
-            'reply': {'number': message.number, 'isLent': message.is_lent}
-        }
-    packed: bytes = _schema().Message.new_message(**fields).to_bytes_packed()
+    name, fields = _FIELDS[type(message)]
+    content = {
+        schema_name: _to_builtin(getattr(message, attribute))
+        for schema_name, attribute in fields.items()
+    }
+    packed: bytes = (
+        _schema().Message.new_message(**{name: content}).to_bytes_packed()
+    )
     return _PREFIX + packed
 
 
@@ -84,12 +130,28 @@
     """
     try:
         message = _schema().Message.from_bytes_packed(packet[len(_PREFIX) :])
-        if message.which() == 'request':
-            return LoanRequest(message.request.number, message.request.pool)
-        return LoanReply(message.reply.number, message.reply.isLent)
+        return _read(message)
     except _DECODE_ERRORS as error:
         raise ForeignMessageError(
             f'invalid message about retries: {type(error).__name__}',
             step='decode',
             peer=peer,
         ) from error
+
+
+def _to_builtin(field: Any) -> Any:
+    return list(field) if isinstance(field, tuple) else field
+
+
+def _read(message: Any) -> LoanMessage:
+    """Return the message of a union's set member."""
+    name = message.which()
+    if name == 'request':
+        return LoanRequest(message.request.number, message.request.pool)
+    if name == 'reply':
+        return LoanReply(message.reply.number, message.reply.isLent)
+    reader = getattr(message, str(name))
+    message_type = (
+        ConnectionRequest if name == 'connectionRequest' else ConnectionReply
+    )
+    return message_type(reader.number, tuple(reader.servers), reader.count)
--- a/seampond/sharing/heartbeat.capnp
+++ b/seampond/sharing/heartbeat.capnp
@@ -38,6 +38,7 @@
   givesPermits @30 :Bool;
   keepsOrigins @31 :Bool;
   lendsRetries @32 :Bool;
+  lendsConnections @33 :Bool;
 }
 
 struct Rollout {
--- a/seampond/sharing/heartbeats.py
+++ b/seampond/sharing/heartbeats.py
@@ -107,6 +107,8 @@
         Whether the sender keeps the origins of streams for others.
     lends_retries : bool
         Whether the sender lends retries.
+    lends_connections : bool
+        Whether the sender lends connections to servers.
 
     """
 
@@ -130,6 +132,7 @@
     issues_permits: bool = False
     keeps_origins: bool = False
     lends_retries: bool = False
+    lends_connections: bool = False
 
 
 @functools.cache
@@ -296,6 +299,7 @@
         givesPermits=heartbeat.issues_permits,
         keepsOrigins=heartbeat.keeps_origins,
         lendsRetries=heartbeat.lends_retries,
+        lendsConnections=heartbeat.lends_connections,
     )
     packed: bytes = message.to_bytes_packed()
     return packed
@@ -346,6 +350,7 @@
             reader.givesPermits,
             reader.keepsOrigins,
             reader.lendsRetries,
+            reader.lendsConnections,
         )
     except _DECODE_ERRORS as error:
         raise ForeignMessageError(
--- a/seampond/sharing/peers.py
+++ b/seampond/sharing/peers.py
@@ -100,6 +100,8 @@
         Names of reachable ones that keep the origins of streams.
     lenders : tuple[str, ...]
         Names of reachable ones that lend retries.
+    connection_lenders : tuple[str, ...]
+        Names of reachable ones that lend connections.
 
     """
 
@@ -112,6 +114,7 @@
     permit_issuers: tuple[str, ...] = ()
     origin_keepers: tuple[str, ...] = ()
     lenders: tuple[str, ...] = ()
+    connection_lenders: tuple[str, ...] = ()
 
 
 def compute_heartbeat_interval_ms(gateways: int) -> int:
@@ -183,7 +186,7 @@
     @property
     def count(self) -> int:
         """Number of gateways that may be serving, this one included."""
-        return self._summary.alive + 1
+        return self.summary.alive + 1
 
     @property
     def heartbeat_interval_ms(self) -> int:
@@ -221,7 +224,7 @@
         """Whether all gateways that may be serving are reachable."""
         return (
             self.has_gateway_list
-            and self._summary.reachable == self._summary.alive
+            and self.summary.reachable == self.summary.alive
         )
 
     def list_heartbeats(self) -> list[Heartbeat] | None:
@@ -256,7 +259,7 @@
         0.5
 
         """
-        return (self._summary.reachable + 1) / self.count
+        return (self.summary.reachable + 1) / self.count
 
     @property
     def is_follower(self) -> bool:
@@ -267,32 +270,32 @@
         The order by hash is the same at every gateway and independent of
         halls, so that the loss of one hall does not remove all followers.
         """
-        return self._summary.followers_before < _FOLLOWER_COUNT
+        return self.summary.followers_before < _FOLLOWER_COUNT
 
     @property
     def permit_issuers(self) -> tuple[str, ...]:
         """Names of the reachable gateways that issue permits."""
-        return self._summary.permit_issuers
+        return self.summary.permit_issuers
 
     @property
     def origin_keepers(self) -> tuple[str, ...]:
         """Names of the reachable gateways that keep origins of streams."""
-        return self._summary.origin_keepers
+        return self.summary.origin_keepers
 
     @property
     def lenders(self) -> tuple[str, ...]:
         """Names of the reachable gateways that lend retries."""
-        return self._summary.lenders
+        return self.summary.lenders
 
     @property
     def has_newcomer(self) -> bool:
         """Whether a reachable gateway has just started."""
-        return self._summary.has_newcomer
+        return self.summary.has_newcomer
 
     @property
     def has_serving_peer(self) -> bool:
         """Whether a reachable gateway is not stopping."""
-        return self._summary.has_serving_peer
+        return self.summary.has_serving_peer
 
     def address_of(self, name: str) -> str:
         """Return the address of a gateway, empty if it is not listed."""
@@ -382,7 +385,7 @@
                 )
 
     @property
-    def _summary(self) -> PeerSummary:
+    def summary(self) -> PeerSummary:
         """Summary of the peers, recomputed when it is outdated."""
         now_ms = self._clock.now()
         if (
@@ -434,6 +437,11 @@
                 for heartbeat in reachable
                 if heartbeat.lends_retries
             ),
+            tuple(
+                heartbeat.name
+                for heartbeat in reachable
+                if heartbeat.lends_connections
+            ),
         )
 
     def _apply_row(self, name: str, address: str) -> None:
