A lost connection is a crash only when the server refuses connections

A gateway now connects to a server of which no connection is left: a refused connection shows the crash, an accepted one that there was none.

--- a/seampond/forwarding/backends.py
+++ b/seampond/forwarding/backends.py
@@ -16,7 +16,6 @@
 from seampond.forwarding.signal_state import SignalRegistry
 from seampond.forwarding.speeds import PoolSpeed
 
-_CONNECT_TIMEOUT_MS = 300
 ServerCallback = Callable[[Server], None]
 _logger = logging.getLogger(__name__)
 
@@ -272,10 +271,7 @@
             connection.close()
             backend.connections.discard(connection)
         connection = await open_connection(
-            backend.server.address,
-            self._clock,
-            self._id_header,
-            _CONNECT_TIMEOUT_MS,
+            backend.server.address, self._clock, self._id_header
         )
         backend.connections.add(connection)
         connection.on_lost = functools.partial(_report_exit, self, backend)
--- a/seampond/forwarding/connection.py
+++ b/seampond/forwarding/connection.py
@@ -20,6 +20,7 @@
 _FIRST_FINAL_STATUS = 200
 _STATUSES_WITHOUT_BODY = (204, 304)
 _TCP_USER_TIMEOUT_MS = 3000
+_CONNECT_TIMEOUT_MS = 300
 
 
 def _do_nothing() -> None:
@@ -367,7 +368,10 @@
 
 
 async def open_connection(
-    address: str, clock: Clock, id_header: bytes, timeout_ms: int
+    address: str,
+    clock: Clock,
+    id_header: bytes,
+    timeout_ms: int = _CONNECT_TIMEOUT_MS,
 ) -> Connection:
     """Open a connection to a server.
 
--- a/seampond/gateway/wiring.py
+++ b/seampond/gateway/wiring.py
@@ -11,9 +11,11 @@
 from seampond.forwarding.admission import Admission, ConfigurationState
 from seampond.forwarding.app import GatewayApp
 from seampond.forwarding.backends import Backends
+from seampond.forwarding.connection import open_connection
 from seampond.forwarding.forwarder import Forwarder, ForwarderContext
 from seampond.forwarding.retries import RetryBudget
 from seampond.forwarding.scheduler import Scheduler
+from seampond.forwarding.server_checks import ServerChecks
 from seampond.forwarding.server_runs import ServerRuns
 from seampond.gateway.bounds import (
     compute_grace_ms,
@@ -207,7 +209,22 @@
         lambda permission: metrics.trials.labels(permission).inc(),
         clock,
     )
-    backends.on_connections_lost = quarantine.runs.record_lost_connections
+    check_counter = metrics.count(
+        'seampond_server_checks',
+        'Connections to servers that may have crashed, by what they showed.',
+        'outcome',
+    )
+    checks = ServerChecks(
+        backends,
+        lambda server: open_connection(
+            server.address, clock, HEADERS.request_id
+        ),
+        quarantine.runs.is_unclear,
+        quarantine.runs.record_refused_connection,
+        lambda outcome: check_counter.labels(outcome).inc(),
+    )
+    quarantine.runs.on_unclear = checks.request
+    backends.on_connections_lost = checks.request
     backends.on_restart = quarantine.runs.record_restart
     metrics.suspects.set_function(lambda: len(quarantine.suspects))
     configuration_follower = ConfigurationFollower(
--- a/seampond/quarantine/interrupted.py
+++ b/seampond/quarantine/interrupted.py
@@ -6,15 +6,15 @@
 
 from seampond.clock import MS_PER_SECOND, Clock
 
-# How long a server may take to end after a run that it crashes under, as seen
-# from a gateway: its connections end at once, a refused one shows it later.
-CONNECTIONS_LOST_MS = 100
+# How long after a run its server may be seen to have crashed under it.
 CONNECTION_REFUSED_MS = MS_PER_SECOND
 RESTART_SEEN_MS = 3 * MS_PER_SECOND
 # Data that arrived before a crash may be read after it.
 _BUFFERED_DATA_MS = 50
 # A server takes longer to restart.
 _RESTART_MIN_MS = MS_PER_SECOND
+# The connections of a server that crashes end at nearly the same time.
+_RECENT_MS = 100
 _RUNS_MAX = 1024
 
 
@@ -55,9 +55,10 @@
     --------
     >>> runs = InterruptedRuns(Clock(lambda: 0))
     >>> runs.add(InterruptedRun((7,), 1, 0, 0))
-    >>> runs.take_crashed(2, CONNECTIONS_LOST_MS)
+    >>> runs.take_crashed(2, CONNECTION_REFUSED_MS)
     []
-    >>> [run.fingerprints for run in runs.take_crashed(1, CONNECTIONS_LOST_MS)]
+    >>> taken = runs.take_crashed(1, CONNECTION_REFUSED_MS)
+    >>> [run.fingerprints for run in taken]
     [(7,)]
 
     """
@@ -71,6 +72,16 @@
         """Add a run that has just ended."""
         self._runs.append(run)
 
+    def has_recent(self, incarnation: int) -> bool:
+        """Return True if a run on a server has just ended."""
+        oldest_ms = self._clock.now() - _RECENT_MS
+        for run in reversed(self._runs):
+            if run.ended_ms < oldest_ms:
+                return False
+            if run.incarnation == incarnation:
+                return True
+        return False
+
     def take_crashed(
         self, incarnation: int, within_ms: int
     ) -> list[InterruptedRun]:
--- a/seampond/quarantine/outcomes.py
+++ b/seampond/quarantine/outcomes.py
@@ -7,7 +7,6 @@
 from seampond.forwarding.server import Server
 from seampond.quarantine.interrupted import (
     CONNECTION_REFUSED_MS,
-    CONNECTIONS_LOST_MS,
     RESTART_SEEN_MS,
     InterruptedRun,
     InterruptedRuns,
@@ -27,6 +26,11 @@
         Called with the fingerprints of a successful request and the time of
         its success.
 
+    Attributes
+    ----------
+    on_unclear : Callable[[Server], None]
+        Called with a server that may have crashed, as no connection is left.
+
     """
 
     def __init__(
@@ -42,6 +46,7 @@
         self._on_success = on_success
         self._clock = clock
         self._interrupted = InterruptedRuns(clock)
+        self.on_unclear: Callable[[Server], None] = _ignore_server
 
     def record_lost(
         self,
@@ -61,7 +66,7 @@
         """
         self._add(job, server, started_ms)
         if not has_connections:
-            self.record_lost_connections(server)
+            self.on_unclear(server)
 
     def record_abandoned(
         self, job: Job, server: Server, started_ms: int
@@ -69,9 +74,10 @@
         """Record that a run was abandoned while the server worked on it."""
         self._add(job, server, started_ms)
 
-    def record_lost_connections(self, server: Server) -> None:
-        """Record that all connections to a server have ended."""
-        self._record_exit(server, CONNECTIONS_LOST_MS)
+    def is_unclear(self, server: Server) -> bool:
+        """Return True if a run on a server was interrupted just now."""
+        incarnation = self._hash_name(server.incarnation)
+        return self._interrupted.has_recent(incarnation)
 
     def record_refused_connection(self, server: Server) -> None:
         """Record that a server refuses connections."""
@@ -141,3 +147,7 @@
         for run in survived:
             if run.is_answered:
                 self._on_success(run.fingerprints, run.ended_ms)
+
+
+def _ignore_server(server: Server) -> None:
+    """Ignore the server."""
