A stream without length that ends before its first event is cut

Callers saw a whole, empty answer of 200 where a server's connection had ended before the first event of a stream with neither length nor chunks. Cause: the end of the connection completes such an answer, and only an open event was taken for a cut. A resumed stream may end without further events, as its caller may have had them all. The construction of the quarantine moves to a module of its own.

--- a/seampond/forwarding/attempt.py
+++ b/seampond/forwarding/attempt.py
@@ -306,11 +306,9 @@
                     await sink.start(head, None)
                 progress.job.has_streamed = True
                 await sink.send(events)
-        if progress.splitter.remainder:
-            raise self._make_error(
-                'stream ended inside an event',
-                is_lost=connection.ends_at_eof,
-            )
+        cut = _find_cut(progress, connection)
+        if cut:
+            raise self._make_error(cut, is_lost=connection.ends_at_eof)
         if not sink.has_started:
             await sink.start(head, None)
         await sink.finish()
@@ -450,3 +448,18 @@
             },
         )
         return Outcome.in_doubt if error.was_sent else Outcome.unreachable
+
+
+def _find_cut(progress: Progress, connection: Connection) -> str:
+    """Return where a stream that has ended was cut, empty if it is whole.
+
+    Explanation
+    -----------
+    A stream without a length that holds no event may have been cut.
+    """
+    if progress.splitter.remainder:
+        return 'stream ended inside an event'
+    is_empty = not (progress.sink.has_started or progress.job.is_resumed)
+    if is_empty and connection.ends_at_eof:
+        return 'stream ended before its first event'
+    return ''
--- a/seampond/forwarding/tests/test_forwarder.py
+++ b/seampond/forwarding/tests/test_forwarder.py
@@ -42,6 +42,7 @@
     ScriptedServer,
     format_chunked_response,
     format_response,
+    format_unframed_response,
     reset_connection,
     run_scripted,
 )
@@ -100,6 +101,14 @@
     reset_connection(writer)
 
 
+async def _end_before_first_event(
+    request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    writer.write(format_unframed_response(_headers(request), b''))
+    await writer.drain()
+    writer.close()
+
+
 async def _end_stream(
     request: ReceivedRequest, writer: asyncio.StreamWriter
 ) -> None:
@@ -207,6 +216,20 @@
         last_ids = sorted(request.get('last-event-id') for request in received)
         self.assertEqual(last_ids, ['', '2'])
 
+    async def test_stream_cut_before_its_first_event_looks_whole(self) -> None:
+        """It has no length; another server is tried where that is allowed."""
+        _, sink = await self._forward(
+            _end_before_first_event, _end_stream, route=_STREAM
+        )
+        self.assertTrue(sink.is_complete)
+        self.assertEqual(bytes(sink.body), b'id: 3\ndata: c\n\n')
+        self.assertEqual(self.sends, 2)
+        self.servers.clear()
+        route = replace(_STREAM, may_resume=False)
+        with self.assertRaises(Refusal) as raised:
+            await self._forward(_end_before_first_event, route=route)
+        self.assertIs(raised.exception.cause, Cause.in_doubt)
+
     async def test_broken_stream_without_resumption_is_aborted(self) -> None:
         """The caller must not take a broken stream for a complete one."""
         route = build_route(kind=RequestKind.stream, attempts=2)
--- /dev/null
+++ b/seampond/gateway/quarantine.py
@@ -0,0 +1,59 @@
+"""Construction of the quarantine of a gateway."""
+
+from collections.abc import Callable
+
+from seampond.clock import Clock
+from seampond.forwarding.backends import Backends
+from seampond.forwarding.connection import open_connection
+from seampond.forwarding.server_checks import ServerChecks
+from seampond.metrics.gateway import GatewayMetrics
+from seampond.platform import HEADERS
+from seampond.quarantine.quarantine import Quarantine
+from seampond.quarantine.suspects import Suspects
+from seampond.quarantine.trials import Trials
+from seampond.sharing import hash_name
+from seampond.watches import StoreClock
+
+
+def make_quarantine(
+    backends: Backends,
+    store_clock: StoreClock,
+    notify_peers: Callable[[], None],
+    metrics: GatewayMetrics,
+    clock: Clock,
+) -> Quarantine:
+    """Create the quarantine and connect it to the servers.
+
+    Parameters
+    ----------
+    notify_peers : Callable[[], None]
+        Called to send a heartbeat without delay.
+
+    """
+    quarantine = Quarantine(
+        Suspects(clock),
+        Trials(store_clock, clock),
+        hash_name,
+        notify_peers,
+        lambda permission: metrics.trials.labels(permission).inc(),
+        clock,
+    )
+    check_counter = metrics.count(
+        'seampond_server_checks',
+        'Connections to servers that may have crashed, by what they showed.',
+        'outcome',
+    )
+    checks = ServerChecks(
+        backends,
+        lambda server: open_connection(
+            server.address, clock, HEADERS.request_id
+        ),
+        quarantine.runs.is_unclear,
+        quarantine.runs.record_refused_connection,
+        lambda outcome: check_counter.labels(outcome).inc(),
+    )
+    quarantine.runs.on_unclear = checks.request
+    backends.on_connections_lost = checks.request
+    backends.on_restart = quarantine.runs.record_restart
+    metrics.suspects.set_function(lambda: len(quarantine.suspects))
+    return quarantine
--- a/seampond/gateway/wiring.py
+++ b/seampond/gateway/wiring.py
@@ -11,11 +11,9 @@
 from seampond.forwarding.admission import Admission, ConfigurationState
 from seampond.forwarding.app import GatewayApp
 from seampond.forwarding.backends import Backends
-from seampond.forwarding.connection import open_connection
 from seampond.forwarding.forwarder import Forwarder, ForwarderContext
 from seampond.forwarding.retries import RetryBudget
 from seampond.forwarding.scheduler import Scheduler
-from seampond.forwarding.server_checks import ServerChecks
 from seampond.forwarding.server_runs import ServerRuns
 from seampond.gateway.bounds import (
     compute_grace_ms,
@@ -24,6 +22,7 @@
 )
 from seampond.gateway.components import GatewayComponents
 from seampond.gateway.followers import ConfigurationFollower, ServerFollower
+from seampond.gateway.quarantine import make_quarantine
 from seampond.gateway.rollouts import RolloutFollower
 from seampond.gateway.stalls import EventLoopStalls
 from seampond.gateway.version_policy import RolloutVersionPolicy
@@ -39,9 +38,6 @@
     STATUS_TABLE,
 )
 from seampond.promises import Promises
-from seampond.quarantine.quarantine import Quarantine
-from seampond.quarantine.suspects import Suspects
-from seampond.quarantine.trials import Trials
 from seampond.rollouts import Report, RolloutManager
 from seampond.settings.gateway import BoundSettings, GatewaySettings
 from seampond.sharing import Peers, Quotas, hash_name
@@ -201,32 +197,9 @@
     )
     connection_loans.on_borrowed = scheduler.process_queue
     scheduler.on_waiting = connection_loans.request
-    quarantine = Quarantine(
-        Suspects(clock),
-        Trials(store_clock, clock),
-        hash_name,
-        is_heartbeat_due.set,
-        lambda permission: metrics.trials.labels(permission).inc(),
-        clock,
-    )
-    check_counter = metrics.count(
-        'seampond_server_checks',
-        'Connections to servers that may have crashed, by what they showed.',
-        'outcome',
-    )
-    checks = ServerChecks(
-        backends,
-        lambda server: open_connection(
-            server.address, clock, HEADERS.request_id
-        ),
-        quarantine.runs.is_unclear,
-        quarantine.runs.record_refused_connection,
-        lambda outcome: check_counter.labels(outcome).inc(),
+    quarantine = make_quarantine(
+        backends, store_clock, is_heartbeat_due.set, metrics, clock
     )
-    quarantine.runs.on_unclear = checks.request
-    backends.on_connections_lost = checks.request
-    backends.on_restart = quarantine.runs.record_restart
-    metrics.suspects.set_function(lambda: len(quarantine.suspects))
     configuration_follower = ConfigurationFollower(
         configuration_state, promises, metrics, clock
     )
