--- a/seampond/gateway/tests/test_soak.py
+++ b/seampond/gateway/tests/test_soak.py
@@ -12,7 +12,11 @@
 
 from seampond.testing.gateway_processes import unpack_build
 from seampond.testing.gateway_soak import SoakPlan, run_soak
-from seampond.testing.soak_faults import LIMIT_FAULTS, SIGNAL_FAULTS
+from seampond.testing.soak_faults import (
+    LIMIT_FAULTS,
+    PART_FAULTS,
+    SIGNAL_FAULTS,
+)
 
 _SEED = 1
 _SECONDS = 6
@@ -41,6 +45,16 @@
         self.assertEqual(report.wrong, [])
         self.assertTrue(report.faults)
 
+    def test_crashing_part_stays_quarantined(self) -> None:
+        """Servers crash together too, and connections are skewed."""
+        plan = SoakPlan(
+            _SEED, _LONG_SECONDS, PART_FAULTS, has_crashing_part=True
+        )
+        with tempfile.TemporaryDirectory() as folder:
+            report = asyncio.run(run_soak(Path(folder), plan))
+        self.assertEqual(report.wrong, [])
+        self.assertTrue(report.faults)
+
     def test_limits_hold(self) -> None:
         """Servers state limits, change them and withdraw them."""
         plan = SoakPlan(_SEED, _LONG_SECONDS, LIMIT_FAULTS)
--- a/seampond/testing/gateway_soak.py
+++ b/seampond/testing/gateway_soak.py
@@ -9,7 +9,7 @@
 import sys
 import tempfile
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -34,8 +34,10 @@
 from seampond.testing.soak_faults import (
     FAULTS,
     LIMIT_FAULTS,
+    PART_FAULTS,
     SIGNAL_FAULTS,
     Fault,
+    LoadBalancer,
     SoakContext,
     inject_faults,
     replace_builds,
@@ -50,6 +52,12 @@
 _MIN_SERVED_SHARE = 0.9
 _DRAIN_MS = 2000
 _BACKOFF_SENDS_MAX = 2
+_FIRST_PART = 'a0'
+_CRASHING_PART = 'bad'
+_SHARED_PARTS = 5
+# Crashes that are borne before late sends count.
+_BODY_CRASHES = 3
+_PART_CRASHES = 5
 
 
 @dataclass
@@ -107,14 +115,14 @@
     return wrong
 
 
-def _build_report(context: SoakContext, kind: str) -> SoakReport:
+def _build_report(context: SoakContext, kind: str, crashes: int) -> SoakReport:
     fleet = context.fleet
     report = SoakReport(
         len(fleet.caller_requests),
         Counter(request.status for request in fleet.caller_requests),
         context.faults,
         len(fleet.crash_times_ms),
-        fleet.count_late_sends(_GRACE_MS),
+        fleet.count_late_sends(_GRACE_MS, crashes),
     )
     calm_ms = context.until_ms + _RECOVERY_MS + _RECOVERY_MS // 2
     report.wrong = _find_wrong(fleet, kind, calm_ms, report)
@@ -131,6 +139,22 @@
     return wrong
 
 
+def _is_crashing(content: Content) -> bool:
+    """Return True for contents that crash servers."""
+    return content.body == CRASHING_BODY or _CRASHING_PART in content.parts
+
+
+def _make_content_with_parts(number: int) -> Content:
+    index = number % _SHARED_PARTS
+    parts = (_FIRST_PART, f's{index}', f'x{number}')
+    return Content(b'sound %d' % number, parts)
+
+
+def _make_content_with_crashing_part(number: int) -> Content:
+    parts = (_FIRST_PART, _CRASHING_PART, f'x{number}')
+    return Content(b'crashing %d' % number, parts)
+
+
 def _make_distinct_content(number: int) -> Content:
     return Content(b'sound %d' % number)
 
@@ -143,9 +167,21 @@
     return Content(CRASHING_BODY)
 
 
-async def _send_load(
-    context: SoakContext, addresses: Sequence[str], fault_ms: int
-) -> None:
+# Contents and their intervals in milliseconds.
+Load = Sequence[tuple[Callable[[int], Content], int]]
+_BODY_LOAD: Load = (
+    (_make_distinct_content, 40),
+    (_make_repeated_content, 120),
+    (_make_crashing_content, 350),
+)
+_PART_LOAD: Load = (
+    (_make_content_with_parts, 40),
+    (_make_repeated_content, 120),
+    (_make_content_with_crashing_part, 350),
+)
+
+
+async def _send_load(context: SoakContext, load: Load, fault_ms: int) -> None:
     """Send distinct, repeated and crashing requests during and after faults."""
     fleet = context.fleet
     total_ms = fault_ms + 2 * _RECOVERY_MS
@@ -154,14 +190,10 @@
         group.create_task(inject_faults(context))
         if context.earlier_build is not None:
             group.create_task(replace_builds(context))
-        for make_content, interval_ms in (
-            (_make_distinct_content, 40),
-            (_make_repeated_content, 120),
-            (_make_crashing_content, 350),
-        ):
+        for make_content, interval_ms in load:
             group.create_task(
                 fleet.send_requests(
-                    addresses, make_content, interval_ms, total_ms
+                    context.balancer, make_content, interval_ms, total_ms
                 )
             )
 
@@ -180,6 +212,8 @@
         Kinds of faults to inject.
     earlier_build : Path or None
         Folder of the build to start with and replace, None for this one.
+    has_crashing_part : bool
+        Whether a part of prompts crashes servers in place of a body.
 
     """
 
@@ -187,6 +221,17 @@
     seconds: float
     faults: Sequence[Fault] = FAULTS
     earlier_build: Path | None = None
+    has_crashing_part: bool = False
+
+    @property
+    def load(self) -> Load:
+        """The requests to send."""
+        return _PART_LOAD if self.has_crashing_part else _BODY_LOAD
+
+    @property
+    def crashes_borne(self) -> int:
+        """Number of crashes before late sends count."""
+        return _PART_CRASHES if self.has_crashing_part else _BODY_CRASHES
 
 
 async def run_soak(folder: Path, plan: SoakPlan) -> SoakReport:
@@ -197,7 +242,7 @@
     fault_ms = round(plan.seconds * MS_PER_SECOND)
     async with (
         run_store() as store,
-        run_signalling(store, _SERVERS, CRASHING_BODY.__eq__) as fleet,
+        run_signalling(store, _SERVERS, _is_crashing) as fleet,
         run_gateways(folder, store, plan.earlier_build) as gateways,
     ):
         configuration = ConfigurationRow(kind=kind)
@@ -215,11 +260,10 @@
             configuration,
             plan.faults,
             plan.earlier_build,
+            LoadBalancer([gateway.ports[0] for gateway in gateways]),
         )
-        await _send_load(
-            context, [gateway.ports[0] for gateway in gateways], fault_ms
-        )
-        report = _build_report(context, kind)
+        await _send_load(context, plan.load, fault_ms)
+        report = _build_report(context, kind, plan.crashes_borne)
         report.wrong.extend(_read_logs(gateways))
     return report
 
@@ -232,6 +276,7 @@
     parser.add_argument('--folder', type=Path)
     parser.add_argument('--later', action='store_true')
     parser.add_argument('--limits', action='store_true')
+    parser.add_argument('--parts', action='store_true')
     parser.add_argument(
         '--from',
         dest='earlier_build',
@@ -243,6 +288,8 @@
     faults = SIGNAL_FAULTS if options.later else FAULTS
     if options.limits:
         faults = LIMIT_FAULTS
+    if options.parts:
+        faults = PART_FAULTS
     with tempfile.TemporaryDirectory() as scratch:
         folder = options.folder or Path(scratch)
         folder.mkdir(parents=True, exist_ok=True)
@@ -251,7 +298,13 @@
             earlier_build = unpack_build(
                 options.earlier_build, folder / 'earlier'
             )
-        plan = SoakPlan(options.seed, options.seconds, faults, earlier_build)
+        plan = SoakPlan(
+            options.seed,
+            options.seconds,
+            faults,
+            earlier_build,
+            options.parts,
+        )
         report = asyncio.run(run_soak(folder, plan))
     sys.stdout.write(f'seed {options.seed}: {report}\n')
     return int(bool(report.wrong))
--- a/seampond/testing/soak_faults.py
+++ b/seampond/testing/soak_faults.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import Any
 
 from seampond.clock import Clock
 from seampond.platform.names import DRAINING_STATE, READY_STATE, SERVERS_TABLE
@@ -25,6 +26,31 @@
 Fault = Callable[['SoakContext'], Awaitable[None]]
 
 
+@dataclass
+class LoadBalancer(Sequence[str]):
+    """Addresses of gateways, of which one may get most new connections.
+
+    Parameters
+    ----------
+    preferred : str
+        The address that gets most of them, empty for none.
+
+    """
+
+    addresses: Sequence[str]
+    preferred: str = ''
+
+    def __len__(self) -> int:
+        """Return the number of gateways."""
+        return len(self.addresses)
+
+    def __getitem__(self, index: Any) -> Any:
+        """Return the address for a turn."""
+        if self.preferred and index:
+            return self.preferred
+        return self.addresses[index]
+
+
 @dataclass
 class SoakContext:
     """What faults act on, and how often each was injected."""
@@ -38,6 +64,7 @@
     configuration: ConfigurationRow
     fault_kinds: Sequence[Fault]
     earlier_build: Path | None = None
+    balancer: LoadBalancer = field(default_factory=lambda: LoadBalancer(()))
     faults: Counter[str] = field(default_factory=Counter)
     store_disrupted_ms: list[int] = field(default_factory=list)
 
@@ -120,6 +147,21 @@
     context.rng.choice(context.fleet.servers).crash()
 
 
+async def _crash_half(context: SoakContext) -> None:
+    """Let half of the servers lose power at once."""
+    half = len(context.fleet.servers) // 2
+    for server in context.rng.sample(context.fleet.servers, half):
+        server.crash()
+
+
+async def _skew_connections(context: SoakContext) -> None:
+    """Send most new connections to one gateway."""
+    gateway = context.rng.choice(context.gateways)
+    context.balancer.preferred = gateway.ports[0]
+    await context.clock.sleep(context.rng.uniform(1000, 5000))
+    context.balancer.preferred = ''
+
+
 async def _spoil_rows(context: SoakContext) -> None:
     for content in (b'[' * 100_000, b'{"slots": 1e999}', b'\xff'):
         number = context.rng.randrange(20)
@@ -188,6 +230,17 @@
 )
 
 
+# For soaks with a prompt part that crashes servers, also while servers crash of
+# themselves and most new connections go to one gateway.
+PART_FAULTS: tuple[Fault, ...] = (
+    *FAULTS,
+    _crash_half,
+    _crash_half,
+    _skew_connections,
+    _skew_connections,
+)
+
+
 # For soaks in which the configuration changes all the time.
 CONFIGURATION_FAULTS: tuple[Fault, ...] = (
     _kill,
