Trials of known good requests while the store is away; fewer reports of suspects

All servers crash twice, and no success comes between, while the store is away: the part that all requests share is quarantined, no trial can be claimed, and callers get 503 until the store is back. Cause: a trial needs a row, whatever is known of the request. A gateway now tries a fingerprint with a known success by itself while its calls to the store fail, at a random time and once in 10 s for each gateway, so that one of all tries soon; its success clears it everywhere.

Reports: what a gateway has cleared was repeated by all that heard of it, for 5 s (test_gateways_repeat_what_others_have_cleared fails before); now by the gateway that had the success, in three heartbeats, as are first crashes.

--- a/seampond/gateway/quarantine.py
+++ b/seampond/gateway/quarantine.py
@@ -1,5 +1,6 @@
 """Construction of the quarantine of a gateway."""
 
+import random
 from collections.abc import Callable
 
 from seampond.clock import Clock
@@ -10,13 +11,14 @@
 from seampond.platform import HEADERS
 from seampond.quarantine.quarantine import Quarantine
 from seampond.quarantine.suspects import Suspects
-from seampond.quarantine.trials import Trials
-from seampond.sharing import hash_name
+from seampond.quarantine.trials import LocalTrials, Trials
+from seampond.sharing import Peers, hash_name
 from seampond.watches import StoreClock
 
 
 def make_quarantine(
     backends: Backends,
+    peers: Peers,
     store_clock: StoreClock,
     notify_peers: Callable[[], None],
     metrics: GatewayMetrics,
@@ -31,8 +33,9 @@
 
     """
     quarantine = Quarantine(
-        Suspects(clock),
+        Suspects(clock, lambda: peers.heartbeat_interval_ms),
         Trials(store_clock, clock),
+        LocalTrials(lambda: peers.count, clock, random.Random()),
         hash_name,
         notify_peers,
         lambda permission: metrics.trials.labels(permission).inc(),
--- a/seampond/gateway/tests/test_crashing.py
+++ b/seampond/gateway/tests/test_crashing.py
@@ -26,6 +26,7 @@
     put_configuration,
 )
 from seampond.quarantine import fingerprint, trials
+from seampond.settings.gateway import BoundSettings
 from seampond.testing.crashing import (
     CRASHING_BODY,
     AnswerStyle,
@@ -52,6 +53,8 @@
 class CrashingCase(VirtualTimeCase, GatewayCase):
     """Two gateways and six servers that crash under one body."""
 
+    bounds = BoundSettings()
+
     async def open_fleet(
         self, kind: str = IDEMPOTENT, **row: Any
     ) -> tuple[CrashingFleet, list[RunningGateway]]:
@@ -73,7 +76,10 @@
         gateways = [
             await self.gateways_stack.enter_async_context(
                 run_gateway(
-                    build_settings(self.store.address, name=name), Clock()
+                    build_settings(
+                        self.store.address, name=name, bounds=self.bounds
+                    ),
+                    Clock(),
                 )
             )
             for name in ('g1', 'g2')
--- a/seampond/gateway/tests/test_crashing_parts.py
+++ b/seampond/gateway/tests/test_crashing_parts.py
@@ -4,10 +4,13 @@
 part, while other requests share its caller and its other parts.
 """
 
+import asyncio
 from collections.abc import Callable
 
+from seampond.gateway.daemon import RunningGateway
 from seampond.gateway.tests.test_crashing import CrashingCase
 from seampond.platform.tests.rows import IDEMPOTENT, ONCE, STREAM
+from seampond.settings.gateway import BoundSettings
 from seampond.testing.crashing import AnswerStyle, Content, CrashingFleet
 
 _CRASHING_PART = 'bad'
@@ -137,6 +140,45 @@
         self.assertGreaterEqual(served, 0.99 if count == 1 else 0.97)
 
 
+class StoreAwayTest(CrashingCase):
+    """All servers crash twice while the store is away."""
+
+    # Keys may be used for a while after they are revoked.
+    bounds = BoundSettings(strict_revoke=False)
+
+    async def test_shared_part_stays_quarantined(self) -> None:
+        """All requests share it, and no trial can be claimed."""
+        fleet, gateways = await self.open_fleet()
+        fleet.crashes_on = lambda content: False
+        await self._drive(fleet, gateways, 1000)
+        self.store.is_down = True
+        for server in fleet.servers:
+            server.service_ms = 600
+        outages = asyncio.create_task(_crash_all_twice(fleet))
+        self.addCleanup(outages.cancel)
+        await self._drive(fleet, gateways, 4000)
+        for server in fleet.servers:
+            server.service_ms = 50
+        # Each of the two gateways may try it once in 20 s.
+        since_ms = await self._drive(fleet, gateways, 25_000)
+        served = fleet.served_share(since_ms + 21_000)
+        self.assertGreater(served, _SERVED_FRACTION)
+
+    async def _drive(
+        self, fleet: CrashingFleet, gateways: list[RunningGateway], for_ms: int
+    ) -> int:
+        return await self.drive_contents(
+            fleet, gateways, (make_sound_content, 100), for_ms=for_ms
+        )
+
+
+async def _crash_all_twice(fleet: CrashingFleet) -> None:
+    for wait_ms in (500, 1500):
+        await fleet.clock.sleep(wait_ms)
+        for server in fleet.servers:
+            server.crash()
+
+
 def make_sound_content(number: int) -> Content:
     """Return a request that shares all parts but its last one."""
     shared = f's{number % _SHARED_PARTS}'
--- a/seampond/gateway/wiring.py
+++ b/seampond/gateway/wiring.py
@@ -198,7 +198,7 @@
     connection_loans.on_borrowed = scheduler.process_queue
     scheduler.on_waiting = connection_loans.request
     quarantine = make_quarantine(
-        backends, store_clock, is_heartbeat_due.set, metrics, clock
+        backends, peers, store_clock, is_heartbeat_due.set, metrics, clock
     )
     configuration_follower = ConfigurationFollower(
         configuration_state, promises, metrics, clock
--- a/seampond/quarantine/quarantine.py
+++ b/seampond/quarantine/quarantine.py
@@ -14,7 +14,7 @@
 from seampond.quarantine.models import CrashReport
 from seampond.quarantine.outcomes import RunOutcomes
 from seampond.quarantine.suspects import QUARANTINE_CRASHES, Suspects
-from seampond.quarantine.trials import Trials
+from seampond.quarantine.trials import LocalTrials, Trials
 
 # How long a request waits for one that is active alone, as a part of the
 # target.
@@ -59,6 +59,7 @@
         self,
         suspects: Suspects,
         trials: Trials,
+        local_trials: LocalTrials,
         hash_name: Callable[[str], int],
         notify_peers: Callable[[], None],
         count_trial: Callable[[str], None],
@@ -67,6 +68,7 @@
         """Start without active requests."""
         self.suspects = suspects
         self.trials = trials
+        self._local_trials = local_trials
         self._notify_peers = notify_peers
         self._count_trial = count_trial
         self._clock = clock
@@ -109,7 +111,8 @@
         if self.may_send(job):
             return
         tried = self._select_tried(job)
-        if self.trials.wait_ms(tried) != 0 and not self._active[tried]:
+        may_try = self.trials.wait_ms(tried) == 0 or self._is_local_due(tried)
+        if not may_try and not self._active[tried]:
             raise self._refuse(job)
 
     @asynccontextmanager
@@ -140,6 +143,7 @@
         """Apply the crashes and successes in another gateway's heartbeat."""
         self.suspects.apply_reports(crashes, successes)
         self.trials.forget(successes)
+        self._local_trials.forget(successes)
 
     def _is_quarantined(self, fingerprint: int) -> bool:
         crash_count = self.suspects.count_crashes(fingerprint)
@@ -206,6 +210,7 @@
     def _lift(self, fingerprint: int) -> None:
         """Lift the quarantine of a fingerprint."""
         self._notify_peers()
+        self._local_trials.forget((fingerprint,))
         _logger.info(
             'request released from quarantine',
             extra={'fingerprint': format_fingerprint(fingerprint)},
@@ -250,9 +255,19 @@
         is_suspect = self._count_crashes(fingerprint) > 0
         return is_suspect or self._is_quarantined(fingerprint)
 
+    def _is_local_due(self, fingerprint: int) -> bool:
+        """Return True if a trial is due without the store."""
+        return (
+            self.trials.is_store_unreachable
+            and self.suspects.has_succeeded(fingerprint)
+            and self._local_trials.is_due(fingerprint)
+        )
+
     async def _claim_trial(self, job: Job) -> None:
         tried = self._select_tried(job)
-        is_claimed = await self.trials.claim(tried)
+        is_claimed = await self.trials.claim(tried) or (
+            self._is_local_due(tried) and self._local_trials.claim(tried)
+        )
         self._count_trial('given' if is_claimed else 'refused')
         if not is_claimed:
             raise self._refuse(job)
--- a/seampond/quarantine/suspects.py
+++ b/seampond/quarantine/suspects.py
@@ -6,7 +6,7 @@
 
 import itertools
 from collections import OrderedDict
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 
 from seampond.clock import MS_PER_DAY, MS_PER_MINUTE, Clock
@@ -18,9 +18,10 @@
 # A success at most this long before a crash counts in favor of a request.
 _RECENT_SUCCESS_MS = 10_000
 _SUCCESSES_MAX = 8192
-# How long crashes and cleared requests are repeated in heartbeats.
-_REPORT_MS = 5000
+# In how many heartbeats crashes and cleared requests are reported.
+_REPORT_HEARTBEATS = 3
 _REPORTS_MAX = 64
+_DEFAULT_HEARTBEAT_MS = 300
 _CRASHES_PER_SUSPECT = 4
 _SUSPECTS_MAX = 1024
 _CLEARED_MAX = 1024
@@ -29,6 +30,11 @@
 _QUARANTINED_TTL_MS = MS_PER_DAY
 
 
+def _default_heartbeat_ms() -> float:
+    """Return the interval of heartbeats of a few gateways."""
+    return _DEFAULT_HEARTBEAT_MS
+
+
 @dataclass(slots=True)
 class Suspect:
     """A request that a server crashed under since its last success.
@@ -94,6 +100,11 @@
     Crashes are merged as a set and successes by the latest, so reports may
     arrive in any order, repeatedly and from any gateway.
 
+    Parameters
+    ----------
+    heartbeat_ms : Callable[[], float]
+        Returns the interval of regular heartbeats.
+
     Examples
     --------
     >>> suspects = Suspects(Clock(lambda: 0))
@@ -109,13 +120,20 @@
 
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        heartbeat_ms: Callable[[], float] = _default_heartbeat_ms,
+    ) -> None:
         """Start without suspects."""
         self._clock = clock
+        self._heartbeat_ms = heartbeat_ms
         self._suspects: dict[int, Suspect] = {}
         # Time of the last success by request, the latest at the end.
         self._success_ms: OrderedDict[int, int] = OrderedDict()
         self._cleared_ms: dict[int, int] = {}
+        # Those of them that this gateway has cleared.
+        self._own_cleared_ms: dict[int, int] = {}
         self._next_cleanup_ms = 0
 
     def __len__(self) -> int:
@@ -165,6 +183,8 @@
         if request not in self._suspects:
             return False
         self._record_cleared(request, at_ms)
+        self._own_cleared_ms.pop(request, None)
+        self._own_cleared_ms[request] = at_ms
         return self._clear(request, at_ms)
 
     def list_crash_reports(self) -> list[CrashReport]:
@@ -177,6 +197,7 @@
         reported for a while by the gateway that observed them.
         """
         now_ms = self._clock.now()
+        report_ms = _REPORT_HEARTBEATS * self._heartbeat_ms()
         by_crash_count = sorted(
             self._suspects.items(),
             key=lambda entry: entry[1].crash_count,
@@ -195,22 +216,24 @@
             if suspect.crash_count >= QUARANTINE_CRASHES
             or (
                 crash.incarnation in suspect.observed
-                and now_ms - crash.at_ms < _REPORT_MS
+                and now_ms - crash.at_ms < report_ms
             )
         ]
         return reports[:_REPORTS_MAX]
 
     def list_cleared(self) -> dict[int, int]:
-        """Return the age of the success of recently cleared requests."""
+        """Return the age of the success of requests cleared here."""
         now_ms = self._clock.now()
+        oldest_ms = now_ms - _REPORT_HEARTBEATS * self._heartbeat_ms()
+        self._own_cleared_ms = {
+            request: at_ms
+            for request, at_ms in self._own_cleared_ms.items()
+            if at_ms > oldest_ms
+        }
         latest = itertools.islice(
-            reversed(self._cleared_ms.items()), _REPORTS_MAX
+            reversed(self._own_cleared_ms.items()), _REPORTS_MAX
         )
-        return {
-            request: now_ms - at_ms
-            for request, at_ms in latest
-            if now_ms - at_ms < _REPORT_MS
-        }
+        return {request: now_ms - at_ms for request, at_ms in latest}
 
     def apply_reports(
         self, crashes: Iterable[CrashReport], successes: Mapping[int, int]
--- a/seampond/quarantine/tests/test_suspects.py
+++ b/seampond/quarantine/tests/test_suspects.py
@@ -43,6 +43,21 @@
         self.suspects.apply_reports(late, {})
         self.assertEqual(self.suspects.count_crashes(_REQUEST), 0)
 
+    def test_gateways_repeat_what_others_have_cleared(self) -> None:
+        """Only the gateway that had the success reports it, for a while."""
+        self.suspects.record_crash(_REQUEST, 1, self.clock.now())
+        other = Suspects(self.clock)
+        other.apply_reports(self.suspects.list_crash_reports(), {})
+        self.clock.advance(100)
+        self.suspects.record_success(_REQUEST, self.clock.now())
+        cleared = self.suspects.list_cleared()
+        self.assertEqual(cleared, {_REQUEST: 0})
+        other.apply_reports([], cleared)
+        self.assertEqual(other.count_crashes(_REQUEST), 0)
+        self.assertEqual(other.list_cleared(), {})
+        self.clock.advance(1000)
+        self.assertEqual(self.suspects.list_cleared(), {})
+
     def test_simultaneous_crashes_count_once(self) -> None:
         """Guards against quarantine of a good request by a power failure."""
         self.suspects.record_success(_REQUEST, self.clock.now())
--- a/seampond/quarantine/trials.py
+++ b/seampond/quarantine/trials.py
@@ -7,7 +7,8 @@
 
 import asyncio
 import logging
-from collections.abc import Iterable, Mapping
+import random
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import replace
 from typing import Protocol
 
@@ -28,6 +29,68 @@
 _logger = logging.getLogger(__name__)
 
 
+class LocalTrials:
+    """Trials while the store is unreachable.
+
+    Explanation
+    -----------
+    Only for requests that have succeeded before: all servers may have crashed
+    twice under a part that all requests share.  Each gateway begins at a
+    random time, so that one of all tries soon, and its success clears the
+    request everywhere.
+
+    Parameters
+    ----------
+    count_gateways : Callable[[], int]
+        Returns the number of gateways that may be running.
+
+    Examples
+    --------
+    >>> trials = LocalTrials(lambda: 1, Clock(lambda: 0), random.Random(1))
+    >>> trials.claim(7)
+    False
+
+    """
+
+    def __init__(
+        self,
+        count_gateways: Callable[[], int],
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        """Start without trials."""
+        self._count_gateways = count_gateways
+        self._clock = clock
+        self._rng = rng
+        self._due_ms: dict[int, float] = {}
+
+    def is_due(self, request: int) -> bool:
+        """Return True if a trial of a request is due."""
+        now_ms = self._clock.now()
+        if request not in self._due_ms:
+            if len(self._due_ms) >= _ROWS_MAX:
+                self._due_ms.pop(next(iter(self._due_ms)))
+            self._due_ms[request] = (
+                now_ms + self._rng.random() * self._pause_ms()
+            )
+        return now_ms >= self._due_ms[request]
+
+    def claim(self, request: int) -> bool:
+        """Claim a trial of a request; return whether one is due."""
+        if not self.is_due(request):
+            return False
+        self._due_ms[request] = self._clock.now() + self._pause_ms()
+        return True
+
+    def forget(self, requests: Iterable[int]) -> None:
+        """Forget requests that have been cleared."""
+        for request in requests:
+            self._due_ms.pop(request, None)
+
+    def _pause_ms(self) -> int:
+        return TRIAL_PAUSES_MS[1] * self._count_gateways()
+
+
 class TrialTable(Protocol):
     """The store's table of trials, with rows by fingerprint."""
 
@@ -73,6 +136,11 @@
         self._failed_until_ms = 0
         self._lock = asyncio.Lock()
 
+    @property
+    def is_store_unreachable(self) -> bool:
+        """Whether the last call failed, a short time ago."""
+        return self.table is None or self._clock.now() < self._failed_until_ms
+
     def is_quarantined(self, request: int) -> bool:
         """Return True if the store is known to hold a row for a request."""
         return request in self._rows
--- a/seampond/testing/gateways.py
+++ b/seampond/testing/gateways.py
@@ -1,6 +1,7 @@
 """Builders for gateway tests."""
 
 import asyncio
+import random
 from collections.abc import Iterable
 from typing import Any
 
@@ -24,7 +25,7 @@
 from seampond.metrics.gateway import GatewayMetrics
 from seampond.quarantine.quarantine import Quarantine
 from seampond.quarantine.suspects import Suspects
-from seampond.quarantine.trials import Trials
+from seampond.quarantine.trials import LocalTrials, Trials
 from seampond.sharing import hash_name
 from seampond.testing.builders import build_promises
 from seampond.watches import StoreClock
@@ -159,6 +160,7 @@
     return Quarantine(
         Suspects(clock),
         Trials(StoreClock(), clock),
+        LocalTrials(lambda: 1, clock, random.Random(1)),
         hash_name,
         lambda: None,
         lambda permission: None,
