--- a/seampond/operators/explain.py
+++ b/seampond/operators/explain.py
@@ -46,6 +46,8 @@
         'over-quota': "the tenant's limit was used up",
         'overload': 'a request of a higher rank gave up, so lower ones had to',
         'servers-resting': 'each server of the pool had asked for rest',
+        'quarantined': 'servers crashed under it, or under a part of its '
+        'prompt; see `request quarantined` with its fingerprint or parts',
         'timeout': "the route's time was over after it had been sent",
         'version-gone': 'the version that began the stream no longer serves',
         'version-unknown': 'nobody knew the version that began the stream',
