A prompt part that is named twice does not fail its request

Callers that listed a part twice got their answer, and the gateway an error after it: KeyError from the count of active fingerprints, which had the part once and released it twice.

--- a/seampond/forwarding/job.py
+++ b/seampond/forwarding/job.py
@@ -29,8 +29,17 @@
 
     @property
     def shared_parts(self) -> tuple[str, ...]:
-        """Names of the parts that other requests may contain too."""
-        return tuple(name for name, _ in self.parts[:-1])
+        """Names of the parts that other requests may contain too.
+
+        Examples
+        --------
+        >>> prompt = parse_prompt(b'15,1', b'ab:5,cd:5,ab:5,ef:5')
+        >>> prompt.shared_parts
+        ('ab', 'cd')
+
+        """
+        shared = dict(self.parts[:-1])
+        return tuple(shared)
 
     @property
     def total(self) -> int:
--- a/seampond/quarantine/quarantine.py
+++ b/seampond/quarantine/quarantine.py
@@ -225,7 +225,7 @@
         self._active.subtract(job.fingerprints)
         for fingerprint in job.fingerprints:
             if not self._active[fingerprint]:
-                self._active.pop(fingerprint)
+                self._active.pop(fingerprint, None)
         # Wakes the waiters; later ones wait on a new event.
         self._active_ended.set()
         self._active_ended = asyncio.Event()
