Quarantine: names say fingerprint where parts are meant too

Suspects, trials and their rows are of whole requests and of prompt parts, so their parameters are fingerprints; trials without the store get a module of their own. No behaviour changes.

--- a/seampond/gateway/quarantine.py
+++ b/seampond/gateway/quarantine.py
@@ -9,9 +9,10 @@
 from seampond.forwarding.server_checks import ServerChecks
 from seampond.metrics.gateway import GatewayMetrics
 from seampond.platform import HEADERS
+from seampond.quarantine.local_trials import LocalTrials
 from seampond.quarantine.quarantine import Quarantine
 from seampond.quarantine.suspects import Suspects
-from seampond.quarantine.trials import LocalTrials, Trials
+from seampond.quarantine.trials import Trials
 from seampond.sharing import Peers, hash_name
 from seampond.watches import StoreClock
 
--- a/seampond/platform/quarantine.py
+++ b/seampond/platform/quarantine.py
@@ -50,17 +50,17 @@
                 )
         return rows
 
-    async def write_trial(self, request: int, row: TrialRow) -> None:
+    async def write_trial(self, fingerprint: int, row: TrialRow) -> None:
         """Write a row if the stored one still has its version."""
-        name = (names.QUARANTINE_TABLE, format_fingerprint(request))
+        name = (names.QUARANTINE_TABLE, format_fingerprint(fingerprint))
         content = msgspec.json.encode(_Trial(row.trials, row.at_ms))
         await self._table.commit(
             RowTransaction({name: row.version}, {name: content})
         )
 
-    async def drop_trial(self, request: int, version: int) -> None:
+    async def drop_trial(self, fingerprint: int, version: int) -> None:
         """Remove a row if it still has this version."""
-        await self._table.remove(format_fingerprint(request), version)
+        await self._table.remove(format_fingerprint(fingerprint), version)
 
 
 def _parse(row: Row) -> TrialRow:
--- a/seampond/quarantine/models.py
+++ b/seampond/quarantine/models.py
@@ -5,14 +5,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Crash:
-    """A crash of a server while a request ran on it.
+    """A crash of a server while a request with a fingerprint ran on it.
 
     Parameters
     ----------
     incarnation : int
         Key of the server incarnation.
     started_ms : int
-        When the request was sent to the server.
+        When the fingerprint was sent to the server.
     at_ms : int
         When the crash was observed.
 
@@ -29,14 +29,14 @@
 
     Parameters
     ----------
-    request : int
-        Fingerprint of the request.
+    fingerprint : int
+        Fingerprint of the fingerprint.
     had_success : bool
-        Whether the request succeeded shortly before.
+        Whether the fingerprint succeeded shortly before.
 
     """
 
-    request: int
+    fingerprint: int
     incarnation: int
     run_age_ms: int
     crash_age_ms: int
@@ -45,7 +45,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TrialRow:
-    """The store's row on the trials of a quarantined request.
+    """The store's row on the trials of a quarantined fingerprint.
 
     Parameters
     ----------
--- a/seampond/quarantine/quarantine.py
+++ b/seampond/quarantine/quarantine.py
@@ -11,10 +11,11 @@
 from seampond.forwarding.refusals import Cause, Refusal
 from seampond.quarantine.fingerprints import format_fingerprint
 from seampond.quarantine.interrupted import InterruptedRun
+from seampond.quarantine.local_trials import LocalTrials
 from seampond.quarantine.models import CrashReport
 from seampond.quarantine.outcomes import RunOutcomes
 from seampond.quarantine.suspects import QUARANTINE_CRASHES, Suspects
-from seampond.quarantine.trials import LocalTrials, Trials
+from seampond.quarantine.trials import Trials
 
 # How long a request waits for one that is active alone, as a part of the
 # target.
--- a/seampond/quarantine/suspects.py
+++ b/seampond/quarantine/suspects.py
@@ -12,10 +12,10 @@
 from seampond.clock import MS_PER_DAY, MS_PER_MINUTE, Clock
 from seampond.quarantine.models import Crash, CrashReport
 
-# Number of crashes that quarantine a request.  A single crash also interrupts
-# harmless requests.
+# Number of crashes that quarantine a fingerprint.  A single crash also
+# interrupts harmless requests.
 QUARANTINE_CRASHES = 2
-# A success at most this long before a crash counts in favor of a request.
+# A success at most this long before a crash counts in favor of a fingerprint.
 _RECENT_SUCCESS_MS = 10_000
 _SUCCESSES_MAX = 8192
 # In how many heartbeats crashes and cleared requests are reported.
@@ -37,7 +37,7 @@
 
 @dataclass(slots=True)
 class Suspect:
-    """A request that a server crashed under since its last success.
+    """A fingerprint that a server crashed under since its last success.
 
     Parameters
     ----------
@@ -46,7 +46,7 @@
     observed : set[int]
         Incarnations whose crash this gateway observed itself.
     had_success : bool
-        Whether the request succeeded shortly before a crash.
+        Whether the fingerprint succeeded shortly before a crash.
 
     """
 
@@ -56,13 +56,13 @@
 
     @property
     def crash_count(self) -> int:
-        """Number of crashes that count against the request.
+        """Number of crashes that count against the fingerprint.
 
         Explanation
         -----------
-        For a request that had succeeded, crashes of concurrent runs count
+        For a fingerprint that had succeeded, crashes of concurrent runs count
         once: a power failure of a hall crashes many servers at once under a
-        popular request.
+        popular fingerprint.
         """
         if not self.had_success:
             return len(self.crashes)
@@ -129,7 +129,7 @@
         self._clock = clock
         self._heartbeat_ms = heartbeat_ms
         self._suspects: dict[int, Suspect] = {}
-        # Time of the last success by request, the latest at the end.
+        # Time of the last success by fingerprint, the latest at the end.
         self._success_ms: OrderedDict[int, int] = OrderedDict()
         self._cleared_ms: dict[int, int] = {}
         # Those of them that this gateway has cleared.
@@ -140,52 +140,54 @@
         """Return the number of suspects."""
         return len(self._suspects)
 
-    def count_crashes(self, request: int) -> int:
-        """Return how many crashes count against a request."""
-        suspect = self._suspects.get(request)
+    def count_crashes(self, fingerprint: int) -> int:
+        """Return how many crashes count against a fingerprint."""
+        suspect = self._suspects.get(fingerprint)
         return suspect.crash_count if suspect else 0
 
-    def had_success(self, request: int) -> bool:
-        """Return True if a request succeeded shortly before a crash."""
-        suspect = self._suspects.get(request)
+    def had_success(self, fingerprint: int) -> bool:
+        """Return True if a fingerprint succeeded shortly before a crash."""
+        suspect = self._suspects.get(fingerprint)
         return suspect is not None and suspect.had_success
 
-    def had_recent_success(self, request: int) -> bool:
-        """Return True if a request succeeded recently."""
-        success_ms = self._success_ms.get(request)
+    def had_recent_success(self, fingerprint: int) -> bool:
+        """Return True if a fingerprint succeeded recently."""
+        success_ms = self._success_ms.get(fingerprint)
         if success_ms is None:
             return False
         return self._clock.now() - success_ms <= _RECENT_SUCCESS_MS
 
-    def has_succeeded(self, request: int) -> bool:
-        """Return True if any success of a request is known."""
-        return request in self._success_ms or self.had_success(request)
+    def has_succeeded(self, fingerprint: int) -> bool:
+        """Return True if any success of a fingerprint is known."""
+        return fingerprint in self._success_ms or self.had_success(fingerprint)
 
     def record_crash(
-        self, request: int, incarnation: int, started_ms: int
+        self, fingerprint: int, incarnation: int, started_ms: int
     ) -> None:
-        """Record that a server crashed under a request of this gateway."""
+        """Record that a server crashed under a fingerprint of this gateway."""
         crash = Crash(incarnation, started_ms, self._clock.now())
-        self._add(request, crash, had_success=self.had_recent_success(request))
-        suspect = self._suspects.get(request)
+        self._add(
+            fingerprint, crash, had_success=self.had_recent_success(fingerprint)
+        )
+        suspect = self._suspects.get(fingerprint)
         if suspect is not None:
             suspect.observed.add(incarnation)
             suspect.observed.intersection_update(suspect.crashes)
         self._remove_expired()
 
-    def record_success(self, request: int, at_ms: int) -> bool:
-        """Record a success; return True if it clears the request."""
-        known_ms = self._success_ms.get(request, at_ms)
-        self._success_ms[request] = max(at_ms, known_ms)
-        self._success_ms.move_to_end(request)
+    def record_success(self, fingerprint: int, at_ms: int) -> bool:
+        """Record a success; return True if it clears the fingerprint."""
+        known_ms = self._success_ms.get(fingerprint, at_ms)
+        self._success_ms[fingerprint] = max(at_ms, known_ms)
+        self._success_ms.move_to_end(fingerprint)
         if len(self._success_ms) > _SUCCESSES_MAX:
             self._success_ms.popitem(last=False)
-        if request not in self._suspects:
+        if fingerprint not in self._suspects:
             return False
-        self._record_cleared(request, at_ms)
-        self._own_cleared_ms.pop(request, None)
-        self._own_cleared_ms[request] = at_ms
-        return self._clear(request, at_ms)
+        self._record_cleared(fingerprint, at_ms)
+        self._own_cleared_ms.pop(fingerprint, None)
+        self._own_cleared_ms[fingerprint] = at_ms
+        return self._clear(fingerprint, at_ms)
 
     def list_crash_reports(self) -> list[CrashReport]:
         """Return the crashes to report in the next heartbeat.
@@ -205,13 +207,13 @@
         )
         reports = [
             CrashReport(
-                request,
+                fingerprint,
                 crash.incarnation,
                 max(0, now_ms - crash.started_ms),
                 max(0, now_ms - crash.at_ms),
                 suspect.had_success,
             )
-            for request, suspect in by_crash_count
+            for fingerprint, suspect in by_crash_count
             for crash in suspect.crashes.values()
             if suspect.crash_count >= QUARANTINE_CRASHES
             or (
@@ -226,14 +228,14 @@
         now_ms = self._clock.now()
         oldest_ms = now_ms - _REPORT_HEARTBEATS * self._heartbeat_ms()
         self._own_cleared_ms = {
-            request: at_ms
-            for request, at_ms in self._own_cleared_ms.items()
+            fingerprint: at_ms
+            for fingerprint, at_ms in self._own_cleared_ms.items()
             if at_ms > oldest_ms
         }
         latest = itertools.islice(
             reversed(self._own_cleared_ms.items()), _REPORTS_MAX
         )
-        return {request: now_ms - at_ms for request, at_ms in latest}
+        return {fingerprint: now_ms - at_ms for fingerprint, at_ms in latest}
 
     def apply_reports(
         self, crashes: Iterable[CrashReport], successes: Mapping[int, int]
@@ -246,20 +248,22 @@
                 now_ms - report.run_age_ms,
                 now_ms - report.crash_age_ms,
             )
-            self._add(report.request, crash, had_success=report.had_success)
-        for request, age_ms in successes.items():
-            self._record_cleared(request, now_ms - age_ms)
-            self._clear(request, now_ms - age_ms)
+            self._add(report.fingerprint, crash, had_success=report.had_success)
+        for fingerprint, age_ms in successes.items():
+            self._record_cleared(fingerprint, now_ms - age_ms)
+            self._clear(fingerprint, now_ms - age_ms)
         self._remove_expired()
 
-    def _add(self, request: int, crash: Crash, *, had_success: bool) -> None:
+    def _add(
+        self, fingerprint: int, crash: Crash, *, had_success: bool
+    ) -> None:
         success_ms = max(
-            self._success_ms.get(request, crash.at_ms - 1),
-            self._cleared_ms.get(request, crash.at_ms - 1),
+            self._success_ms.get(fingerprint, crash.at_ms - 1),
+            self._cleared_ms.get(fingerprint, crash.at_ms - 1),
         )
         if success_ms >= crash.at_ms:
             return
-        suspect = self._suspects.setdefault(request, Suspect())
+        suspect = self._suspects.setdefault(fingerprint, Suspect())
         suspect.had_success = suspect.had_success or had_success
         known = suspect.crashes.get(crash.incarnation)
         if known is None or crash.at_ms < known.at_ms:
@@ -267,16 +271,16 @@
         if len(suspect.crashes) > _CRASHES_PER_SUSPECT:
             suspect.drop_redundant()
 
-    def _record_cleared(self, request: int, success_ms: int) -> None:
+    def _record_cleared(self, fingerprint: int, success_ms: int) -> None:
         """Record a success, since an earlier crash may be reported late."""
-        known_ms = self._cleared_ms.pop(request, success_ms)
-        self._cleared_ms[request] = max(known_ms, success_ms)
+        known_ms = self._cleared_ms.pop(fingerprint, success_ms)
+        self._cleared_ms[fingerprint] = max(known_ms, success_ms)
         if len(self._cleared_ms) > _CLEARED_MAX:
             self._cleared_ms.pop(next(iter(self._cleared_ms)))
 
-    def _clear(self, request: int, success_ms: int) -> bool:
+    def _clear(self, fingerprint: int, success_ms: int) -> bool:
         """Drop crashes before a success; return True if none are left."""
-        suspect = self._suspects.get(request)
+        suspect = self._suspects.get(fingerprint)
         if suspect is None:
             return False
         suspect.crashes = {
@@ -286,7 +290,7 @@
         }
         if suspect.crashes:
             return False
-        self._suspects.pop(request)
+        self._suspects.pop(fingerprint)
         return True
 
     def _remove_expired(self) -> None:
@@ -295,16 +299,16 @@
         if now_ms < self._next_cleanup_ms:
             return
         self._next_cleanup_ms = now_ms + _CLEANUP_INTERVAL_MS
-        for request, suspect in list(self._suspects.items()):
+        for fingerprint, suspect in list(self._suspects.items()):
             is_quarantined = suspect.crash_count >= QUARANTINE_CRASHES
             ttl_ms = _QUARANTINED_TTL_MS if is_quarantined else _SUSPECT_TTL_MS
             if now_ms - suspect.last_crash_ms > ttl_ms:
-                self._suspects.pop(request)
+                self._suspects.pop(fingerprint)
         excess = len(self._suspects) - _SUSPECTS_MAX
         if excess > 0:
             by_crash_count = sorted(
                 self._suspects,
                 key=lambda key: self._suspects[key].crash_count,
             )
-            for request in by_crash_count[:excess]:
-                self._suspects.pop(request)
+            for fingerprint in by_crash_count[:excess]:
+                self._suspects.pop(fingerprint)
--- a/seampond/quarantine/tests/test_suspects.py
+++ b/seampond/quarantine/tests/test_suspects.py
@@ -37,7 +37,9 @@
             self.suspects.record_success(_REQUEST, self.clock.now())
         )
         late = [
-            CrashReport(crash.request, crash.incarnation, crash.run_age_ms, 900)
+            CrashReport(
+                crash.fingerprint, crash.incarnation, crash.run_age_ms, 900
+            )
             for crash in reports
         ]
         self.suspects.apply_reports(late, {})
--- a/seampond/quarantine/trials.py
+++ b/seampond/quarantine/trials.py
@@ -7,8 +7,7 @@
 
 import asyncio
 import logging
-import random
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import replace
 from typing import Protocol
 
@@ -29,68 +28,6 @@
 _logger = logging.getLogger(__name__)
 
 
-class LocalTrials:
-    """Trials while the store is unreachable.
-
-    Explanation
-    -----------
-    Only for requests that have succeeded before: all servers may have crashed
-    twice under a part that all requests share.  Each gateway begins at a
-    random time, so that one of all tries soon, and its success clears the
-    request everywhere.
-
-    Parameters
-    ----------
-    count_gateways : Callable[[], int]
-        Returns the number of gateways that may be running.
-
-    Examples
-    --------
-    >>> trials = LocalTrials(lambda: 1, Clock(lambda: 0), random.Random(1))
-    >>> trials.claim(7)
-    False
-
-    """
-
-    def __init__(
-        self,
-        count_gateways: Callable[[], int],
-        clock: Clock,
-        rng: random.Random,
-    ) -> None:
-        """Start without trials."""
-        self._count_gateways = count_gateways
-        self._clock = clock
-        self._rng = rng
-        self._due_ms: dict[int, float] = {}
-
-    def is_due(self, request: int) -> bool:
-        """Return True if a trial of a request is due."""
-        now_ms = self._clock.now()
-        if request not in self._due_ms:
-            if len(self._due_ms) >= _ROWS_MAX:
-                self._due_ms.pop(next(iter(self._due_ms)))
-            self._due_ms[request] = (
-                now_ms + self._rng.random() * self._pause_ms()
-            )
-        return now_ms >= self._due_ms[request]
-
-    def claim(self, request: int) -> bool:
-        """Claim a trial of a request; return whether one is due."""
-        if not self.is_due(request):
-            return False
-        self._due_ms[request] = self._clock.now() + self._pause_ms()
-        return True
-
-    def forget(self, requests: Iterable[int]) -> None:
-        """Forget requests that have been cleared."""
-        for request in requests:
-            self._due_ms.pop(request, None)
-
-    def _pause_ms(self) -> int:
-        return TRIAL_PAUSES_MS[1] * self._count_gateways()
-
-
 class TrialTable(Protocol):
     """The store's table of trials, with rows by fingerprint."""
 
@@ -101,10 +38,10 @@
     async def read_trials(self) -> Mapping[int, TrialRow]:
         """Read all rows."""
 
-    async def write_trial(self, request: int, row: TrialRow) -> None:
+    async def write_trial(self, fingerprint: int, row: TrialRow) -> None:
         """Write a row if the stored one has the same version."""
 
-    async def drop_trial(self, request: int, version: int) -> None:
+    async def drop_trial(self, fingerprint: int, version: int) -> None:
         """Remove a row if it has this version."""
 
 
@@ -141,16 +78,16 @@
         """Whether the last call failed, a short time ago."""
         return self.table is None or self._clock.now() < self._failed_until_ms
 
-    def is_quarantined(self, request: int) -> bool:
-        """Return True if the store is known to hold a row for a request."""
-        return request in self._rows
+    def is_quarantined(self, fingerprint: int) -> bool:
+        """Return True if the store is known to hold a row for a fingerprint."""
+        return fingerprint in self._rows
 
-    def wait_ms(self, request: int) -> int | None:
+    def wait_ms(self, fingerprint: int) -> int | None:
         """Return the time until the next trial, None if none is left."""
         now_ms = self._clock.now()
-        if request in self._claimed:
+        if fingerprint in self._claimed:
             return _FAILURE_PAUSE_MS
-        row = self._row(request)
+        row = self._row(fingerprint)
         if row.trials >= len(TRIAL_PAUSES_MS):
             return None
         if not row.trials:
@@ -159,38 +96,38 @@
         due_ms += TRIAL_PAUSES_MS[row.trials]
         return max(0, due_ms - now_ms, self._failed_until_ms - now_ms)
 
-    async def claim(self, request: int) -> bool:
+    async def claim(self, fingerprint: int) -> bool:
         """Claim a trial for this gateway; return True if it succeeds."""
-        if self.table is None or self.wait_ms(request) != 0:
+        if self.table is None or self.wait_ms(fingerprint) != 0:
             return False
-        self._claimed.add(request)
+        self._claimed.add(fingerprint)
         try:
             async with self._lock:
-                return await self._write(self.table, request)
+                return await self._write(self.table, fingerprint)
         finally:
-            self._claimed.discard(request)
+            self._claimed.discard(fingerprint)
 
-    async def drop(self, request: int) -> None:
-        """Lift the quarantine of a request after a success."""
-        row = self._rows.pop(request, None)
+    async def drop(self, fingerprint: int) -> None:
+        """Lift the quarantine of a fingerprint after a success."""
+        row = self._rows.pop(fingerprint, None)
         if row is None or self.table is None:
             return
         try:
             async with self._lock:
-                await self.table.drop_trial(request, row.version)
+                await self.table.drop_trial(fingerprint, row.version)
         except PlatformError as error:
             _logger.warning(
                 'quarantine not lifted in the store',
                 extra={
-                    'fingerprint': format_fingerprint(request),
+                    'fingerprint': format_fingerprint(fingerprint),
                     'reason': error.message,
                 },
             )
 
     def forget(self, requests: Iterable[int]) -> None:
         """Drop the known rows of requests that other gateways cleared."""
-        for request in requests:
-            self._rows.pop(request, None)
+        for fingerprint in requests:
+            self._rows.pop(fingerprint, None)
 
     async def read(self) -> None:
         """Read the table from the store.
@@ -219,56 +156,56 @@
         The next trial writes its row again.
         """
         lost: dict[int, TrialRow] = {}
-        for request, known in self._rows.items():
-            stored = rows.get(request, TrialRow())
+        for fingerprint, known in self._rows.items():
+            stored = rows.get(fingerprint, TrialRow())
             if era_of(known.version) < era and stored.trials < known.trials:
-                lost[request] = replace(known, version=stored.version)
+                lost[fingerprint] = replace(known, version=stored.version)
         return lost
 
-    def _row(self, request: int) -> TrialRow:
-        """Return the known row of a request, with no trials after a day.
+    def _row(self, fingerprint: int) -> TrialRow:
+        """Return the known row of a fingerprint, with no trials after a day.
 
         Explanation
         -----------
         Rows of the store do not expire, while the fault that caused the
         crashes may have been fixed.
         """
-        row = self._rows.get(request, TrialRow())
+        row = self._rows.get(fingerprint, TrialRow())
         if not row.trials:
             return row
         age_ms = self._clock.now() - self._store_clock.to_local_ms(row.at_ms)
         return TrialRow(version=row.version) if age_ms > MS_PER_DAY else row
 
-    async def _write(self, table: TrialTable, request: int) -> bool:
-        known = self._row(request)
+    async def _write(self, table: TrialTable, fingerprint: int) -> bool:
+        known = self._row(fingerprint)
         at_ms = self._store_clock.to_store_ms(self._clock.now())
         try:
             await table.write_trial(
-                request, TrialRow(known.trials + 1, at_ms, known.version)
+                fingerprint, TrialRow(known.trials + 1, at_ms, known.version)
             )
         except ConflictError:
-            await self._refresh(request)
+            await self._refresh(fingerprint)
             return False
         except PlatformError as error:
-            self._record_failure(request, error)
+            self._record_failure(fingerprint, error)
             return False
         # Reads the version that the store assigned.
-        await self._refresh(request)
+        await self._refresh(fingerprint)
         return True
 
-    async def _refresh(self, request: int) -> None:
+    async def _refresh(self, fingerprint: int) -> None:
         try:
             await self.read()
         except PlatformError as error:
-            self._record_failure(request, error)
+            self._record_failure(fingerprint, error)
 
-    def _record_failure(self, request: int, error: PlatformError) -> None:
+    def _record_failure(self, fingerprint: int, error: PlatformError) -> None:
         """Pause further trials, since a failed write may still be applied."""
         self._failed_until_ms = self._clock.now() + _FAILURE_PAUSE_MS
         _logger.warning(
             'trial not permitted: call to the store failed',
             extra={
-                'fingerprint': format_fingerprint(request),
+                'fingerprint': format_fingerprint(fingerprint),
                 'reason': error.message,
             },
         )
--- a/seampond/sharing/heartbeats.py
+++ b/seampond/sharing/heartbeats.py
@@ -274,7 +274,7 @@
         isCut=heartbeat.is_store_unreachable,
         pages=[_page_fields(page) for page in heartbeat.pages],
         rollouts=[_report_fields(report) for report in heartbeat.rollouts],
-        endRequests=[crash.request for crash in heartbeat.crashes],
+        endRequests=[crash.fingerprint for crash in heartbeat.crashes],
         endLives=[crash.incarnation for crash in heartbeat.crashes],
         endStartedAgoMs=[
             _clamp_uint32(crash.run_age_ms) for crash in heartbeat.crashes
--- a/seampond/testing/gateways.py
+++ b/seampond/testing/gateways.py
@@ -23,9 +23,10 @@
 from seampond.forwarding.scheduler import Scheduler
 from seampond.forwarding.server import Server
 from seampond.metrics.gateway import GatewayMetrics
+from seampond.quarantine.local_trials import LocalTrials
 from seampond.quarantine.quarantine import Quarantine
 from seampond.quarantine.suspects import Suspects
-from seampond.quarantine.trials import LocalTrials, Trials
+from seampond.quarantine.trials import Trials
 from seampond.sharing import hash_name
 from seampond.testing.builders import build_promises
 from seampond.watches import StoreClock
