Log how an answer ended and which events each attempt brought

Neither logs nor metrics could tell a stream that was cut between two events from a whole one, or an event that is sent twice from none. The line of a request now names for each attempt how the end of the answer was marked and its first and last event; seampond_gateway_answer_ends counts the ends.

--- a/seampond/forwarding/attempt.py
+++ b/seampond/forwarding/attempt.py
@@ -109,6 +109,10 @@
     def _record_end(self, since_ms: int) -> None:
         """Record the end of the attempt, whether it succeeded or not."""
         self.record.duration_ms = self.clock.now() - since_ms
+        splitter = self.progress.splitter
+        if splitter.first_id:
+            self.record.first_event = splitter.first_id.decode('latin-1')
+            self.record.last_event = splitter.last_id.decode('latin-1')
         self.backend.unanswered.pop(self.progress.job.request_id, None)
         self.progress.tried_servers.add(self.backend.server.id)
 
@@ -204,6 +208,7 @@
         # Only a rejection by the server can prove now that it has not run.
         job.may_have_run = True
         head = await connection.read_head()
+        self.record.end = head.end.value
         self.quarantine.runs.record_response(
             self.backend.server, connection.connected_ms
         )
--- a/seampond/forwarding/connection.py
+++ b/seampond/forwarding/connection.py
@@ -10,6 +10,7 @@
 
 from seampond.clock import MS_PER_SECOND, Clock
 from seampond.forwarding.response_head import (
+    AnswerEnd,
     AnswerSizeError,
     ExchangeError,
     ResponseHead,
@@ -18,7 +19,6 @@
 _HIGH_WATER_BYTES = 262_144
 _CONTINUE = 100
 _FIRST_FINAL_STATUS = 200
-_STATUSES_WITHOUT_BODY = (204, 304)
 _TCP_USER_TIMEOUT_MS = 3000
 _CONNECT_TIMEOUT_MS = 300
 
@@ -281,11 +281,7 @@
             # The parser expects a body of the stated length: do not reuse.
             self._is_complete = True
             self._is_broken = True
-        self.ends_at_eof = not (
-            head.has(b'content-length')
-            or head.has(b'transfer-encoding')
-            or head.status in _STATUSES_WITHOUT_BODY
-        )
+        self.ends_at_eof = head.end is AnswerEnd.connection
 
     def on_body(self, payload: bytes) -> None:
         """Store a chunk of the body."""
--- a/seampond/forwarding/events.py
+++ b/seampond/forwarding/events.py
@@ -8,10 +8,18 @@
     """Splits a byte stream at the ends of events.
 
     Only whole events are relayed, so that a broken stream can be resumed.
+
+    Attributes
+    ----------
+    first_id, last_id : bytes
+        Ids of the first event of the current run and of the last event of
+        all runs.
+
     """
 
     def __init__(self) -> None:
         """Initialize an empty splitter."""
+        self.first_id = b''
         self.last_id = b''
         self.remainder = b''
 
@@ -24,15 +32,20 @@
             return b''
         events = buffered[: end + len(_EVENT_END)]
         self.remainder = buffered[end + len(_EVENT_END) :]
-        self._record_last_id(events)
+        self._record_ids(events)
         return events
 
     def restart(self) -> None:
-        """Discard an incomplete event."""
+        """Begin another run; discard an incomplete event."""
+        self.first_id = b''
         self.remainder = b''
 
-    def _record_last_id(self, events: bytes) -> None:
-        for line in reversed(events.splitlines()):
-            if line.startswith(_ID_FIELD):
-                self.last_id = line[len(_ID_FIELD) :].strip()
-                return
+    def _record_ids(self, events: bytes) -> None:
+        ids = [
+            line[len(_ID_FIELD) :].strip()
+            for line in events.splitlines()
+            if line.startswith(_ID_FIELD)
+        ]
+        if ids:
+            self.first_id = self.first_id or ids[0]
+            self.last_id = ids[-1]
--- a/seampond/forwarding/forwarder.py
+++ b/seampond/forwarding/forwarder.py
@@ -76,6 +76,11 @@
         """Initialize the forwarder."""
         self._context = context
         self._clock = context.clock
+        self._answer_ends = context.metrics.count(
+            'seampond_gateway_answer_ends',
+            'Answers of servers by how their end was marked.',
+            'end',
+        )
 
     @property
     def waiting(self) -> int:
@@ -150,6 +155,8 @@
             try:
                 return await attempt.run()
             finally:
+                if attempt.record.end:
+                    self._answer_ends.labels(attempt.record.end).inc()
                 # Cancelled attempts count too: the server may not respond.
                 context.versions.record_attempt(
                     progress.job, backend, attempt.record
--- a/seampond/forwarding/progress.py
+++ b/seampond/forwarding/progress.py
@@ -73,6 +73,10 @@
         Time from the start of the attempt to its end.
     version : str
         Version of the server's software.
+    end : str
+        How the end of the answer was marked, empty without an answer.
+    first_event, last_event : str
+        Ids of the first and last event that the attempt brought.
 
     """
 
@@ -85,6 +89,9 @@
     mean_gap_ms: float = 0
     duration_ms: int = 0
     version: str = ''
+    end: str = ''
+    first_event: str = ''
+    last_event: str = ''
     outcome: str = 'open'
 
     def describe(self) -> dict[str, object]:
@@ -100,6 +107,10 @@
         }
         if self.version:
             fields['version'] = self.version
+        if self.end:
+            fields['end'] = self.end
+        if self.last_event:
+            fields['events'] = f'{self.first_event}-{self.last_event}'
         return fields
 
 
--- a/seampond/forwarding/response_head.py
+++ b/seampond/forwarding/response_head.py
@@ -1,5 +1,6 @@
 """Response heads and errors of exchanges with servers."""
 
+import enum
 from dataclasses import dataclass, field
 
 from seampond.clock import MS_PER_SECOND
@@ -8,6 +9,7 @@
 _KEEP_ALIVE_MARGIN_MS = 1200
 _DEFAULT_IDLE_MS = 4000
 _TIMEOUT_PREFIX = b'timeout='
+_STATUSES_WITHOUT_BODY = (204, 304)
 
 
 class ExchangeError(EngineError):
@@ -41,6 +43,15 @@
     """An answer is longer than allowed; its body was not read to the end."""
 
 
+@enum.unique
+class AnswerEnd(enum.Enum):
+    """How the end of an answer is marked; the value is a metric label."""
+
+    chunks = 'chunks'
+    length = 'length'
+    connection = 'connection'
+
+
 @dataclass(slots=True)
 class ResponseHead:
     """The status and headers of an answer, names in lower case."""
@@ -61,6 +72,25 @@
         declared = self.get(b'content-length')
         return int(declared) if declared.isdigit() else 0
 
+    @property
+    def end(self) -> AnswerEnd:
+        """How the end of the body is marked.
+
+        Examples
+        --------
+        >>> ResponseHead(200, [(b'transfer-encoding', b'chunked')]).end.value
+        'chunks'
+        >>> ResponseHead(200).end.value
+        'connection'
+
+        """
+        if self.has(b'transfer-encoding'):
+            return AnswerEnd.chunks
+        has_no_body = self.status in _STATUSES_WITHOUT_BODY
+        if has_no_body or self.has(b'content-length'):
+            return AnswerEnd.length
+        return AnswerEnd.connection
+
     def get(self, name: bytes, default: bytes = b'') -> bytes:
         """Return the first value of a header."""
         for header, text in self.headers:
