--- a/seampond/testing/event_server.py
+++ b/seampond/testing/event_server.py
@@ -98,9 +98,7 @@
     return event
 
 
-def _format_head(
-    framing: Framing, headers: dict[str, str], size: int
-) -> bytes:
+def _format_head(framing: Framing, headers: dict[str, str], size: int) -> bytes:
     if framing is Framing.length:
         return format_response(200, headers, length=size)
     if framing is Framing.close:
@@ -189,7 +187,15 @@
     )
     parser.add_argument('--events', type=int, default=6)
     parser.add_argument('--interval-ms', type=int, default=50)
-    plan = ServerPlan(**vars(parser.parse_args()))
+    options = parser.parse_args()
+    plan = ServerPlan(
+        options.id,
+        options.port,
+        options.framing,
+        options.resumption,
+        options.events,
+        options.interval_ms,
+    )
     asyncio.run(serve_events(plan))
 
 
--- a/seampond/testing/event_streams.py
+++ b/seampond/testing/event_streams.py
@@ -30,7 +30,8 @@
     @property
     def address(self) -> str:
         """Its address."""
-        return f'127.0.0.1:{self.plan.port}'
+        port = self.plan.port
+        return f'127.0.0.1:{port}'
 
     async def start(self) -> None:
         """Start the process and wait until it listens."""
@@ -96,7 +97,8 @@
         if self.numbers != list(range(1, len(self.numbers) + 1)):
             return f'events {self.numbers}'
         if self.is_complete and len(self.numbers) != events:
-            return f'complete after {len(self.numbers)} of {events}'
+            received = len(self.numbers)
+            return f'complete after {received} of {events}'
         return ''
 
     def record(self, event: bytes) -> None:
@@ -134,19 +136,32 @@
     address: str, stream: ReceivedStream, request_id: str
 ) -> None:
     """Ask for a stream, or for the rest of it, and record its events."""
-    host, _, port = address.rpartition(':')
     last_event = stream.numbers[-1] if stream.numbers else 0
+    request = _encode_request(request_id, last_event)
     with suppress(OSError, EOFError, TimeoutError):
         async with asyncio.timeout(_CALLER_WAIT_MS / MS_PER_SECOND):
-            reader, writer = await asyncio.open_connection(host, int(port))
-            try:
-                writer.write(_encode_request(request_id, last_event))
-                head = await reader.readuntil(_HEAD_END)
-                stream.status = int(head.split(b' ')[1])
-                if stream.status == 200:
-                    await _record_events(reader, stream)
-            finally:
-                writer.transport.abort()
+            await _exchange(address, request, stream)
+
+
+async def _exchange(
+    address: str, request: bytes, stream: ReceivedStream
+) -> None:
+    host, _, port = address.rpartition(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        writer.write(request)
+        await _record_answer(reader, stream)
+    finally:
+        writer.transport.abort()
+
+
+async def _record_answer(
+    reader: asyncio.StreamReader, stream: ReceivedStream
+) -> None:
+    head = await reader.readuntil(_HEAD_END)
+    stream.status = int(head.split(b' ')[1])
+    if stream.status == 200:
+        await _record_events(reader, stream)
 
 
 async def _record_events(
