An answer without a length is complete only if its server survives it

What callers saw: a stream that ends as complete before its last event.

Cause: an answer without a length or chunks ends with its connection, and the end of a connection was believed to be the end of the answer. The system of a process that is killed closes its connections without a reset, and a server that writes whole events is nearly always cut between two of them.

Evidence: server processes killed between two events, complete after 1, 3 and 5 of 6 events on both kinds of routes; the log names 'end': 'connection'.

Mend: after such an end the gateway connects to the server again. One that has been killed refuses, or its system closes the connection within 0.1 s; one that lives keeps it, and it serves the next request. Another connection lost in the middle of an answer at that moment, or a row of a later process, speaks against it as well. If the server is gone the attempt is in doubt: a stream that may be resumed goes on elsewhere, any other answer is retried or ends as broken. The last event is not later for this, the end is by 0.1 s; an answer that is not a stream waits a tenth of its target at most.

--- a/seampond/forwarding/attempt.py
+++ b/seampond/forwarding/attempt.py
@@ -14,6 +14,8 @@
     estimate_first_byte_ms,
     record_cached,
 )
+from seampond.forwarding.events import Events
+from seampond.forwarding.job import Job
 from seampond.forwarding.models import HeaderNames
 from seampond.forwarding.progress import (
     AttemptRecord,
@@ -23,6 +25,7 @@
 )
 from seampond.forwarding.request_encoding import encode_request
 from seampond.forwarding.response_head import (
+    Cut,
     ExchangeError,
     ResponseHead,
     parse_keep_alive_ms,
@@ -34,6 +37,10 @@
     OriginSource,
     StreamOrigin,
 )
+from seampond.forwarding.survival import (
+    compute_survival_wait_ms,
+    has_survived,
+)
 from seampond.promises import Promises, Rule
 from seampond.quarantine import format_fingerprint
 from seampond.quarantine.quarantine import Quarantine
@@ -109,10 +116,6 @@
     def _record_end(self, since_ms: int) -> None:
         """Record the end of the attempt, whether it succeeded or not."""
         self.record.duration_ms = self.clock.now() - since_ms
-        splitter = self.progress.splitter
-        if splitter.first_id:
-            self.record.first_event = splitter.first_id.decode('latin-1')
-            self.record.last_event = splitter.last_id.decode('latin-1')
         self.backend.unanswered.pop(self.progress.job.request_id, None)
         self.progress.tried_servers.add(self.backend.server.id)
 
@@ -170,7 +173,7 @@
     def _send(self, connection: Connection) -> None:
         progress, job = self.progress, self.progress.job
         self._check_promises()
-        job.last_event = progress.splitter.last_id
+        job.last_event = progress.last_id
         progress.splitter.restart()
         self.sent_ms = self.clock.now()
         self.version = self.backend.server.version
@@ -222,7 +225,9 @@
             await connection.read_body(_BODY_MAX_BYTES)
             self._record_rejection(head)
             return Outcome.rejected
-        self._check_stamp(head)
+        is_success = head.status < HTTPStatus.BAD_REQUEST
+        if is_success and not head.has(self.names.stamp):
+            raise self._make_error('successful answer without a stamp header')
         outcome = Outcome.complete
         if job.is_stream and head.status == HTTPStatus.OK:
             if not await self._may_relay_stream(connection):
@@ -242,6 +247,7 @@
         self, connection: Connection, head: ResponseHead
     ) -> Outcome:
         body = await connection.read_body(_BODY_MAX_BYTES)
+        await self._check_survival(connection, head)
         if head.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
             self.backend.record_failure(self.clock.now(), _ERRORS_BEFORE_PAUSE)
             self.progress.fallback_answer = BufferedAnswer(head, body)
@@ -272,23 +278,12 @@
         until_ms = min(job.deadline_ms, self.sent_ms + wait_ms)
         while not self.backend.is_verified(connection.connected_ms):
             if self.clock.now() >= until_ms or not self.backend.is_current:
-                self._log_unverified()
+                _log_unverified(job, self.backend)
                 return False
             self.origins.request_proof(self.backend, connection.connected_ms)
             await self.clock.sleep(_VERIFICATION_CHECK_MS)
         return True
 
-    def _log_unverified(self) -> None:
-        """Log that an answer is not passed on."""
-        _logger.warning(
-            'server process not verified',
-            extra={
-                'request': self.progress.job.request_id.decode('latin-1'),
-                'server': self.backend.server.id,
-                'is_current': self.backend.is_current,
-            },
-        )
-
     async def _relay_stream(
         self, connection: Connection, head: ResponseHead
     ) -> None:
@@ -304,21 +299,62 @@
             )
             self._record_chunk(chunk_count)
             events = progress.splitter.feed(chunk)
-            if events:
-                # Before the caller can resume it at another gateway.
-                self._record_origin(connection)
-                if not sink.has_started:
-                    await sink.start(head, None)
-                progress.job.has_streamed = True
-                await sink.send(events)
+            if events.payload:
+                await self._pass_on(events, connection, head)
         cut = _find_cut(progress, connection)
-        if cut:
-            raise self._make_error(cut, is_lost=connection.ends_at_eof)
+        if cut is not None:
+            raise self._make_error(
+                f'stream ended {cut.value}',
+                is_lost=connection.ends_at_eof,
+                cut=cut,
+            )
+        await self._check_survival(connection, head)
         if not sink.has_started:
             await sink.start(head, None)
         await sink.finish()
         self._record_stream(chunk_count)
 
+    async def _pass_on(
+        self, events: Events, connection: Connection, head: ResponseHead
+    ) -> None:
+        """Pass on whole events."""
+        progress, sink = self.progress, self.progress.sink
+        # Before the caller can resume it at another gateway.
+        self._record_origin(connection)
+        if not sink.has_started:
+            await sink.start(head, None)
+        progress.job.has_streamed = True
+        progress.record_events(events)
+        await sink.send(events.payload)
+
+    async def _check_survival(
+        self, connection: Connection, head: ResponseHead
+    ) -> None:
+        """Check that a crash has not cut an answer without a length.
+
+        Raises
+        ------
+        ExchangeError
+            If the server has not survived its answer.
+
+        """
+        if not connection.ends_at_eof:
+            return
+        job = self.progress.job
+        survived = await has_survived(
+            self.backends,
+            self.backend,
+            self.clock,
+            compute_survival_wait_ms(job.route, is_stream=job.is_stream),
+            parse_keep_alive_ms(head),
+        )
+        if not survived:
+            raise self._make_error(
+                'server lost at the end of its answer',
+                is_lost=True,
+                cut=Cut.server_lost,
+            )
+
     def _record_origin(self, connection: Connection) -> None:
         """Record where the stream began, unverified until that is certain."""
         job = self.progress.job
@@ -376,11 +412,6 @@
             pool = self.backends.pool_speed(job.pool)
             pool.record_stream(job.prompt.answer_tokens, chunk_count)
 
-    def _check_stamp(self, head: ResponseHead) -> None:
-        is_success = head.status < HTTPStatus.BAD_REQUEST
-        if is_success and not head.has(self.names.stamp):
-            raise self._make_error('successful answer without a stamp header')
-
     def _is_rejection(self, head: ResponseHead) -> bool:
         return head.status == HTTPStatus.MISDIRECTED_REQUEST or head.has(
             self.names.not_run
@@ -417,17 +448,19 @@
             self.quarantine.runs.record_refused_connection(server)
 
     def _make_error(
-        self, message: str, *, is_lost: bool = False
+        self, message: str, *, is_lost: bool = False, cut: Cut | None = None
     ) -> ExchangeError:
         return ExchangeError(
             message,
             step='answer',
             peer=self.backend.server.address,
             is_lost=is_lost,
+            cut=cut,
         )
 
     def _record_failure(self, error: ExchangeError) -> Outcome:
         backend = self.backend
+        self.record.cut = error.cut
         backend.record_failure(self.clock.now())
         if error.is_lost:
             self._record_lost_connection(error)
@@ -455,16 +488,28 @@
         return Outcome.in_doubt if error.was_sent else Outcome.unreachable
 
 
-def _find_cut(progress: Progress, connection: Connection) -> str:
-    """Return where a stream that has ended was cut, empty if it is whole.
+def _log_unverified(job: Job, backend: Backend) -> None:
+    """Log that an answer is not passed on."""
+    _logger.warning(
+        'server process not verified',
+        extra={
+            'request': job.request_id.decode('latin-1'),
+            'server': backend.server.id,
+            'is_current': backend.is_current,
+        },
+    )
+
+
+def _find_cut(progress: Progress, connection: Connection) -> Cut | None:
+    """Return where a stream that has ended was cut, None if it may be whole.
 
     Explanation
     -----------
     A stream without a length that holds no event may have been cut.
     """
     if progress.splitter.remainder:
-        return 'stream ended inside an event'
+        return Cut.inside_event
     is_empty = not (progress.sink.has_started or progress.job.is_resumed)
     if is_empty and connection.ends_at_eof:
-        return 'stream ended before its first event'
-    return ''
+        return Cut.before_first_event
+    return None
--- a/seampond/forwarding/backends.py
+++ b/seampond/forwarding/backends.py
@@ -270,6 +270,17 @@
                 return connection
             connection.close()
             backend.connections.discard(connection)
+        return await self.connect(backend)
+
+    async def connect(self, backend: Backend) -> Connection:
+        """Open a connection to a server.
+
+        Raises
+        ------
+        ExchangeError
+            If the server cannot be reached.
+
+        """
         connection = await open_connection(
             backend.server.address, self._clock, self._id_header
         )
@@ -300,7 +311,7 @@
             remote_load=load,
             cold_until_ms=self._clock.now() + server.cold_ms,
         )
-        self._log('server listed', server)
+        _log('server listed', server, len(self))
 
     def _update_known(self, backend: Backend, server: Server) -> None:
         known_ms = backend.server.started_ms
@@ -308,11 +319,11 @@
         if 0 < known_ms < reported_ms or _has_other_version(backend, server):
             backend.retire()
             self.on_restart(backend.server)
-            self._log('server started again', backend.server)
+            _log('server started again', backend.server, len(self))
             self._add(server)
         elif reported_ms >= known_ms:
             if backend.server.is_draining != server.is_draining:
-                self._log('server leaves', server)
+                _log('server leaves', server, len(self))
             backend.server = replace(server, started_ms=reported_ms)
             backend.signals.started_ms = reported_ms
             self._signals.apply_row(server, backend.signals)
@@ -328,7 +339,7 @@
         if not backend.is_draining:
             backend.fallback_until_ms = self._clock.now() + self.grace_ms
         backend.close_idle_connections()
-        self._log('server gone', backend.server)
+        _log('server gone', backend.server, len(self))
 
     def _index(self) -> None:
         now_ms = self._clock.now()
@@ -349,16 +360,18 @@
                 by_pool.setdefault(backend.server.pool, []).append(backend)
         self._by_pool = by_pool
 
-    def _log(self, event: str, server: Server) -> None:
-        _logger.info(
-            event,
-            extra={
-                'server': server.id,
-                'address': server.address,
-                'pool': server.pool,
-                'known': len(self._by_id),
-            },
-        )
+
+def _log(event: str, server: Server, known: int) -> None:
+    """Log a change of a server, and how many servers are known."""
+    _logger.info(
+        event,
+        extra={
+            'server': server.id,
+            'address': server.address,
+            'pool': server.pool,
+            'known': known,
+        },
+    )
 
 
 def _report_exit(backends: Backends, backend: Backend) -> None:
--- a/seampond/forwarding/connection.py
+++ b/seampond/forwarding/connection.py
@@ -281,7 +281,7 @@
             # The parser expects a body of the stated length: do not reuse.
             self._is_complete = True
             self._is_broken = True
-        self.ends_at_eof = head.end is AnswerEnd.connection
+        self.ends_at_eof = self._has_body and head.end is AnswerEnd.connection
 
     def on_body(self, payload: bytes) -> None:
         """Store a chunk of the body."""
--- a/seampond/forwarding/events.py
+++ b/seampond/forwarding/events.py
@@ -1,51 +1,66 @@
 """Split server-sent event streams into whole events."""
 
+from dataclasses import dataclass
+
 _EVENT_END = b'\n\n'
 _ID_FIELD = b'id:'
 
 
+@dataclass(frozen=True, slots=True)
+class Events:
+    """Some whole events of a stream.
+
+    Parameters
+    ----------
+    payload : bytes
+        The events as they were received.
+    ids : tuple[bytes, ...]
+        Their ids; an event may have none.
+
+    """
+
+    payload: bytes = b''
+    ids: tuple[bytes, ...] = ()
+
+
 class EventSplitter:
-    """Splits a byte stream at the ends of events.
+    r"""Splits a byte stream at the ends of events.
 
     Only whole events are relayed, so that a broken stream can be resumed.
 
-    Attributes
-    ----------
-    first_id, last_id : bytes
-        Ids of the first event of the current run and of the last event of
-        all runs.
+    Examples
+    --------
+    >>> splitter = EventSplitter()
+    >>> splitter.feed(b'id: 1\n\nid: 2')
+    Events(payload=b'id: 1\n\n', ids=(b'1',))
+    >>> splitter.remainder
+    b'id: 2'
 
     """
 
     def __init__(self) -> None:
         """Initialize an empty splitter."""
-        self.first_id = b''
-        self.last_id = b''
         self.remainder = b''
 
-    def feed(self, payload: bytes) -> bytes:
+    def feed(self, payload: bytes) -> Events:
         """Return the whole events received; buffer the remainder."""
         buffered = self.remainder + payload
         end = buffered.rfind(_EVENT_END)
         if end < 0:
             self.remainder = buffered
-            return b''
+            return Events()
         events = buffered[: end + len(_EVENT_END)]
         self.remainder = buffered[end + len(_EVENT_END) :]
-        self._record_ids(events)
-        return events
+        return Events(events, _parse_ids(events))
 
     def restart(self) -> None:
-        """Begin another run; discard an incomplete event."""
-        self.first_id = b''
+        """Discard an incomplete event."""
         self.remainder = b''
 
-    def _record_ids(self, events: bytes) -> None:
-        ids = [
-            line[len(_ID_FIELD) :].strip()
-            for line in events.splitlines()
-            if line.startswith(_ID_FIELD)
-        ]
-        if ids:
-            self.first_id = self.first_id or ids[0]
-            self.last_id = ids[-1]
+
+def _parse_ids(events: bytes) -> tuple[bytes, ...]:
+    return tuple(
+        line[len(_ID_FIELD) :].strip()
+        for line in events.splitlines()
+        if line.startswith(_ID_FIELD)
+    )
--- a/seampond/forwarding/forwarder.py
+++ b/seampond/forwarding/forwarder.py
@@ -10,7 +10,12 @@
 from seampond.forwarding.backends import Backends
 from seampond.forwarding.job import Job
 from seampond.forwarding.models import HeaderNames
-from seampond.forwarding.progress import Outcome, Progress, RetrySource
+from seampond.forwarding.progress import (
+    AttemptRecord,
+    Outcome,
+    Progress,
+    RetrySource,
+)
 from seampond.forwarding.refusals import Cause, Refusal
 from seampond.forwarding.retries import RetryBudget
 from seampond.forwarding.scheduler import Scheduler
@@ -81,6 +86,11 @@
             'Answers of servers by how their end was marked.',
             'end',
         )
+        self._cuts = context.metrics.count(
+            'seampond_gateway_cut_answers',
+            'Answers that end without an error and were cut, by where.',
+            'cut',
+        )
 
     @property
     def waiting(self) -> int:
@@ -99,7 +109,7 @@
 
         """
         job = progress.job
-        progress.splitter.last_id = job.last_event
+        progress.last_id = job.last_event
         remaining_ms = max(0, job.deadline_ms - self._clock.now())
         try:
             async with asyncio.timeout(remaining_ms / MS_PER_SECOND):
@@ -155,13 +165,18 @@
             try:
                 return await attempt.run()
             finally:
-                if attempt.record.end:
-                    self._answer_ends.labels(attempt.record.end).inc()
+                self._count_end(attempt.record)
                 # Cancelled attempts count too: the server may not respond.
                 context.versions.record_attempt(
                     progress.job, backend, attempt.record
                 )
 
+    def _count_end(self, record: AttemptRecord) -> None:
+        if record.end:
+            self._answer_ends.labels(record.end).inc()
+        if record.cut is not None:
+            self._cuts.labels(record.cut.value).inc()
+
     async def _may_retry(self, progress: Progress, outcome: Outcome) -> bool:
         job = progress.job
         if job.deadline_ms - self._clock.now() < _MIN_REMAINING_MS:
--- a/seampond/forwarding/progress.py
+++ b/seampond/forwarding/progress.py
@@ -4,9 +4,9 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from seampond.forwarding.events import EventSplitter
+from seampond.forwarding.events import Events, EventSplitter
 from seampond.forwarding.job import Job
-from seampond.forwarding.response_head import ResponseHead
+from seampond.forwarding.response_head import Cut, ResponseHead
 
 
 class Sink(Protocol):
@@ -77,6 +77,8 @@
         How the end of the answer was marked, empty without an answer.
     first_event, last_event : str
         Ids of the first and last event that the attempt brought.
+    cut : Cut or None
+        Where the answer was found to be cut, None if it was not.
 
     """
 
@@ -92,6 +94,7 @@
     end: str = ''
     first_event: str = ''
     last_event: str = ''
+    cut: Cut | None = None
     outcome: str = 'open'
 
     def describe(self) -> dict[str, object]:
@@ -111,8 +114,17 @@
             fields['end'] = self.end
         if self.last_event:
             fields['events'] = f'{self.first_event}-{self.last_event}'
+        if self.cut is not None:
+            fields['cut'] = self.cut.value
         return fields
 
+    def record_events(self, events: Events) -> None:
+        """Record events that are passed on."""
+        ids = [event_id.decode('latin-1') for event_id in events.ids]
+        if ids:
+            self.first_event = self.first_event or ids[0]
+            self.last_event = ids[-1]
+
 
 @dataclass(slots=True)
 class Progress:
@@ -120,6 +132,8 @@
 
     Parameters
     ----------
+    last_id : bytes
+        Id of the last event that the caller has received.
     tried_servers : set[str]
         Ids of the servers that have been tried.
     attempt_records : list[AttemptRecord]
@@ -136,8 +150,15 @@
     job: Job
     sink: Sink
     splitter: EventSplitter = field(default_factory=EventSplitter)
+    last_id: bytes = b''
     tried_servers: set[str] = field(default_factory=set)
     attempt_records: list[AttemptRecord] = field(default_factory=list)
     unreached_count: int = 0
     retry_sources: list[RetrySource] = field(default_factory=list)
     fallback_answer: BufferedAnswer | None = None
+
+    def record_events(self, events: Events) -> None:
+        """Record events that are passed on to the caller."""
+        if events.ids:
+            self.last_id = events.ids[-1]
+        self.attempt_records[-1].record_events(events)
--- a/seampond/forwarding/response_head.py
+++ b/seampond/forwarding/response_head.py
@@ -12,6 +12,15 @@
 _STATUSES_WITHOUT_BODY = (204, 304)
 
 
+@enum.unique
+class Cut(enum.Enum):
+    """Where an answer was found to be cut; the value is a metric label."""
+
+    inside_event = 'inside-event'
+    before_first_event = 'before-first-event'
+    server_lost = 'server-lost'
+
+
 class ExchangeError(EngineError):
     """An exchange with a server failed.
 
@@ -21,6 +30,8 @@
         Whether the request may have reached the server.
     is_lost : bool
         Whether the connection was lost, as it is when a server crashes.
+    cut : Cut or None
+        Where the answer was cut, None if its connection shows an error.
 
     """
 
@@ -32,11 +43,13 @@
         peer: str,
         was_sent: bool = True,
         is_lost: bool = False,
+        cut: Cut | None = None,
     ) -> None:
         """Initialize the error."""
         super().__init__(message, step=step, peer=peer)
         self.was_sent = was_sent
         self.is_lost = is_lost
+        self.cut = cut
 
 
 class AnswerSizeError(ExchangeError):
--- /dev/null
+++ b/seampond/forwarding/survival.py
@@ -0,0 +1,100 @@
+"""Checks whether servers have survived answers that end with a connection."""
+
+import functools
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+from seampond.clock import Clock
+from seampond.forwarding.backend import Backend
+from seampond.forwarding.backends import Backends
+from seampond.forwarding.connection import Connection
+from seampond.forwarding.models import Route
+from seampond.forwarding.response_head import ExchangeError
+
+# The connections of a process that ends are closed within this time.
+_EXIT_MS = 100
+_WAIT_FRACTION = 0.1
+
+
+def compute_survival_wait_ms(route: Route, *, is_stream: bool) -> int:
+    """Return how long to observe a server after the end of its answer.
+
+    Explanation
+    -----------
+    The events of a stream have been passed on by then, but any other answer
+    waits for the check.
+
+    Examples
+    --------
+    >>> from seampond.testing.gateways import build_route
+    >>> route = build_route(target_ms=125)
+    >>> compute_survival_wait_ms(route, is_stream=False)
+    12
+    >>> compute_survival_wait_ms(route, is_stream=True)
+    100
+
+    """
+    if is_stream:
+        return _EXIT_MS
+    return min(_EXIT_MS, round(_WAIT_FRACTION * route.target_ms))
+
+
+async def has_survived(
+    backends: Backends,
+    backend: Backend,
+    clock: Clock,
+    wait_ms: int,
+    keep_alive_ms: int,
+) -> bool:
+    """Return whether a server runs on after an answer has ended.
+
+    Explanation
+    -----------
+    The system of a process that is killed closes its connections without a
+    reset, so the end of a connection alone does not complete an answer.  A
+    server that runs on accepts a connection and keeps it.  One that resets
+    it may only have too many, and accepts another one.
+
+    Parameters
+    ----------
+    wait_ms : int
+        How long the connection must stay open.
+    keep_alive_ms : int
+        How long the connection may stay idle after that, for the next
+        request.
+
+    """
+    ended_ms = clock.now()
+    open_spare = functools.partial(
+        _open_spare, backends, backend, clock, keep_alive_ms
+    )
+    try:
+        async with open_spare() as spare:
+            await clock.sleep(wait_ms)
+            is_kept = spare.is_open
+        if not is_kept:
+            async with open_spare():
+                """The server still listens."""
+    except ExchangeError:
+        return False
+    has_lost_others = backend.lost_ms >= ended_ms - _EXIT_MS
+    return backend.is_current and not has_lost_others
+
+
+@asynccontextmanager
+async def _open_spare(
+    backends: Backends, backend: Backend, clock: Clock, keep_alive_ms: int
+) -> AsyncIterator[Connection]:
+    """Open a connection that is kept for the next request if possible."""
+    connection = await backends.connect(backend)
+    is_kept = False
+    try:
+        yield connection
+        is_kept = connection.is_open and backend.takes_work
+    finally:
+        if is_kept:
+            connection.idle_until_ms = clock.now() + keep_alive_ms
+            backend.idle.append(connection)
+        else:
+            connection.close()
+            backend.connections.discard(connection)
--- /dev/null
+++ b/seampond/forwarding/tests/test_survival.py
@@ -0,0 +1,115 @@
+"""Answers that end with a connection, from servers that live or do not."""
+
+import asyncio
+import unittest
+from collections.abc import Awaitable, Callable
+
+from seampond.clock import Clock
+from seampond.forwarding.models import RequestKind
+from seampond.forwarding.refusals import Cause, Refusal
+from seampond.forwarding.survival import has_survived
+from seampond.testing.gateways import (
+    ID_HEADER,
+    STAMP_HEADER,
+    MemorySink,
+    build_backends,
+    build_forwarder,
+    build_progress,
+    build_route,
+    build_server,
+    get_backend,
+)
+from seampond.testing.scripted import (
+    format_unframed_response,
+    read_request,
+    reset_connection,
+)
+
+_KEEP_ALIVE_MS = 4000
+_WAIT_MS = 20
+Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+
+async def _keep_open(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    """Keep a connection open."""
+
+
+async def _reset(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    reset_connection(writer)
+
+
+class SurvivalTest(unittest.IsolatedAsyncioTestCase):
+    """One server, which may stop listening."""
+
+    async def test_connection_to_a_server_that_runs_on_is_kept(self) -> None:
+        """It serves the next request."""
+        await self._listen(_keep_open)
+        self.assertTrue(await self._has_survived())
+        self.assertEqual(len(self.backend.idle), 1)
+
+    async def test_server_with_too_many_connections_runs_on(self) -> None:
+        """It resets a new connection, but it accepts another one."""
+        await self._listen(_reset)
+        self.assertTrue(await self._has_survived())
+
+    async def test_server_that_stops_listening_has_not_survived(self) -> None:
+        """It had accepted the connection before it ended."""
+        listening = await self._listen(_reset)
+        asyncio.get_running_loop().call_later(0.005, listening.close)
+        self.assertFalse(await self._has_survived())
+
+    async def test_server_that_lost_other_answers_has_not_survived(
+        self,
+    ) -> None:
+        """Another process may listen at its address."""
+        await self._listen(_keep_open)
+        self.backend.record_lost_connection(Clock().now())
+        self.assertFalse(await self._has_survived())
+
+    async def test_body_of_a_server_that_ends_is_taken_for_whole(self) -> None:
+        """An answer without a length that a crash cuts is in doubt."""
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            request = await read_request(reader)
+            headers = {ID_HEADER: request.get(ID_HEADER), STAMP_HEADER: 's'}
+            writer.write(format_unframed_response(headers, b'hal'))
+            await writer.drain()
+            listening.close()
+            writer.close()
+
+        listening = await self._listen(serve)
+        with self.assertRaises(Refusal) as caught:
+            await self._forward()
+        self.assertIs(caught.exception.cause, Cause.in_doubt)
+        self.assertFalse(self.sink.has_started)
+
+    async def _listen(self, serve: Serve) -> asyncio.Server:
+        listening = await asyncio.start_server(serve, '127.0.0.1', 0)
+        self.addCleanup(listening.close)
+        host, port = listening.sockets[0].getsockname()[:2]
+        self.backends = build_backends([build_server('i', f'{host}:{port}')])
+        self.backend = get_backend(self.backends, 'i')
+        self.addAsyncCleanup(self._close_idle)
+        return listening
+
+    async def _close_idle(self) -> None:
+        self.backend.close_idle_connections()
+        await asyncio.sleep(0)
+
+    async def _has_survived(self) -> bool:
+        return await has_survived(
+            self.backends, self.backend, Clock(), _WAIT_MS, _KEEP_ALIVE_MS
+        )
+
+    async def _forward(self) -> None:
+        progress, sink = build_progress(
+            route=build_route(kind=RequestKind.once)
+        )
+        self.sink: MemorySink = sink
+        await build_forwarder(self.backends).forward(progress)
