A run that continues a stream must begin with the next event

What callers saw: 1 2 3 1 2 3 4 5 6, 1 2 3 3 4 5 6 and 1 2 3 5 6, complete.

Cause: the gateway passed on whatever the next run of a broken stream sent. A server may ignore from which event it is asked to go on; nothing looked at the ids.

Mend: ids of events have to rise over all runs of an answer, also from the event that a caller names. Where those of a pool differ by the same number, as nearly all do, the first event of the next run has to follow the last one by it. A run that does not is given up before one of its events is passed on and counted as a failure of its server; the stream goes on elsewhere or ends as broken. Ids that are no numbers are not looked at. Asserted as event-order.

The stand-in of test_unframed_streams_that_end_inside_an_event sent two events with the same id, which no server may; its second event now has the next id. The test is unchanged.

--- a/seampond/forwarding/attempt.py
+++ b/seampond/forwarding/attempt.py
@@ -14,6 +14,7 @@
     estimate_first_byte_ms,
     record_cached,
 )
+from seampond.forwarding.event_order import is_later
 from seampond.forwarding.events import Events
 from seampond.forwarding.job import Job
 from seampond.forwarding.models import HeaderNames
@@ -174,7 +175,7 @@
         progress, job = self.progress, self.progress.job
         self._check_promises()
         job.last_event = progress.last_id
-        progress.splitter.restart()
+        progress.begin_run()
         self.sent_ms = self.clock.now()
         self.version = self.backend.server.version
         encoded = encode_request(
@@ -317,13 +318,29 @@
     async def _pass_on(
         self, events: Events, connection: Connection, head: ResponseHead
     ) -> None:
-        """Pass on whole events."""
+        """Pass on whole events.
+
+        Raises
+        ------
+        ExchangeError
+            If they do not follow the events before.
+
+        """
         progress, sink = self.progress, self.progress.sink
+        fault = progress.order.find_fault(events.ids)
+        if fault:
+            raise self._make_error(fault, cut=Cut.event_order)
         # Before the caller can resume it at another gateway.
         self._record_origin(connection)
         if not sink.has_started:
             await sink.start(head, None)
         progress.job.has_streamed = True
+        self.promises.check(
+            Rule.event_order,
+            is_later(events.ids, progress.passed_on),
+            step='relay',
+            peer=self.backend.server.address,
+        )
         progress.record_events(events)
         await sink.send(events.payload)
 
--- a/seampond/forwarding/forwarder.py
+++ b/seampond/forwarding/forwarder.py
@@ -1,6 +1,7 @@
 """Try servers in turn until a request has its final answer."""
 
 import asyncio
+from collections import defaultdict
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
@@ -8,6 +9,7 @@
 from seampond.forwarding.attempt import Attempt
 from seampond.forwarding.backend import Backend
 from seampond.forwarding.backends import Backends
+from seampond.forwarding.event_order import EventSteps
 from seampond.forwarding.job import Job
 from seampond.forwarding.models import HeaderNames
 from seampond.forwarding.progress import (
@@ -81,6 +83,9 @@
         """Initialize the forwarder."""
         self._context = context
         self._clock = context.clock
+        self._event_steps: defaultdict[str, EventSteps] = defaultdict(
+            EventSteps
+        )
         self._answer_ends = context.metrics.count(
             'seampond_gateway_answer_ends',
             'Answers of servers by how their end was marked.',
@@ -109,11 +114,11 @@
 
         """
         job = progress.job
-        progress.last_id = job.last_event
         remaining_ms = max(0, job.deadline_ms - self._clock.now())
         try:
             async with asyncio.timeout(remaining_ms / MS_PER_SECOND):
                 await self._context.origins.resolve(job)
+                progress.begin_stream(self._event_steps[job.pool])
                 self._context.budget.record_first_attempt(
                     job.pool, is_stream=job.is_stream
                 )
--- a/seampond/forwarding/progress.py
+++ b/seampond/forwarding/progress.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from seampond.forwarding.event_order import EventOrder, EventSteps
 from seampond.forwarding.events import Events, EventSplitter
 from seampond.forwarding.job import Job
 from seampond.forwarding.response_head import Cut, ResponseHead
@@ -132,8 +133,12 @@
 
     Parameters
     ----------
+    order : EventOrder
+        Checks the order of the events of all attempts.
     last_id : bytes
         Id of the last event that the caller has received.
+    passed_on : bytes
+        Id of the last event that was passed on, empty for none.
     tried_servers : set[str]
         Ids of the servers that have been tried.
     attempt_records : list[AttemptRecord]
@@ -150,15 +155,35 @@
     job: Job
     sink: Sink
     splitter: EventSplitter = field(default_factory=EventSplitter)
+    order: EventOrder = field(default_factory=lambda: EventOrder(EventSteps()))
     last_id: bytes = b''
+    passed_on: bytes = b''
     tried_servers: set[str] = field(default_factory=set)
     attempt_records: list[AttemptRecord] = field(default_factory=list)
     unreached_count: int = 0
     retry_sources: list[RetrySource] = field(default_factory=list)
     fallback_answer: BufferedAnswer | None = None
 
+    def begin_stream(self, steps: EventSteps) -> None:
+        """Continue after the last event that the caller has received.
+
+        Explanation
+        -----------
+        Where a stream may not be resumed, servers do not read which event
+        that was.
+        """
+        self.last_id = self.job.last_event
+        follows = self.last_id if self.job.route.may_resume else b''
+        self.order = EventOrder(steps, follows)
+
+    def begin_run(self) -> None:
+        """Begin another run of the request."""
+        self.splitter.restart()
+        self.order.begin_run()
+
     def record_events(self, events: Events) -> None:
         """Record events that are passed on to the caller."""
         if events.ids:
             self.last_id = events.ids[-1]
+            self.passed_on = self.last_id
         self.attempt_records[-1].record_events(events)
--- a/seampond/forwarding/response_head.py
+++ b/seampond/forwarding/response_head.py
@@ -19,6 +19,7 @@
     inside_event = 'inside-event'
     before_first_event = 'before-first-event'
     server_lost = 'server-lost'
+    event_order = 'event-order'
 
 
 class ExchangeError(EngineError):
--- a/seampond/promises/rules.py
+++ b/seampond/promises/rules.py
@@ -30,6 +30,7 @@
     nothing_open_when_done = 'nothing-open-when-done'
     quarantine = 'quarantine'
     single_version = 'single-version'
+    event_order = 'event-order'
 
 
 class Promises:
--- a/seampond/testing/crashing.py
+++ b/seampond/testing/crashing.py
@@ -37,6 +37,7 @@
 CRASHING_BODY = b'ends its server'
 _CRASH_DELAY_MS = 60
 EVENT = b'id: 1\ndata: x\n\n'
+_SECOND_EVENT = b'id: 2\ndata: x\n\n'
 LAST_CHUNK = b'0\r\n\r\n'
 _DOWNTIME_MS = 1000
 _PART_TOKENS = 100
@@ -267,7 +268,7 @@
     if style is AnswerStyle.unframed_stream:
         return format_unframed_response(headers, EVENT)
     if style is AnswerStyle.half_event:
-        return format_unframed_response(headers, EVENT + EVENT[:_HALF])
+        return format_unframed_response(headers, EVENT + _SECOND_EVENT[:_HALF])
     return b''
 
 
@@ -280,7 +281,7 @@
     if style is AnswerStyle.unframed_stream:
         return b''
     if style is AnswerStyle.half_event:
-        return EVENT[_HALF:]
+        return _SECOND_EVENT[_HALF:]
     return format_response(200, headers, _WHOLE_BODY)
 
 
