Resets of single connections do not speak against a server's survival

Cause: the check took any connection that was lost at the same moment as a sign that the process had ended, and each verdict counted as another loss.

Mend: only answers that were closed without a reset count, as the system of a killed process closes them.

--- a/seampond/forwarding/attempt.py
+++ b/seampond/forwarding/attempt.py
@@ -307,6 +307,7 @@
             raise self._make_error(
                 f'stream ended {cut.value}',
                 is_lost=connection.ends_at_eof,
+                is_orderly=connection.ends_at_eof,
                 cut=cut,
             )
         await self._check_survival(connection, head)
@@ -453,7 +454,10 @@
 
     def _record_lost_connection(self, error: ExchangeError) -> None:
         job, server = self.progress.job, self.backend.server
-        self.backend.record_lost_connection(self.clock.now())
+        now_ms = self.clock.now()
+        self.backend.record_lost_connection(now_ms)
+        if error.is_orderly:
+            self.backend.closed_ms = now_ms
         if error.was_sent:
             self.quarantine.runs.record_lost(
                 job,
@@ -465,13 +469,19 @@
             self.quarantine.runs.record_refused_connection(server)
 
     def _make_error(
-        self, message: str, *, is_lost: bool = False, cut: Cut | None = None
+        self,
+        message: str,
+        *,
+        is_lost: bool = False,
+        is_orderly: bool = False,
+        cut: Cut | None = None,
     ) -> ExchangeError:
         return ExchangeError(
             message,
             step='answer',
             peer=self.backend.server.address,
             is_lost=is_lost,
+            is_orderly=is_orderly,
             cut=cut,
         )
 
--- a/seampond/forwarding/connection.py
+++ b/seampond/forwarding/connection.py
@@ -66,6 +66,7 @@
     _is_complete: bool
     _error: str
     _is_lost: bool
+    _is_orderly: bool
     _chunks: 'deque[bytes]'
     _buffered_bytes: int
 
@@ -250,6 +251,7 @@
         if not self._is_complete:
             # Closing after an invalid answer is not a lost connection.
             self._is_lost = not self._error
+            self._is_orderly = self._is_lost and exc is None
             self._fail(type(exc).__name__ if exc else 'closed')
         self._wake_reader()
         if not (self._is_complete and self.ends_at_eof):
@@ -327,6 +329,7 @@
         self._is_complete = False
         self._error = ''
         self._is_lost = False
+        self._is_orderly = False
         self._chunks = deque()
         self._buffered_bytes = 0
         self.received_bytes = 0
@@ -334,7 +337,11 @@
     async def _wait_for_data(self, step: str) -> None:
         if self._error:
             raise ExchangeError(
-                self._error, step=step, peer=self.peer, is_lost=self._is_lost
+                self._error,
+                step=step,
+                peer=self.peer,
+                is_lost=self._is_lost,
+                is_orderly=self._is_orderly,
             )
         if not self._is_connected:
             raise ExchangeError(
--- a/seampond/forwarding/process_state.py
+++ b/seampond/forwarding/process_state.py
@@ -28,6 +28,9 @@
     lost_ms : int
         When a connection to it was lost, which may mean that its process
         ended; 0 if it is known to run on as its row says.
+    closed_ms : int
+        When a connection to it was last closed in the middle of an answer
+        without a reset, as the system of a killed process does.
     reconnected_ms : int
         When a connection was made after that, 0 for not yet.
     verified_ms : int
@@ -44,6 +47,7 @@
 
     is_current: bool = True
     lost_ms: int = 0
+    closed_ms: int = 0
     reconnected_ms: int = 0
     verified_ms: int = 0
 
--- a/seampond/forwarding/response_head.py
+++ b/seampond/forwarding/response_head.py
@@ -31,6 +31,8 @@
         Whether the request may have reached the server.
     is_lost : bool
         Whether the connection was lost, as it is when a server crashes.
+    is_orderly : bool
+        Whether the connection was lost without a reset.
     cut : Cut or None
         Where the answer was cut, None if its connection shows an error.
 
@@ -44,12 +46,14 @@
         peer: str,
         was_sent: bool = True,
         is_lost: bool = False,
+        is_orderly: bool = False,
         cut: Cut | None = None,
     ) -> None:
         """Initialize the error."""
         super().__init__(message, step=step, peer=peer)
         self.was_sent = was_sent
         self.is_lost = is_lost
+        self.is_orderly = is_orderly
         self.cut = cut
 
 
--- a/seampond/forwarding/survival.py
+++ b/seampond/forwarding/survival.py
@@ -53,7 +53,9 @@
     The system of a process that is killed closes its connections without a
     reset, so the end of a connection alone does not complete an answer.  A
     server that runs on accepts a connection and keeps it.  One that resets
-    it may only have too many, and accepts another one.
+    it may only have too many, and accepts another one.  Where another
+    process listens at the same address, other answers that were cut at the
+    same moment show that the server has ended.
 
     Parameters
     ----------
@@ -77,8 +79,8 @@
                 """The server still listens."""
     except ExchangeError:
         return False
-    has_lost_others = backend.lost_ms >= ended_ms - _EXIT_MS
-    return backend.is_current and not has_lost_others
+    has_closed_others = backend.closed_ms >= ended_ms - _EXIT_MS
+    return backend.is_current and not has_closed_others
 
 
 @asynccontextmanager
