The step of a pool's ids is regular only while it does not change

Cause: the first step became the pool's, for a share of 0.99 over all time; any fault counted against the server.

Mend: any change of the step within a run ends the regularity until a thousand equal steps follow; a caller's 0 names no event; a fault before an event has been passed on does not count against the server, and an empty id does not clear the last one.

--- a/seampond/forwarding/attempt.py
+++ b/seampond/forwarding/attempt.py
@@ -497,7 +497,12 @@
     def _record_failure(self, error: ExchangeError) -> Outcome:
         backend = self.backend
         self.record.cut = error.cut
-        backend.record_failure(self.clock.now())
+        is_caller_id = error.cut is Cut.event_order and not (
+            self.progress.passed_on
+        )
+        # The caller may have named an event that the stream does not have.
+        if not is_caller_id:
+            backend.record_failure(self.clock.now())
         if error.is_lost:
             self._record_lost_connection(error)
         _logger.warning(
--- a/seampond/forwarding/event_order.py
+++ b/seampond/forwarding/event_order.py
@@ -3,7 +3,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-_REGULAR_SHARE = 0.99
+# Equal steps after which a pool counts as regular again.
+_REGULAR_AFTER = 1000
 _ID_MAX_DIGITS = 18
 
 
@@ -18,24 +19,30 @@
     >>> steps.record(2)
     >>> steps.regular_step
     2
+    >>> steps.record(5)
+    >>> steps.regular_step
+    0
 
     """
 
     step: int = 0
-    same_count: int = 0
-    total_count: int = 0
+    equal_count: int = 0
+    has_changed: bool = False
 
     @property
     def regular_step(self) -> int:
-        """The difference of nearly all ids, 0 if there is none."""
-        is_regular = self.same_count >= _REGULAR_SHARE * self.total_count
+        """The difference of all recent ids, 0 if they differ."""
+        is_regular = self.equal_count >= _REGULAR_AFTER or not self.has_changed
         return self.step if is_regular else 0
 
     def record(self, step: int) -> None:
         """Record the difference of two successive ids of one run."""
-        self.step = self.step or step
-        self.same_count += step == self.step
-        self.total_count += 1
+        if step == self.step:
+            self.equal_count += 1
+            return
+        self.has_changed = bool(self.step)
+        self.step = step
+        self.equal_count = 1
 
 
 class EventOrder:
@@ -64,7 +71,8 @@
     def __init__(self, steps: EventSteps, last_id: bytes = b'') -> None:
         """Begin after an event, or at the start of a stream."""
         self._steps = steps
-        self._last = _parse_number(last_id)
+        # Callers without an event may name 0.
+        self._last = _parse_number(last_id) or None
         self._is_first = True
 
     def begin_run(self) -> None:
--- a/seampond/forwarding/events.py
+++ b/seampond/forwarding/events.py
@@ -59,8 +59,10 @@
 
 
 def _parse_ids(events: bytes) -> tuple[bytes, ...]:
-    return tuple(
+    ids = (
         line[len(_ID_FIELD) :].strip()
         for line in events.splitlines()
         if line.startswith(_ID_FIELD)
     )
+    # An empty id does not tell from which event to go on.
+    return tuple(filter(None, ids))
