A kept connection carries a request id only once

What callers saw: the second attempt of a caller that keeps its request id, at the same server, may get a late or surplus answer to the first attempt, whole and with status 200. The same for a retry after a rejection.

Cause: a connection that is kept tells answers apart by their request id only, and could carry the same id twice.

Mend: a connection remembers the ids of its last 16 requests, and carries none of them again. Another idle connection is used; if there is none, the kept one is closed for a new one, so that the number of connections stays. Surplus bytes on an idle connection close it as before.

The test failed before (b'late' != b'whole'): the server sends an answer to the first attempt ahead of that to the second. It passes now, and another request still goes over a kept connection (2 connections for 3 requests).

test_forwarder: a stand-in for acquire_connection takes the id too; what is checked stays.

--- a/seampond/forwarding/attempt.py
+++ b/seampond/forwarding/attempt.py
@@ -122,7 +122,9 @@
 
     async def _connect_and_send(self) -> Outcome:
         try:
-            connection = await self.backends.acquire_connection(self.backend)
+            connection = await self.backends.acquire_connection(
+                self.backend, self.progress.job.request_id
+            )
         except ExchangeError as error:
             return self._record_failure(error)
         self.backend.record_connection(connection.connected_ms)
--- a/seampond/forwarding/backend.py
+++ b/seampond/forwarding/backend.py
@@ -250,13 +250,27 @@
         self.consecutive_failures += 1
         self.paused_until_ms = now_ms + _REPLACED_PAUSE_MS
 
-    def pop_idle(self) -> Connection:
-        """Remove and return an idle connection, a verified one if possible."""
-        for index in reversed(range(len(self.idle))):
-            if self.is_verified(self.idle[index].connected_ms):
-                return self.idle.pop(index)
-        # The one that will be verified first.
-        return self.idle.pop(0)
+    def pop_idle(self, request_id: bytes) -> Connection:
+        """Remove and return an idle connection, if possible a suitable one.
+
+        Explanation
+        -----------
+        It should not have carried a request with this id, and be verified;
+        of others, it is the one that will be verified first.
+        """
+        suitable = [
+            connection
+            for connection in self.idle
+            if request_id not in connection.carried_ids
+        ] or self.idle
+        verified = [
+            connection
+            for connection in suitable
+            if self.is_verified(connection.connected_ms)
+        ]
+        chosen = verified[-1] if verified else suitable[0]
+        self.idle.remove(chosen)
+        return chosen
 
     def retire(self) -> None:
         """Retire the state of a process that a later one has replaced.
--- a/seampond/forwarding/backends.py
+++ b/seampond/forwarding/backends.py
@@ -255,9 +255,16 @@
         self._signals.apply_limit(backend.server, signals, rate, reported_ms)
         return signals.limit
 
-    async def acquire_connection(self, backend: Backend) -> Connection:
+    async def acquire_connection(
+        self, backend: Backend, request_id: bytes
+    ) -> Connection:
         """Return a connection to a server, an idle one if there is any.
 
+        Parameters
+        ----------
+        request_id : bytes
+            Id of the request to send; the connection has not carried it.
+
         Raises
         ------
         ExchangeError
@@ -265,8 +272,9 @@
 
         """
         while backend.idle:
-            connection = backend.pop_idle()
-            if connection.is_usable:
+            connection = backend.pop_idle(request_id)
+            has_carried = request_id in connection.carried_ids
+            if connection.is_usable and not has_carried:
                 return connection
             connection.close()
             backend.connections.discard(connection)
--- a/seampond/forwarding/connection.py
+++ b/seampond/forwarding/connection.py
@@ -21,6 +21,7 @@
 _FIRST_FINAL_STATUS = 200
 _TCP_USER_TIMEOUT_MS = 3000
 _CONNECT_TIMEOUT_MS = 300
+_CARRIED_IDS = 16
 
 
 def _do_nothing() -> None:
@@ -52,6 +53,9 @@
         When data was last received.
     ends_at_eof : bool
         Whether the current answer ends with the connection.
+    carried_ids : deque[bytes]
+        Ids of its latest requests.  A late answer to one of them could not be
+        told from the answer to another request with this id.
     on_lost : Callable[[], None]
         Called when the connection has ended, unless an answer without a
         length has ended with it.
@@ -78,6 +82,7 @@
         self.received_ms = 0
         self.ends_at_eof = False
         self.on_lost: Callable[[], None] = _do_nothing
+        self.carried_ids: deque[bytes] = deque(maxlen=_CARRIED_IDS)
         self._clock = clock
         self._id_header = id_header
         self._transport: asyncio.Transport | None = None
@@ -122,6 +127,7 @@
         assert self._transport is not None
         self._reset()
         self._request_id = request_id
+        self.carried_ids.append(request_id)
         self._has_body = has_body
         self._transport.write(encoded)
 
--- a/seampond/forwarding/tests/test_forwarder.py
+++ b/seampond/forwarding/tests/test_forwarder.py
@@ -350,7 +350,9 @@
         progress, _ = build_progress()
         backend = get_backend(backends, 'i-1')
 
-        async def connect_late(target: Backend) -> Connection:
+        async def connect_late(
+            target: Backend, request_id: bytes
+        ) -> Connection:
             update(backends)
             return Connection('x', Clock(), b'x')
 
--- a/seampond/gateway/tests/test_gateway.py
+++ b/seampond/gateway/tests/test_gateway.py
@@ -225,6 +225,30 @@
         self.assertEqual(response.status_code, 200)
         self.assertEqual(response.headers['content-length'], '1234')
 
+    async def test_late_answer_is_taken_for_that_of_a_second_attempt(
+        self,
+    ) -> None:
+        """Both have the same id; other requests use the kept connection."""
+        callers: list[tuple[str, int]] = []
+
+        async def answer_late(
+            request: ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> None:
+            request_id = request.get(ID_HEADER)
+            headers = {ID_HEADER: request_id, STAMP_HEADER: 's'}
+            caller = writer.get_extra_info('peername')
+            if caller in callers and request_id == 'r1':
+                writer.write(format_response(200, headers, b'late'))
+            callers.append(caller)
+            writer.write(format_response(200, headers, b'whole'))
+
+        self.serve = answer_late  # type: ignore[method-assign]
+        gateway = await self.start_ready()
+        for request_id in ('r1', 'r1', 'r2'):
+            response = await self.ask(gateway, request_id=request_id)
+            self.assertEqual(await response.content(), b'whole')
+        self.assertEqual(len(set(callers)), 2)
+
     async def test_traffic_is_split_by_weight(self) -> None:
         """A service of weight 0 gets nothing."""
         row = ConfigurationRow(weights=(('s1', 1), ('s2', 0)))
