--- a/seampond/forwarding/caller_protocol.py
+++ b/seampond/forwarding/caller_protocol.py
@@ -4,13 +4,18 @@
 from collections.abc import Callable
 from typing import Any
 
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+from uvicorn.protocols.http.httptools_impl import (
+    HttpToolsProtocol,
+    RequestResponseCycle,
+)
 
 from seampond.clock import MS_PER_SECOND
 from seampond.forwarding.models import RequestLimits
+from seampond.forwarding.unframed_answers import send_unframed
 
 TARGET_KEY = 'seampond.target'
 ON_DISCONNECT_KEY = 'seampond.watch'
+_CHUNKING_VERSION = '1.1'
 _REQUEST_TIMEOUT_RESPONSE = (
     b'HTTP/1.1 408 Request Timeout\r\n'
     b'content-length: 0\r\n'
@@ -91,6 +96,11 @@
             if self._on_disconnect is not None:
                 self._on_disconnect()
 
+    def _start_asgi_task(self, cycle: RequestResponseCycle, app: Any) -> None:
+        if cycle.scope['http_version'] != _CHUNKING_VERSION:
+            app = send_unframed(app, cycle)
+        super()._start_asgi_task(cycle, app)
+
     def _set_callback(self, callback: Callable[[], object]) -> None:
         self._on_disconnect = callback
 
--- a/seampond/testing/event_streams.py
+++ b/seampond/testing/event_streams.py
@@ -15,6 +15,8 @@
 
 _HEAD_END = b'\r\n\r\n'
 _CALLER_WAIT_MS = 5000
+_READ_BYTES = 65_536
+_CHUNKING_VERSION = 'HTTP/1.1'
 _ID_HEADER = HEADERS.request_id.decode()
 _DEADLINE_HEADER = HEADERS.deadline.decode()
 _LAST_EVENT_HEADER = HEADERS.last_event.decode()
@@ -74,7 +76,10 @@
     runs : list[str]
         The run that made each event.
     is_complete : bool
-        Whether the last answer ended with its last chunk.
+        Whether the last answer ended with its last chunk, or without chunks
+        with the orderly end of its connection.
+    is_chunked : bool
+        Whether the caller knows chunks.
 
     """
 
@@ -82,6 +87,7 @@
     numbers: list[int] = field(default_factory=list)
     runs: list[str] = field(default_factory=list)
     is_complete: bool = False
+    is_chunked: bool = True
 
     def find_wrong(self, events: int) -> str:
         """Return how it breaks the order of events, empty if it does not.
@@ -108,7 +114,7 @@
         self.runs.append(json.loads(text)['run'])
 
 
-def _encode_request(request_id: str, last_event: int) -> bytes:
+def _encode_request(request_id: str, last_event: int, version: str) -> bytes:
     headers = {
         'Host': HOST,
         _ID_HEADER: request_id,
@@ -118,7 +124,7 @@
     }
     if last_event:
         headers[_LAST_EVENT_HEADER] = str(last_event)
-    lines = ['POST /x/y HTTP/1.1']
+    lines = [f'POST /x/y {version}']
     lines.extend(f'{name}: {text}' for name, text in headers.items())
     return '\r\n'.join(lines).encode() + _HEAD_END + request_id.encode()
 
@@ -132,12 +138,24 @@
         yield payload
 
 
+async def _read_to_end(reader: asyncio.StreamReader) -> AsyncIterator[bytes]:
+    """Yield what arrives until the orderly end of the connection."""
+    payload = b'x'
+    while payload:
+        payload = await reader.read(_READ_BYTES)
+        yield payload
+
+
 async def receive_stream(
-    address: str, stream: ReceivedStream, request_id: str
+    address: str,
+    stream: ReceivedStream,
+    request_id: str,
+    version: str = _CHUNKING_VERSION,
 ) -> None:
     """Ask for a stream, or for the rest of it, and record its events."""
     last_event = stream.numbers[-1] if stream.numbers else 0
-    request = _encode_request(request_id, last_event)
+    request = _encode_request(request_id, last_event, version)
+    stream.is_chunked = version == _CHUNKING_VERSION
     with suppress(OSError, EOFError, TimeoutError):
         async with asyncio.timeout(_CALLER_WAIT_MS / MS_PER_SECOND):
             await _exchange(address, request, stream)
@@ -168,7 +186,8 @@
     reader: asyncio.StreamReader, stream: ReceivedStream
 ) -> None:
     pending = b''
-    async for payload in _read_chunks(reader):
+    read_payloads = _read_chunks if stream.is_chunked else _read_to_end
+    async for payload in read_payloads(reader):
         *events, pending = (pending + payload).split(b'\n\n')
         for event in events:
             stream.record(event)
