Events end with a blank line however their lines end

What callers saw: a stream whose lines end with CR LF, or with CR, was held until its server had sent all of it, and then ended as cut inside an event, with no event passed on.

Cause: only two LF in a row were taken for the end of an event.

Mend: an event ends with a blank line, whose line ends are LF, CR LF or CR. An event that ends with CR is passed on at once; if LF follows, it goes along as the rest of that line end. Only new bytes are searched.

The test feeds two events byte by byte for each pair of line ends.

--- a/seampond/forwarding/events.py
+++ b/seampond/forwarding/events.py
@@ -1,8 +1,15 @@
 """Split server-sent event streams into whole events."""
 
+import re
 from dataclasses import dataclass
 
-_EVENT_END = b'\n\n'
+# Lines end with CR, LF or both.
+_LAST_EVENT_END = re.compile(
+    rb'.*(?:\r\n|\n|\r(?!\n))(?:\r\n|\n|\r)', re.DOTALL
+)
+_LINE_END_MAX_BYTES = 2
+_CR = b'\r'
+_LF = b'\n'
 _ID_FIELD = b'id:'
 
 
@@ -41,21 +48,33 @@
     def __init__(self) -> None:
         """Initialize an empty splitter."""
         self.remainder = b''
+        self._has_passed_cr = False
 
     def feed(self, payload: bytes) -> Events:
         """Return the whole events received; buffer the remainder."""
         buffered = self.remainder + payload
-        end = buffered.rfind(_EVENT_END)
-        if end < 0:
+        end = self._find_end(buffered, len(self.remainder))
+        if not end:
             self.remainder = buffered
             return Events()
-        events = buffered[: end + len(_EVENT_END)]
-        self.remainder = buffered[end + len(_EVENT_END) :]
+        events = buffered[:end]
+        self.remainder = buffered[end:]
+        self._has_passed_cr = events.endswith(_CR)
         return Events(events, _parse_ids(events))
 
     def restart(self) -> None:
         """Discard an incomplete event."""
         self.remainder = b''
+        self._has_passed_cr = False
+
+    def _find_end(self, buffered: bytes, searched: int) -> int:
+        """Return the end of the last whole event, 0 if there is none."""
+        start = max(0, searched - _LINE_END_MAX_BYTES)
+        last_end = _LAST_EVENT_END.match(buffered, start)
+        if last_end:
+            return last_end.end()
+        # The line end of an event that has been passed on without waiting.
+        return int(self._has_passed_cr and buffered.startswith(_LF))
 
 
 def _parse_ids(events: bytes) -> tuple[bytes, ...]:
--- /dev/null
+++ b/seampond/forwarding/tests/test_events.py
@@ -0,0 +1,36 @@
+"""EventSplitter: events whose lines end in other ways than with LF."""
+
+import unittest
+
+from seampond.forwarding.events import EventSplitter
+
+_ENDS = (b'\n', b'\r\n', b'\r')
+_IDS = (b'1', b'2')
+
+
+class EventSplitterTest(unittest.TestCase):
+    """Two events, byte by byte."""
+
+    def test_events_are_held_until_the_stream_ends(self) -> None:
+        """Lines may end with CR, with LF, or with both."""
+        for first in _ENDS:
+            for second in _ENDS:
+                if first + second == b'\r\n':
+                    continue
+                with self.subTest(line=first, blank=second):
+                    self._check(b'data: a%b%b' % (first, second))
+
+    def _check(self, ending: bytes) -> None:
+        first, second = (b'id: %b\n%b' % (name, ending) for name in _IDS)
+        splitter = EventSplitter()
+        passed = b''
+        ids: list[bytes] = []
+        stream = b''.join((first, second))
+        for number in stream:
+            events = splitter.feed(bytes([number]))
+            passed += events.payload
+            ids.extend(events.ids)
+            if len(passed) == len(first):
+                self.assertEqual(ids, [b'1'])
+        self.assertEqual((passed, tuple(ids)), (stream, _IDS))
+        self.assertEqual(splitter.remainder, b'')
