The grace of a server without a row counts from the last proof of the row

Cause: a server whose row has gone is a fallback for 0.7 of the time to drain, counted from when the gateway learns of it. While its feed is silent it learns by the next probe, up to 1.2 s later and more by its rank: 1.2 s and 1.4 s are over the 2 s allowed.

Mend: the row may have gone right after the last proof that it existed, so the grace counts from that proof. The sum is then 0.7 of the time to drain however late the news is: by feed, by probe or relayed by another gateway, whose proof counts in the same way. Where calls for the list have failed since the proof, the row may have lapsed with the store, and the server keeps the whole grace.

--- a/seampond/forwarding/backends.py
+++ b/seampond/forwarding/backends.py
@@ -33,6 +33,11 @@
     """Ignore the limit."""
 
 
+def _never() -> int:
+    """Return the time of an event that has not happened."""
+    return 0
+
+
 def _ignore_server(server: Server) -> None:
     """Ignore the server."""
 
@@ -61,8 +66,8 @@
     id_header : bytes
         The request header that every response carries back.
     grace_ms : int
-        How long a server is used as a fallback after its row has gone, and
-        as a last resort after it has announced that it drains.
+        How long a server is used as a fallback after the last proof of its
+        row, and as a last resort after it has announced that it drains.
     connection_limit : Callable[[str], int]
         Return how many connections this gateway may have to each server of
         a pool.
@@ -79,6 +84,8 @@
         Called when all connections to a server have ended.
     on_restart : ServerCallback
         Called when a later process has replaced that of a server.
+    failed_ms : Callable[[], int]
+        Returns when a call for the list of servers has last failed.
 
     """
 
@@ -97,6 +104,8 @@
         self.on_limit: LimitCallback = _ignore_limit
         self.on_connections_lost: ServerCallback = _ignore_server
         self.on_restart: ServerCallback = _ignore_server
+        self.failed_ms: Callable[[], int] = _never
+        self._proved_ms = 0
         self._clock = clock
         self._id_header = id_header
         self._hash_name = hash_name
@@ -180,6 +189,7 @@
 
     def confirm_rows(self, proved_ms: int) -> None:
         """Record that the rows of all servers were current at a time."""
+        self._proved_ms = max(self._proved_ms, proved_ms)
         for backend in self._by_id.values():
             backend.confirm_row(proved_ms)
 
@@ -337,7 +347,12 @@
             return
         backend.is_listed = False
         if not backend.is_draining:
-            backend.fallback_until_ms = self._clock.now() + self.grace_ms
+            # The row may have gone right after its last proof.  If calls have
+            # failed since, it may have lapsed, and is written again.
+            since_ms = self._proved_ms
+            if self.failed_ms() >= since_ms:
+                since_ms = self._clock.now()
+            backend.fallback_until_ms = since_ms + self.grace_ms
         backend.close_idle_connections()
         _log('server gone', backend.server, len(self))
 
--- a/seampond/gateway/bounds.py
+++ b/seampond/gateway/bounds.py
@@ -10,7 +10,12 @@
 
 
 def compute_grace_ms(bounds: BoundSettings) -> int:
-    """Return how long a server without a row stays a fallback."""
+    """Return how long a server without a row stays a fallback.
+
+    Explanation
+    -----------
+    It counts from the last proof that the row existed.
+    """
     return round(bounds.drain_ms * _GRACE_FRACTION)
 
 
--- a/seampond/gateway/tests/test_draining.py
+++ b/seampond/gateway/tests/test_draining.py
@@ -5,6 +5,7 @@
 from http import HTTPStatus
 
 from seampond.gateway.tests.test_gateway import GatewayCase
+from seampond.platform.names import SERVERS_TABLE
 from seampond.platform.tests.rows import (
     ID_HEADER,
     ConfigurationRow,
@@ -12,12 +13,15 @@
     put_configuration,
 )
 from seampond.settings.gateway import BoundSettings
-from seampond.testing.gateways import wait_until
+from seampond.testing.gateways import get_backend, wait_until
 from seampond.testing.scripted import ReceivedRequest
 from seampond.testing.virtual_time import VirtualTimeCase
 
 _DRAIN_MS = 600
 _LONG_DRAIN_MS = 60_000
+_SILENT_DRAIN_MS = 2000
+# Beyond this, news of a probe and a whole grace exceed the drain time.
+_LEARNED_AFTER_MS = 600
 # Shorter than the target latency of the route plus the stop margin.
 _SHORT_STOP_MS = 1200
 
@@ -68,6 +72,26 @@
         self.assertEqual(response.status_code, HTTPStatus.SERVICE_UNAVAILABLE)
         self.assertEqual(self.server.received, [])
 
+    async def test_grace_begins_when_a_late_gateway_learns_of_it(self) -> None:
+        """The feed is silent, and the row went right after the last probe."""
+        bounds = BoundSettings(drain_ms=_SILENT_DRAIN_MS)
+        gateway = await self.start_ready(bounds=bounds)
+        components = gateway.components
+        clock, backends = components.clock, components.backends
+        freshness = components.freshness[SERVERS_TABLE]
+        self.store.orphan_feeds()
+        proved_ms = freshness.proved_ms
+        await wait_until(lambda: freshness.proved_ms > proved_ms)
+        drop_server(self.store, 'i-1')
+        gone_ms = clock.now()
+        self.store.orphan_feeds()
+        backend = get_backend(backends, 'i-1')
+        await wait_until(lambda: not backend.is_listed)
+        self.assertGreater(clock.now() - gone_ms, _LEARNED_AFTER_MS)
+        await clock.sleep(gone_ms + _SILENT_DRAIN_MS - clock.now())
+        await self.ask(gateway)
+        self.assertEqual(self.server.received, [])
+
     async def test_server_whose_row_returns_is_used_again(self) -> None:
         """For example after a lapse during a store outage."""
         bounds = BoundSettings(drain_ms=_DRAIN_MS)
--- a/seampond/gateway/wiring.py
+++ b/seampond/gateway/wiring.py
@@ -238,6 +238,7 @@
             clock,
         ),
     )
+    backends.failed_ms = lambda: freshness[SERVERS_TABLE].failed_ms
     server_follower = ServerFollower(backends, scheduler)
     server_follower.on_change = origins.update_servers
     admission = Admission(
--- a/seampond/watches/freshness.py
+++ b/seampond/watches/freshness.py
@@ -57,6 +57,8 @@
         Latest local time at which the copy was complete.
     proof_updated_ms : int
         Local time of the last change of `proof`.
+    failed_ms : int
+        Local time at which a call for the table last failed, 0 for never.
 
     Examples
     --------
@@ -83,6 +85,7 @@
         self.proof: FreshnessProof | None = None
         self.proved_ms = 0
         self.proof_updated_ms = 0
+        self.failed_ms = 0
         self._store_clock = store_clock
         self._clock = clock
         self._on_proof = on_proof
--- a/seampond/watches/watch.py
+++ b/seampond/watches/watch.py
@@ -379,8 +379,11 @@
         so they are read if the snapshot turns out to be too old.
         """
         self._failures.record_failure(error)
+        now_ms = self.clock.now()
         if isinstance(error, LongChangesError):
-            self._sizes.lift_limit(self.clock.now() + self.deadline_ms())
+            self._sizes.lift_limit(now_ms + self.deadline_ms())
+        else:
+            self.freshness.failed_ms = now_ms
         if isinstance(error, _SNAPSHOT_ERRORS):
             self._needs_snapshot = True
 
