A soak of gateway and server processes that checks each event

What callers saw: streams that end as complete too early, lack or repeat events, on machines of the users' own only.

Cause that no test showed it: only the system of a killed process closes its connections without a reset, and the servers of the other soaks live in the process of the test.

The soak runs gateways and servers as processes, with framings, writes in pieces and draining drawn from the seed. Servers are killed, stopped, frozen and replaced under a new id at the same or another port, some rows going late; gateways are killed, stopped, frozen, get SIGHUP; the configuration changes. Callers keep connections, come back at another gateway, some while the first answer goes on. Events name their stream and run; twice, back, missing, other, joined and early are counted, and too few streams begun or complete are wrong.

--- a/seampond/platform/tests/rows.py
+++ b/seampond/platform/tests/rows.py
@@ -41,6 +41,8 @@
         Number of further tenants.
     may_resume : bool
         Whether a broken stream may be resumed.
+    has_once_route : bool
+        Whether there is a route, at `/once/`, whose streams may not be.
 
     """
 
@@ -52,6 +54,7 @@
     limits: dict[str, int] | None = None
     other_tenants: int = 0
     may_resume: bool = False
+    has_once_route: bool = False
 
     def make(self) -> dict[str, Any]:
         """Return the row as the store holds it."""
@@ -71,13 +74,21 @@
                 {'service': pool, 'weight': weight}
                 for pool, weight in self.weights
             ]
+        routes = [route]
+        if self.has_once_route:
+            changes = {
+                'name': 'r2',
+                'path-prefix': '/once/',
+                'stream-resume': False,
+            }
+            routes.append(route | changes)
         limits = {
             name.replace('_', '-'): limit
             for name, limit in (self.limits or {}).items()
         }
         return {
             'version': self.version,
-            'routes': [route],
+            'routes': routes,
             'services': [{'name': POOL, 'max-conns': self.connections_max}],
             'tenants': [
                 {'name': TENANT, 'api-keys': list(self.keys)},
--- a/seampond/testing/event_server.py
+++ b/seampond/testing/event_server.py
@@ -7,9 +7,11 @@
 import asyncio
 import enum
 import json
+import signal
 import sys
 from collections.abc import Iterator
 from dataclasses import dataclass
+from http import HTTPStatus
 from itertools import chain, count
 from typing import Any
 
@@ -27,7 +29,10 @@
 _ID_HEADER = HEADERS.request_id.decode()
 _STAMP_HEADER = HEADERS.stamp.decode()
 _LAST_EVENT_HEADER = HEADERS.last_event.decode()
+_INSTANCE_HEADER = HEADERS.expect_instance.decode()
+_NOT_RUN_HEADER = HEADERS.not_run.decode()
 _SLICE_BYTES = 7
+_DRAIN_POLL_S = 0.02
 _DISCONNECT_ERRORS = (asyncio.IncompleteReadError, OSError)
 
 
@@ -61,6 +66,10 @@
         Number of events of each stream.
     interval_ms : int
         Time before each event.
+    pieces : int
+        In how many writes an event leaves, spread over the interval.
+    drain_ms : int
+        How long open streams go on after SIGTERM, 0 to end at once.
 
     """
 
@@ -70,6 +79,8 @@
     resumption: Resumption = Resumption.next_event
     events: int = 6
     interval_ms: int = 50
+    pieces: int = 1
+    drain_ms: int = 0
 
     def first_event(self, last_event: int) -> int:
         """Return the number of the event after which a stream goes on."""
@@ -82,9 +93,9 @@
         return last_event + 1
 
 
-def make_event(number: int, run: str) -> bytes:
-    """Return an event that names its number and the run that made it."""
-    text = json.dumps({'number': number, 'run': run})
+def make_event(number: int, run: str, stream: str = '') -> bytes:
+    """Return an event that names its number, its run and its stream."""
+    text = json.dumps({'number': number, 'run': run, 'stream': stream})
     return b'id: %d\ndata: %b\n\n' % (number, text.encode())
 
 
@@ -115,33 +126,83 @@
     """Answer one request with a stream of events."""
     first = plan.first_event(int(request.get(_LAST_EVENT_HEADER) or 0))
     events = [
-        make_event(number, run) for number in range(first, plan.events + 1)
+        make_event(number, run, request.body.decode())
+        for number in range(first, plan.events + 1)
     ]
     headers = {_ID_HEADER: request.get(_ID_HEADER), _STAMP_HEADER: plan.id}
     size = sum(map(len, events))
     writer.write(_format_head(plan.framing, headers, size))
     for event in events:
-        await asyncio.sleep(plan.interval_ms / MS_PER_SECOND)
-        writer.write(_encode_chunks(event, plan.framing))
-        await writer.drain()
+        await _write_pieces(plan, _encode_chunks(event, plan.framing), writer)
     if plan.framing in {Framing.chunks, Framing.slices}:
         writer.write(format_chunk(b''))
 
 
+async def _write_pieces(
+    plan: ServerPlan, text: bytes, writer: asyncio.StreamWriter
+) -> None:
+    """Write an event in pieces, each after its part of the interval."""
+    size = -(-len(text) // plan.pieces)
+    for start in range(0, len(text), size):
+        await asyncio.sleep(plan.interval_ms / plan.pieces / MS_PER_SECOND)
+        writer.write(text[start : start + size])
+        await writer.drain()
+
+
+def _is_for_another(plan: ServerPlan, request: ReceivedRequest) -> bool:
+    """Return True if a request names another server as its target."""
+    return request.get(_INSTANCE_HEADER) not in {'', plan.id}
+
+
+def _reject(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+    headers = {_ID_HEADER: request.get(_ID_HEADER), _NOT_RUN_HEADER: '1'}
+    writer.write(format_response(HTTPStatus.MISDIRECTED_REQUEST, headers))
+
+
+def _end_after_streams(plan: ServerPlan, open_runs: set[str]) -> None:
+    """On SIGTERM, let open streams go on for some time, then end."""
+    loop = asyncio.get_running_loop()
+    until = loop.time() + plan.drain_ms / MS_PER_SECOND
+
+    def end() -> None:
+        if not open_runs or loop.time() >= until:
+            signal.raise_signal(signal.SIGKILL)
+        loop.call_later(_DRAIN_POLL_S, end)
+
+    end()
+
+
 async def serve_events(plan: ServerPlan) -> None:
     """Serve until the process ends."""
     runs: Iterator[int] = count()
+    open_runs: set[str] = set()
+    if plan.drain_ms:
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, _end_after_streams, plan, open_runs
+        )
+
+    async def answer(
+        request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> bool:
+        """Answer a request; return whether the connection stays open."""
+        if _is_for_another(plan, request):
+            _reject(request, writer)
+            return True
+        run = f'{plan.id}-{next(runs)}'
+        open_runs.add(run)
+        try:
+            await _stream(plan, run, request, writer)
+        finally:
+            open_runs.discard(run)
+        return plan.framing is not Framing.close
 
     async def serve(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        is_open = True
         try:
-            while True:
-                request = await read_request(reader)
-                run = f'{plan.id}-{next(runs)}'
-                await _stream(plan, run, request, writer)
-                if plan.framing is Framing.close:
-                    break
+            while is_open:
+                is_open = await answer(await read_request(reader), writer)
         except _DISCONNECT_ERRORS:
             """The caller has left."""
         finally:
@@ -163,6 +224,8 @@
         'resumption': plan.resumption.value,
         'events': plan.events,
         'interval-ms': plan.interval_ms,
+        'pieces': plan.pieces,
+        'drain-ms': plan.drain_ms,
     }
 
 
@@ -187,6 +250,8 @@
     )
     parser.add_argument('--events', type=int, default=6)
     parser.add_argument('--interval-ms', type=int, default=50)
+    parser.add_argument('--pieces', type=int, default=1)
+    parser.add_argument('--drain-ms', type=int, default=0)
     options = parser.parse_args()
     plan = ServerPlan(
         options.id,
@@ -195,6 +260,8 @@
         options.resumption,
         options.events,
         options.interval_ms,
+        options.pieces,
+        options.drain_ms,
     )
     asyncio.run(serve_events(plan))
 
--- a/seampond/testing/event_streams.py
+++ b/seampond/testing/event_streams.py
@@ -41,11 +41,16 @@
         assert self.process.stdout is not None
         await self.process.stdout.readline()
 
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal if the process is running."""
+        if self.process is not None:
+            with suppress(ProcessLookupError):
+                self.process.send_signal(number)
+
     async def kill(self) -> None:
         """Kill the process; its system closes the connections."""
         if self.process is not None:
-            with suppress(ProcessLookupError):
-                self.process.send_signal(signal.SIGKILL)
+            self.signal(signal.SIGKILL)
             await self.process.wait()
 
 
--- a/seampond/testing/soak_faults.py
+++ b/seampond/testing/soak_faults.py
@@ -5,7 +5,8 @@
 import signal
 from collections import Counter
 from collections.abc import Awaitable, Callable, Sequence
-from dataclasses import dataclass, field
+from contextlib import suppress
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
 
@@ -21,6 +22,8 @@
 _DRAINING_ROW_PROBABILITY = 0.7
 _DOWNGRADE_PROBABILITY = 0.3
 _REPLACE_INTERVAL_MAX_MS = 800
+_HANG_UP_S = 1
+_OTHER_TENANTS_MAX = 20
 _LIMITS = (0, 0.2, 0.7, 1.5, 4)
 
 Fault = Callable[['SoakContext'], Awaitable[None]]
@@ -116,6 +119,35 @@
     context.send_signal(gateway, signal.SIGCONT)
 
 
+async def _hang_up(context: SoakContext) -> None:
+    """Send a hang-up; start the gateway again if that ends it."""
+    gateway = context.rng.choice(context.gateways)
+    context.send_signal(gateway, signal.SIGHUP)
+    with suppress(TimeoutError):
+        async with asyncio.timeout(_HANG_UP_S):
+            await gateway.wait()
+        # It had not yet set up its signal handlers.
+        await _restart(context, gateway)
+
+
+async def _change_configuration(context: SoakContext) -> None:
+    """Write another version of the configuration."""
+    context.configuration = replace(
+        context.configuration,
+        version=context.configuration.version + 1,
+        other_tenants=context.rng.randrange(_OTHER_TENANTS_MAX),
+    )
+    put_configuration(context.store, context.configuration)
+
+
+async def _freeze_in_series(context: SoakContext) -> None:
+    """Freeze gateways one after another, for overlapping times."""
+    async with asyncio.TaskGroup() as group:
+        for _ in range(context.rng.randrange(2, 5)):
+            group.create_task(_freeze(context))
+            await context.clock.sleep(context.rng.uniform(0, 500))
+
+
 async def _kill_all(context: SoakContext) -> None:
     for gateway in context.gateways:
         context.send_signal(gateway, signal.SIGKILL)
@@ -266,6 +298,18 @@
 )
 
 
+# For soaks that check each event of streams.
+STREAM_FAULTS: tuple[Fault, ...] = (
+    *RELEASE_FAULTS,
+    _stop,
+    _freeze,
+    _freeze_in_series,
+    _hang_up,
+    _change_configuration,
+    _change_configuration,
+)
+
+
 # For soaks in which only single gateways are killed.
 KILLS: tuple[Fault, ...] = (_kill,)
 
