Soaks of gateways draw how answers end, and look for cut streams

What callers saw: streams that are complete before their last event, which neither release_soak nor gateway_soak could show: their servers only sent chunks or a length, and no check looked for the last event.

release_soak draws the framing of each server's streams from the seed (chunks, slices of chunks, a length, the end of the connection) and counts streams that end too early beside those that lack or repeat events. gateway_soak draws how whole answers end; its check of bodies shows one that is cut. All earlier checks stay as they are; the draws have generators of their own, so releases and faults of a seed stay the same.

--- a/seampond/testing/crashing.py
+++ b/seampond/testing/crashing.py
@@ -59,6 +59,7 @@
 
     whole = 'whole'
     half_body = 'half a body'
+    unframed_body = 'half a body without length or chunks'
     stream = 'chunked stream'
     unframed_stream = 'stream without length or chunks'
     half_event = 'the same, an event and a half'
@@ -253,7 +254,11 @@
             writer.close()
 
 
-_UNFRAMED_STYLES = (AnswerStyle.unframed_stream, AnswerStyle.half_event)
+_UNFRAMED_STYLES = (
+    AnswerStyle.unframed_stream,
+    AnswerStyle.half_event,
+    AnswerStyle.unframed_body,
+)
 _WHOLE_BODY = b'whole'
 _HALF = 7
 
@@ -263,6 +268,8 @@
     if style is AnswerStyle.half_body:
         head = format_response(200, headers, length=len(_WHOLE_BODY))
         return head + _WHOLE_BODY[:2]
+    if style is AnswerStyle.unframed_body:
+        return format_unframed_response(headers, _WHOLE_BODY[:2])
     if style is AnswerStyle.stream:
         return format_chunked_response(headers, EVENT)
     if style is AnswerStyle.unframed_stream:
@@ -274,7 +281,7 @@
 
 def _format_rest(style: AnswerStyle, headers: Mapping[str, str]) -> bytes:
     """Return what a server writes after its service time."""
-    if style is AnswerStyle.half_body:
+    if style in {AnswerStyle.half_body, AnswerStyle.unframed_body}:
         return _WHOLE_BODY[2:]
     if style is AnswerStyle.stream:
         return LAST_CHUNK
--- a/seampond/testing/event_server.py
+++ b/seampond/testing/event_server.py
@@ -99,7 +99,8 @@
     return b'id: %d\ndata: %b\n\n' % (number, text.encode())
 
 
-def _encode_chunks(event: bytes, framing: Framing) -> bytes:
+def encode_event(event: bytes, framing: Framing) -> bytes:
+    """Return the bytes that carry an event."""
     if framing is Framing.chunks:
         return format_chunk(event)
     if framing is Framing.slices:
@@ -109,7 +110,8 @@
     return event
 
 
-def _format_head(framing: Framing, headers: dict[str, str], size: int) -> bytes:
+def format_head(framing: Framing, headers: dict[str, str], size: int) -> bytes:
+    """Return the head of an answer whose events have some size in bytes."""
     if framing is Framing.length:
         return format_response(200, headers, length=size)
     if framing is Framing.close:
@@ -117,6 +119,12 @@
     return format_chunked_response(headers)
 
 
+def format_end(framing: Framing) -> bytes:
+    """Return what follows the last event."""
+    is_chunked = framing in {Framing.chunks, Framing.slices}
+    return format_chunk(b'') if is_chunked else b''
+
+
 async def _stream(
     plan: ServerPlan,
     run: str,
@@ -131,11 +139,10 @@
     ]
     headers = {_ID_HEADER: request.get(_ID_HEADER), _STAMP_HEADER: plan.id}
     size = sum(map(len, events))
-    writer.write(_format_head(plan.framing, headers, size))
+    writer.write(format_head(plan.framing, headers, size))
     for event in events:
-        await _write_pieces(plan, _encode_chunks(event, plan.framing), writer)
-    if plan.framing in {Framing.chunks, Framing.slices}:
-        writer.write(format_chunk(b''))
+        await _write_pieces(plan, encode_event(event, plan.framing), writer)
+    writer.write(format_end(plan.framing))
 
 
 async def _write_pieces(
--- a/seampond/testing/gateway_soak.py
+++ b/seampond/testing/gateway_soak.py
@@ -21,7 +21,7 @@
     ConfigurationRow,
     put_configuration,
 )
-from seampond.testing.crashing import CRASHING_BODY, Content
+from seampond.testing.crashing import CRASHING_BODY, AnswerStyle, Content
 from seampond.testing.gateway_processes import (
     GATEWAY_COUNT,
     GatewayProcess,
@@ -54,6 +54,7 @@
 _BACKOFF_SENDS_MAX = 2
 _FIRST_PART = 'a0'
 _CRASHING_PART = 'bad'
+_STYLES = (AnswerStyle.whole, AnswerStyle.half_body, AnswerStyle.unframed_body)
 _SHARED_PARTS = 5
 # Crashes that are borne before late sends count.
 _BODY_CRASHES = 3
@@ -234,6 +235,12 @@
         return _PART_CRASHES if self.has_crashing_part else _BODY_CRASHES
 
 
+def _draw_styles(fleet: SignallingFleet, rng: random.Random) -> None:
+    """Draw how servers mark the ends of their answers."""
+    for server in fleet.signalling_servers:
+        server.style = rng.choice(_STYLES)
+
+
 async def run_soak(folder: Path, plan: SoakPlan) -> SoakReport:
     """Run gateways under faults, then for some time without."""
     rng = random.Random(plan.seed)
@@ -245,6 +252,7 @@
         run_signalling(store, _SERVERS, _is_crashing) as fleet,
         run_gateways(folder, store, plan.earlier_build) as gateways,
     ):
+        _draw_styles(fleet, random.Random(plan.seed))
         configuration = ConfigurationRow(kind=kind)
         put_configuration(store, configuration)
         await wait_ready(
--- a/seampond/testing/release_soak.py
+++ b/seampond/testing/release_soak.py
@@ -9,7 +9,7 @@
 import sys
 import tempfile
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -20,6 +20,7 @@
     ConfigurationRow,
     put_configuration,
 )
+from seampond.testing.event_server import Framing
 from seampond.testing.gateway_processes import (
     GATEWAY_COUNT,
     GatewayProcess,
@@ -183,6 +184,11 @@
         )
     if fleet.disordered:
         report.wrong.append(f'{len(fleet.disordered)} streams lack events')
+    if fleet.cut:
+        report.wrong.append(f'{len(fleet.cut)} streams end too early')
+        report.wrong.extend(
+            f'cut: {record.describe()}' for record in fleet.cut[:_SHOWN]
+        )
     least = _RESUMED_SHARE * report.started_share * report.resumed
     if report.resumed >= _RESUMED_MIN and report.went_on < least:
         report.wrong.append('streams that are resumed do not go on')
@@ -199,6 +205,12 @@
     return wrong
 
 
+def _draw_framings(rng: random.Random) -> Iterator[Framing]:
+    """Yield how servers mark the ends of their answers."""
+    while True:
+        yield rng.choice(tuple(Framing))
+
+
 async def run_release_soak(folder: Path, plan: ReleasePlan) -> ReleaseReport:
     """Run gateways through releases and faults, then for some time without."""
     rng = random.Random(plan.seed)
@@ -212,6 +224,7 @@
         ) as gateways,
     ):
         put_configuration(store, _CONFIGURATION)
+        fleet.framings = _draw_framings(random.Random(plan.seed))
         await fleet.add_servers(
             _SERVERS, _VERSIONS[0], break_every=_BREAK_EVERY
         )
--- a/seampond/testing/signalling.py
+++ b/seampond/testing/signalling.py
@@ -26,6 +26,7 @@
     ReceivedRequest,
     format_chunked_response,
     format_response,
+    format_unframed_response,
 )
 from seampond.testing.store import StandInStore
 
@@ -172,6 +173,9 @@
         await self.clock.sleep(self.service_ms)
         if self.style is AnswerStyle.stream:
             writer.write(LAST_CHUNK)
+        elif self.style is AnswerStyle.unframed_body:
+            writer.write(format_unframed_response(headers, b'whole'))
+            writer.close()
         else:
             writer.write(format_response(200, headers, b'whole'))
 
--- a/seampond/testing/streaming.py
+++ b/seampond/testing/streaming.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import itertools
-from collections.abc import AsyncIterator, Iterable, Sequence
+from collections.abc import AsyncIterator, Iterable, Iterator, Sequence
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field
 from http import HTTPStatus
@@ -18,15 +18,18 @@
     drop_server,
 )
 from seampond.testing.crashing import (
-    LAST_CHUNK,
     Content,
     CrashingServer,
     Delivery,
 )
+from seampond.testing.event_server import (
+    Framing,
+    encode_event,
+    format_end,
+    format_head,
+)
 from seampond.testing.scripted import (
     ReceivedRequest,
-    format_chunk,
-    format_chunked_response,
     format_response,
     reset_connection,
 )
@@ -61,11 +64,14 @@
         after some events, 0 for none.
     is_draining : bool
         Whether its row says that it drains.
+    framing : Framing
+        How it marks the ends of its answers.
 
     """
 
     break_every: int = 0
     is_draining: bool = False
+    framing: Framing = Framing.chunks
     started_count: int = 0
 
     @property
@@ -106,16 +112,23 @@
         last = int(request.get(_LAST_EVENT_HEADER) or 0)
         is_broken = not last and self._must_break()
         headers[STAMP_HEADER] = self.id
-        writer.write(format_chunked_response(headers))
-        for number in range(last + 1, EVENT_COUNT + 1):
+        events = [
+            _make_event(number, self.version)
+            for number in range(last + 1, EVENT_COUNT + 1)
+        ]
+        size = sum(map(len, events))
+        writer.write(format_head(self.framing, headers, size))
+        for sent, event in enumerate(events, start=1):
             await self.clock.sleep(_EVENT_INTERVAL_MS)
-            writer.write(format_chunk(_make_event(number, self.version)))
-            if is_broken and number == _EVENTS_BEFORE_BREAK:
+            writer.write(encode_event(event, self.framing))
+            if is_broken and sent == _EVENTS_BEFORE_BREAK:
                 await writer.drain()
                 reset_connection(writer)
                 return
-        writer.write(LAST_CHUNK)
+        writer.write(format_end(self.framing))
         await writer.drain()
+        if self.framing is Framing.close:
+            writer.close()
 
     def _must_break(self) -> bool:
         self.started_count += 1
@@ -189,6 +202,11 @@
         """Whether it holds each event up to the last one once."""
         return self.numbers == list(range(1, len(self.numbers) + 1))
 
+    @property
+    def is_cut(self) -> bool:
+        """Whether it was complete before its last event."""
+        return self.is_complete and EVENT_COUNT not in self.numbers
+
 
 @dataclass(frozen=True, slots=True)
 class CallerPlan:
@@ -215,10 +233,20 @@
 
 @dataclass
 class StreamingFleet:
-    """Servers of several versions, and records of callers' streams."""
+    """Servers of several versions, and records of callers' streams.
+
+    Parameters
+    ----------
+    framings : Iterator[Framing]
+        How the next servers mark the ends of their answers.
+
+    """
 
     store: StandInStore
     clock: Clock
+    framings: Iterator[Framing] = field(
+        default_factory=lambda: itertools.repeat(Framing.chunks)
+    )
     servers: list[StreamingServer] = field(default_factory=list)
     records: list[StreamRecord] = field(default_factory=list)
     deliveries: list[Delivery] = field(default_factory=list)
@@ -235,6 +263,11 @@
         """Streams that lack an event or hold one twice."""
         return [record for record in self.records if not record.is_in_order]
 
+    @property
+    def cut(self) -> list[StreamRecord]:
+        """Streams that were complete before their last event."""
+        return [record for record in self.records if record.is_cut]
+
     def count_serving(self, version: str) -> int:
         """Count the servers of a version that take work."""
         return sum(
@@ -284,6 +317,7 @@
                 self.deliveries.append,
                 row={'version': version, 'slots': _SLOTS},
                 may_restart=False,
+                framing=next(self.framings),
                 **changes,
             )
             for _ in range(count)
@@ -395,13 +429,15 @@
         _parse_head(head, attempt)
         if attempt.status != HTTPStatus.OK:
             return
+        pending = b''
         while True:
             async with asyncio.timeout(_GAP_MAX_MS / MS_PER_SECOND):
                 payload = await _read_chunk(reader)
             if not payload:
                 record.is_complete = True
                 return
-            for event in payload.strip().split(b'\n\n'):
+            *events, pending = (pending + payload).split(b'\n\n')
+            for event in events:
                 _record_event(event, record, attempt)
             if cut_after and attempt.event_count >= cut_after:
                 return
