Bounds on the store's clock widen with their age

Seen by callers: once the store's clock had fallen behind by more than the time of a call, its answers were rejected ("answer older than the call"), requests with a key got 503 configuration-unproved, and a new configuration did not reach the gateways. With a faster store's clock, proofs of others seemed fresher than they were.

Cause: the bounds on the offset were extremes over the life of the process. Bounds from before a restore or a jump forward were kept for ever as well, and both clocks' whole milliseconds were taken as exact.

Now a bound is a reading of both clocks that widens by 500 millionths of its distance in either direction, and is replaced as soon as an answer gives a closer one. Conversions take the safe end, by up to 2 ms for whole milliseconds; a gateway's own answer proves at least the time of its call. A later era, or an answer from after its receipt, begins the bounds anew. Proofs carry the era of their clock, and those of an earlier era are ignored.

Changed tests: three exact figures in test_watch and three in doctests are 2 ms on the safe side, and stay exact: the moment of another process's proof is only known to whole milliseconds of two clocks.

Not mended: a store whose clock is set back without a new era is rejected until the process restarts, since this cannot be told from stale answers.

--- a/seampond/clock.py
+++ b/seampond/clock.py
@@ -10,6 +10,10 @@
 MS_PER_DAY = 86_400_000
 NS_PER_MS = 1_000_000
 NS_PER_SECOND = 1_000_000_000
+_MILLION = 1_000_000
+# How much faster or slower the clock of another machine may run, in millionths:
+# the most that time synchronisation slews.
+_MAX_RATE_DIFFERENCE = 500
 
 
 # CLOCK_MONOTONIC stops while the machine is suspended, so that proofs, leases
@@ -28,6 +32,46 @@
     return time.monotonic_ns()
 
 
+def least_local_ms(remote_ms: int) -> int:
+    """Return the least local time that passes in a time of another machine.
+
+    Parameters
+    ----------
+    remote_ms : int
+        Milliseconds by the other machine's clock; negative if counted back, so
+        that the result is the earliest local moment in either direction.
+
+    Examples
+    --------
+    >>> [least_local_ms(remote_ms) for remote_ms in (20_010, 0, -19_990)]
+    [20000, 0, -20000]
+
+    """
+    sign = 1 if remote_ms > 0 else -1
+    rate = _MILLION + sign * _MAX_RATE_DIFFERENCE
+    return remote_ms * _MILLION // rate
+
+
+def least_remote_ms(local_ms: int) -> int:
+    """Return the least time of another machine that passes in a local time.
+
+    Parameters
+    ----------
+    local_ms : int
+        Milliseconds by the local clock; negative if counted back, so that the
+        result is the earliest remote moment in either direction.
+
+    Examples
+    --------
+    >>> [least_remote_ms(local_ms) for local_ms in (20_000, 0, -20_000)]
+    [19990, 0, -20010]
+
+    """
+    sign = 1 if local_ms > 0 else -1
+    rate = _MILLION - sign * _MAX_RATE_DIFFERENCE
+    return local_ms * rate // _MILLION
+
+
 def _read_steady_ms() -> int:
     return read_steady_ns() // NS_PER_MS
 
--- a/seampond/watches/freshness.py
+++ b/seampond/watches/freshness.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 
 from seampond.clock import MS_PER_SECOND, Clock
-from seampond.watches.rows import Page, era_of
+from seampond.watches.rows import Page, era_of, make_version
 from seampond.watches.store_clock import StoreClock
 
 # Covers the proofs received in about two seconds: four followers send 13 a
@@ -68,7 +68,7 @@
     True
     >>> freshness.apply_proof(FreshnessProof(latest_change=6, store_ms=5040))
     >>> freshness.proved_ms
-    540
+    538
 
     """
 
@@ -145,13 +145,16 @@
         """
         self.version = max(self.version, page.version)
         changes = (row.version for row in page.rows)
-        self._latest_change = max(self._latest_change, max(changes, default=0))
+        # The era tells which clock of the store a proof refers to.
+        era_start = make_version(era_of(page.version), 0)
+        self._latest_change = max(self._latest_change, era_start, *changes)
         if self.version >= self._missing_version:
             self._missing_version = 0
             self._behind_event.clear()
         # A snapshot may be some seconds old; the answer of a feed is not.
         if not page.is_snapshot:
-            self._prove(FreshnessProof(self._latest_change, page.store_ms))
+            proof = FreshnessProof(self._latest_change, page.store_ms)
+            self._prove(proof, page.sent_ms)
             return True
         self._update_proof()
         return self._apply_pending_proofs()
@@ -160,8 +163,7 @@
         """Apply the proof of another process."""
         if not self.version:
             return
-        if era_of(proof.latest_change) < era_of(self.version):
-            # Changes from before a restore of the store may be lost.
+        if self._is_of_earlier_era(proof):
             return
         if proof.latest_change <= self.version:
             # Deletions do not show in snapshots but do in proofs of others.
@@ -248,11 +250,37 @@
             self.apply_proof(proof)
         return bool(confirmed)
 
-    def _prove(self, proof: FreshnessProof) -> None:
-        if self.proof is not None and proof.store_ms <= self.proof.store_ms:
+    def _is_of_earlier_era(self, proof: FreshnessProof) -> bool:
+        """Return True if a proof is from before a restore of the store.
+
+        Explanation
+        -----------
+        Its changes may be lost, and its time is by another clock.
+        """
+        era = max(era_of(self.version), self._store_clock.era)
+        return era_of(proof.latest_change) < era
+
+    def _prove(self, proof: FreshnessProof, sent_ms: int = 0) -> None:
+        """Record a proof.
+
+        Parameters
+        ----------
+        sent_ms : int
+            Local time after which the proof was given, as far as known.
+
+        """
+        if self._is_of_earlier_era(proof):
+            return
+        if self.proof is not None and _order(proof) <= _order(self.proof):
             return
         self.proof = proof
         self.proof_updated_ms = self._clock.now()
         proved_ms = self._store_clock.to_local_ms(proof.store_ms)
+        proved_ms = max(proved_ms, sent_ms)
         self.proved_ms = max(self.proved_ms, proved_ms)
         self._on_proof(proved_ms)
+
+
+def _order(proof: FreshnessProof) -> tuple[int, int]:
+    """Return the key by which proofs are ordered in time."""
+    return era_of(proof.latest_change), proof.store_ms
