Times that other gateways measured are not taken for longer than they were

Seen by callers: nothing yet; found by going through the users of times of another machine.

Cause: a gateway with a faster clock exaggerates how long ago it saw a version, for how long it has known all versions, and how old a connection is.

Now such a time counts as the least local time that it can stand for.

Evidence: both tests of streams.tests.test_clock_rates failed before (60028 against 59999 ms, and a version forgotten) and pass. Tests with `streams` in their id: 41 passed before these two were added.

--- a/seampond/streams/registry.py
+++ b/seampond/streams/registry.py
@@ -3,7 +3,7 @@
 import random
 from collections.abc import Callable, Iterable
 
-from seampond.clock import Clock
+from seampond.clock import Clock, least_local_ms
 from seampond.forwarding.backend import Backend
 from seampond.forwarding.job import Job
 from seampond.forwarding.refusals import Cause, Refusal
@@ -188,9 +188,11 @@
         elif isinstance(message, OriginRequest):
             self.requests.send(address, self._known.answer(message))
         elif isinstance(message, UnverifiedReport):
-            # The delay of the message makes the connection seem younger than
-            # it is, which delays the verification.
-            connected_ms = self._clock.now() - message.connected_ago_ms
+            # The delay of the message and the rates of the clocks can only
+            # make the connection seem younger than it is, which delays the
+            # verification.
+            ago_ms = least_local_ms(message.connected_ago_ms)
+            connected_ms = self._clock.now() - ago_ms
             run = ServerRun(message.incarnation, connected_ms)
             self._apply_report(message, run)
         else:
--- a/seampond/streams/search.py
+++ b/seampond/streams/search.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import replace
 
-from seampond.clock import Clock
+from seampond.clock import Clock, least_local_ms
 from seampond.forwarding.job import Job
 from seampond.forwarding.refusals import Cause, Refusal
 from seampond.forwarding.stream_origins import Resumption, StreamOrigin
@@ -171,9 +171,11 @@
             version
             for reply in known
             for version, ago_ms in reply.seen_ago_ms.items()
-            if ago_ms <= max_age_ms
+            if least_local_ms(ago_ms) <= max_age_ms
         }
-        is_covered = any(reply.watched_ms >= max_age_ms for reply in known)
+        is_covered = any(
+            least_local_ms(reply.watched_ms) >= max_age_ms for reply in known
+        )
         if len(versions) != 1 or not is_covered:
             return None
         if any(reply.is_uncertain for reply in known):
--- a/seampond/streams/version_history.py
+++ b/seampond/streams/version_history.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable, Mapping
 
-from seampond.clock import Clock
+from seampond.clock import Clock, least_local_ms
 from seampond.forwarding.caller_waits import MAX_AGE_MS
 from seampond.forwarding.server import Server
 
@@ -91,6 +91,11 @@
     ) -> None:
         """Take over what another gateway has seen of a pool.
 
+        Explanation
+        -----------
+        Its clock may be the faster one: versions must not seem older, nor the
+        watch longer, than they are.
+
         Parameters
         ----------
         watched_ms : int
@@ -100,8 +105,9 @@
         now_ms = self._clock.now()
         seen_ms = self._seen_ms.setdefault(pool, {})
         for version, ago_ms in seen_ago_ms.items():
-            seen_ms[version] = max(seen_ms.get(version, 0), now_ms - ago_ms)
-        since_ms = now_ms - watched_ms
+            at_ms = now_ms - least_local_ms(ago_ms)
+            seen_ms[version] = max(seen_ms.get(version, 0), at_ms)
+        since_ms = now_ms - least_local_ms(watched_ms)
         known_ms = self._adopted_since_ms.get(pool, since_ms)
         self._adopted_since_ms[pool] = min(known_ms, since_ms)
 
