Bound the bytes of an answer that bring nothing of its body

Callers saw: a request that met a server whose header lines, heads of 1xx, trailers or chunk extension have no end was held until its deadline (5.0 to 5.2 s) and not served. Header lines and trailers also filled the memory.

Cause: Connection counted the body alone. The parser collects header lines and trailers for as long as they come; heads of 1xx and chunk extensions are skipped without a count.

Mend: bytes in a row that bring none of the body are counted over heads, trailers and extensions; over 64 KiB the connection is closed, which is an ordinary failure of the server: pauses double and the request is tried again where its route allows it.

--- a/seampond/forwarding/connection.py
+++ b/seampond/forwarding/connection.py
@@ -17,6 +17,7 @@
 )
 
 _HIGH_WATER_BYTES = 262_144
+_MAX_BYTES_WITHOUT_BODY = 65_536
 _CONTINUE = 100
 _FIRST_FINAL_STATUS = 200
 _TCP_USER_TIMEOUT_MS = 3000
@@ -68,6 +69,7 @@
     _is_lost: bool
     _chunks: 'deque[bytes]'
     _buffered_bytes: int
+    _bytes_without_body: int
 
     def __init__(self, peer: str, clock: Clock, id_header: bytes) -> None:
         """Initialize an unconnected protocol."""
@@ -230,12 +232,22 @@
             self.close()
             return
         self.received_ms = self._clock.now()
+        body_bytes = self.received_bytes
         try:
             self._parser.feed_data(payload)
         except httptools.HttpParserError as error:
             self._fail(f'invalid HTTP response: {error}')
         except httptools.HttpParserUpgrade:
             self._fail('unexpected protocol upgrade')
+        if self._is_complete or self.received_bytes > body_bytes:
+            self._bytes_without_body = 0
+        else:
+            self._bytes_without_body += len(payload)
+        # Heads of 1xx, header lines, trailers and extensions of chunks may go
+        # on without end.
+        if self._bytes_without_body > _MAX_BYTES_WITHOUT_BODY:
+            self._fail('too many bytes without any of a body')
+            self.close()
         self._wake_reader()
 
     def eof_received(self) -> None:
@@ -329,6 +341,7 @@
         self._is_lost = False
         self._chunks = deque()
         self._buffered_bytes = 0
+        self._bytes_without_body = 0
         self.received_bytes = 0
 
     async def _wait_for_data(self, step: str) -> None:
--- a/seampond/forwarding/tests/test_connection.py
+++ b/seampond/forwarding/tests/test_connection.py
@@ -7,6 +7,7 @@
 from seampond.clock import Clock
 from seampond.forwarding.connection import Connection, open_connection
 from seampond.forwarding.response_head import ExchangeError
+from seampond.testing.endless import Endless, send_endless
 from seampond.testing.gateways import ID_HEADER
 from seampond.testing.scripted import (
     ReceivedRequest,
@@ -106,6 +107,27 @@
             await open_connection('127.0.0.1:9', Clock(), b'x', 500)
         self.assertFalse(caught.exception.was_sent)
 
+    async def test_bytes_without_end_hold_the_request(self) -> None:
+        """They bring no head, or nothing of the body."""
+        for kind in (
+            Endless.header_lines,
+            Endless.header_value,
+            Endless.interim_heads,
+            Endless.trailers,
+            Endless.chunk_extension,
+        ):
+            with self.subTest(kind=kind.value):
+                await self._check_endless(kind)
+
+    async def test_long_head_is_too_long(self) -> None:
+        """Of 16 KiB, after heads of 1xx of as much."""
+        interim = b'HTTP/1.1 102 Processing\r\n\r\n' * 600
+        headers = {f'x{number}': 'x' * 1016 for number in range(16)}
+        answer = format_response(200, {**_IDS, **headers}, b'hello')
+        self.assertEqual(
+            await self._ask(interim, answer), (200, b'hello', True)
+        )
+
     async def test_connection_close_is_honoured(self) -> None:
         """A connection is not reused after `Connection: close`."""
         answer = format_response(200, {**_IDS, 'Connection': 'close'}, b'hello')
@@ -157,6 +179,21 @@
         self.assertFalse(connection.finish(60_000))
         server.close()
 
+    async def _check_endless(self, kind: Endless) -> None:
+        async def handle(
+            request: ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> None:
+            await send_endless(kind, request, writer)
+
+        async with asyncio.timeout(5), run_scripted(handle) as server:
+            connection = await open_connection(
+                server.address, Clock(), b'', 1000
+            )
+            connection.send(b'r1', b'GET /x HTTP/1.1\r\nHost: a\r\n\r\n')
+            with self.assertRaisesRegex(ExchangeError, 'without any'):
+                await _read(connection)
+            self.assertFalse(connection.is_open)
+
     async def _ask(
         self, *answers: bytes, reset: bool = False
     ) -> tuple[int, bytes, bool]:
