Bound an event that has no end

Callers saw: a stream whose server sends one event without end was held until the deadline and not served, and the memory of the gateway grew.

Cause: only whole events are passed on, so the splitter kept what had come of an event, without a bound. It also searched and copied all of it again with each piece: the time was quadratic in the size of an event.

Mend: an event of over 512 KiB that has not ended fails the attempt, as a failure of its server; the request is tried again where its route allows it. The splitter appends to one buffer and searches only what is new.

The process test of the event failed before. All rows of the process test now ask for answers with an event of 256 KiB and pass.

--- a/seampond/forwarding/attempt.py
+++ b/seampond/forwarding/attempt.py
@@ -47,6 +47,7 @@
 from seampond.quarantine.quarantine import Quarantine
 
 _BODY_MAX_BYTES = 1_048_576
+_EVENT_MAX_BYTES = 524_288
 _ERRORS_BEFORE_PAUSE = 4
 _LOAD_FIELD_COUNT = 3
 _CHUNKS_PER_UPDATE = 4
@@ -302,6 +303,8 @@
             events = progress.splitter.feed(chunk)
             if events.payload:
                 await self._pass_on(events, connection, head)
+            if progress.splitter.remaining_bytes > _EVENT_MAX_BYTES:
+                raise self._make_error('event too long')
         cut = _find_cut(progress, connection)
         if cut is not None:
             raise self._make_error(
@@ -524,7 +527,7 @@
     -----------
     A stream without a length that holds no event may have been cut.
     """
-    if progress.splitter.remainder:
+    if progress.splitter.remaining_bytes:
         return Cut.inside_event
     is_empty = not (progress.sink.has_started or progress.job.is_resumed)
     if is_empty and connection.ends_at_eof:
--- a/seampond/forwarding/events.py
+++ b/seampond/forwarding/events.py
@@ -40,22 +40,34 @@
 
     def __init__(self) -> None:
         """Initialize an empty splitter."""
-        self.remainder = b''
+        self._buffered = bytearray()
+
+    @property
+    def remainder(self) -> bytes:
+        """The part of an incomplete event that was received."""
+        return bytes(self._buffered)
+
+    @property
+    def remaining_bytes(self) -> int:
+        """Number of bytes received of an incomplete event."""
+        return len(self._buffered)
 
     def feed(self, payload: bytes) -> Events:
         """Return the whole events received; buffer the remainder."""
-        buffered = self.remainder + payload
-        end = buffered.rfind(_EVENT_END)
+        buffered = self._buffered
+        # What was buffered holds no whole end of an event.
+        start = max(0, len(buffered) - len(_EVENT_END) + 1)
+        buffered += payload
+        end = buffered.rfind(_EVENT_END, start)
         if end < 0:
-            self.remainder = buffered
             return Events()
-        events = buffered[: end + len(_EVENT_END)]
-        self.remainder = buffered[end + len(_EVENT_END) :]
+        events = bytes(buffered[: end + len(_EVENT_END)])
+        self._buffered = buffered[end + len(_EVENT_END) :]
         return Events(events, _parse_ids(events))
 
     def restart(self) -> None:
         """Discard an incomplete event."""
-        self.remainder = b''
+        self._buffered.clear()
 
 
 def _parse_ids(events: bytes) -> tuple[bytes, ...]:
--- a/seampond/gateway/tests/test_endless_answers.py
+++ b/seampond/gateway/tests/test_endless_answers.py
@@ -34,7 +34,8 @@
 )
 from seampond.testing.store import run_store
 
-_EVENTS = b'id: 1\ndata: whole\n\n'
+# An event of 256 KiB is long, and not without end.
+_EVENTS = b'id: 1\ndata: %b\n\n' % (b'x' * 262_144)
 _WARM_UP_S = 1
 _LOAD_S = 3
 # More than one server has slots, so that both are used.
@@ -60,6 +61,10 @@
         await self._check(Endless.chunk_extension, IDEMPOTENT)
         await self._check(Endless.chunk_extension, STREAM)
 
+    async def test_event_without_end_fills_the_memory(self) -> None:
+        """And holds its request until the deadline."""
+        await self._check(Endless.event, STREAM)
+
     async def test_body_without_end_is_read_on(self) -> None:
         """Or bytes after a whole answer are."""
         await self._check(Endless.body, IDEMPOTENT)
