--- a/seampond/forwarding/attempt.py
+++ b/seampond/forwarding/attempt.py
@@ -48,6 +48,7 @@
 from seampond.quarantine.quarantine import Quarantine
 
 _BODY_MAX_BYTES = 1_048_576
+_EVENT_MAX_BYTES = 524_288
 _ERRORS_BEFORE_PAUSE = 4
 _LOAD_FIELD_COUNT = 3
 _CHUNKS_PER_UPDATE = 4
@@ -312,6 +313,8 @@
             events = progress.splitter.feed(chunk)
             if events.payload:
                 await self._pass_on(events, connection, head)
+            if progress.splitter.remaining_bytes > _EVENT_MAX_BYTES:
+                raise self._make_error('event too long')
         cut = _find_cut(progress, connection)
         if cut is not None:
             raise self._make_error(
@@ -341,6 +344,7 @@
         fault = progress.order.find_fault(events.ids)
         if fault:
             raise self._make_error(fault, cut=Cut.event_order)
+        self.backend.record_success()
         # Before the caller can resume it at another gateway.
         self._record_origin(connection)
         if not sink.has_started:
@@ -403,7 +407,8 @@
         job, backend = self.progress.job, self.backend
         backend.unanswered.pop(job.request_id, None)
         self.record.first_byte_ms = self.clock.now() - self.sent_ms
-        backend.record_success()
+        if not job.is_stream:
+            backend.record_success()
         backend.signals.record_answer(self.sent_ms)
         if job.is_stream:
             record_cached(backend, job)
@@ -550,7 +555,7 @@
     -----------
     A stream without a length that holds no event may have been cut.
     """
-    if progress.splitter.remainder:
+    if progress.splitter.remaining_bytes:
         return Cut.inside_event
     is_empty = not (progress.sink.has_started or progress.job.is_resumed)
     if is_empty and connection.ends_at_eof:
--- a/seampond/forwarding/events.py
+++ b/seampond/forwarding/events.py
@@ -47,34 +47,44 @@
 
     def __init__(self) -> None:
         """Initialize an empty splitter."""
-        self.remainder = b''
+        self._buffered = bytearray()
         self._has_passed_cr = False
 
+    @property
+    def remainder(self) -> bytes:
+        """The part of an incomplete event that was received."""
+        return bytes(self._buffered)
+
+    @property
+    def remaining_bytes(self) -> int:
+        """Number of bytes received of an incomplete event."""
+        return len(self._buffered)
+
     def feed(self, payload: bytes) -> Events:
         """Return the whole events received; buffer the remainder."""
-        buffered = self.remainder + payload
-        end = self._find_end(buffered, len(self.remainder))
+        searched = len(self._buffered)
+        self._buffered += payload
+        end = self._find_end(searched)
         if not end:
-            self.remainder = buffered
             return Events()
-        events = buffered[:end]
-        self.remainder = buffered[end:]
+        events = bytes(self._buffered[:end])
+        self._buffered = self._buffered[end:]
         self._has_passed_cr = events.endswith(_CR)
         return Events(events, _parse_ids(events))
 
     def restart(self) -> None:
         """Discard an incomplete event."""
-        self.remainder = b''
+        self._buffered.clear()
         self._has_passed_cr = False
 
-    def _find_end(self, buffered: bytes, searched: int) -> int:
+    def _find_end(self, searched: int) -> int:
         """Return the end of the last whole event, 0 if there is none."""
         start = max(0, searched - _LINE_END_MAX_BYTES)
-        last_end = _LAST_EVENT_END.match(buffered, start)
+        last_end = _LAST_EVENT_END.match(self._buffered, start)
         if last_end:
             return last_end.end()
         # The line end of an event that has been passed on without waiting.
-        return int(self._has_passed_cr and buffered.startswith(_LF))
+        return int(self._has_passed_cr and self._buffered.startswith(_LF))
 
 
 def _parse_ids(events: bytes) -> tuple[bytes, ...]:
--- a/seampond/forwarding/tests/test_events.py
+++ b/seampond/forwarding/tests/test_events.py
@@ -9,7 +9,7 @@
 
 
 class EventSplitterTest(unittest.TestCase):
-    """Two events, byte by byte."""
+    """Events in pieces, byte by byte or cut once."""
 
     def test_events_are_held_until_the_stream_ends(self) -> None:
         """Lines may end with CR, with LF, or with both."""
@@ -20,6 +20,18 @@
                 with self.subTest(line=first, blank=second):
                     self._check(b'data: a%b%b' % (first, second))
 
+    def test_end_of_an_event_in_two_pieces_is_missed(self) -> None:
+        """Each cut of a stream gives the same events."""
+        stream = b'id: 1\n\nid: 2\n\n\nid: 3\n\nid'
+        size = len(stream)
+        for cut in range(size):
+            splitter = EventSplitter()
+            first = splitter.feed(stream[:cut])
+            second = splitter.feed(stream[cut:])
+            received = first.payload + second.payload
+            self.assertEqual(received + splitter.remainder, stream)
+            self.assertEqual(first.ids + second.ids, (b'1', b'2', b'3'))
+
     def _check(self, ending: bytes) -> None:
         first, second = (b'id: %b\n%b' % (name, ending) for name in _IDS)
         splitter = EventSplitter()
