Event soak: callers keep to a Retry-After up to a third of their time

Suspected cause, not shown: a caller slept through any Retry-After, and an attempt to connect had no bound. Callers of the platform honour up to a third of the time that they have left; one that is told more gives up now, and connecting is bounded by the gap that callers bear.

test_event_soak passes (30.3 s).

--- a/seampond/testing/event_callers.py
+++ b/seampond/testing/event_callers.py
@@ -21,6 +21,8 @@
 _ATTEMPTS_MAX = 4
 _RETRY_PAUSE_MS = 50
 _POLL_S = 0.005
+# Callers wait at most for this share of the time that they have left.
+_RETRY_AFTER_SHARE = 0.33
 _RETURNS_MS = (0, 0, 100, 400, 2500)
 _ONCE_PROBABILITY = 0.3
 _CUT_PROBABILITY = 0.3
@@ -299,13 +301,15 @@
                 await self.clock.sleep(attempt.retry_after_ms or pause_ms)
 
     def _is_over(self, stream: EventStream, attempt: EventAttempt) -> bool:
-        if attempt.is_complete:
-            return True
-        if self.clock.now() - stream.attempts[0].at_ms >= _WAIT_MS:
+        waited_ms = self.clock.now() - stream.attempts[0].at_ms
+        if attempt.is_complete or waited_ms >= _WAIT_MS:
             return True
         is_refused = attempt.status in _REFUSALS
         if is_refused and attempt.retry_after_ms is None:
             return True
+        most_ms = _RETRY_AFTER_SHARE * (_WAIT_MS - waited_ms)
+        if (attempt.retry_after_ms or 0) > most_ms:
+            return True
         return not stream.may_resume and not is_refused
 
     def _make_attempt(self, stream: EventStream, address: str) -> EventAttempt:
@@ -348,7 +352,8 @@
                 return reader, writer
             writer.transport.abort()
         host, _, port = gateway.rpartition(':')
-        return await asyncio.open_connection(host, int(port))
+        async with asyncio.timeout(_GAP_MAX_MS / MS_PER_SECOND):
+            return await asyncio.open_connection(host, int(port))
 
     def _encode(self, stream: EventStream, attempt: EventAttempt) -> bytes:
         waited_ms = attempt.at_ms - stream.attempts[0].at_ms
