--- a/seampond/forwarding/attempt.py
+++ b/seampond/forwarding/attempt.py
@@ -378,6 +378,7 @@
             self.backends,
             self.backend,
             self.clock,
+            connection.ended_ms,
             compute_survival_wait_ms(self.progress.job, self.clock.now()),
             parse_keep_alive_ms(head),
         )
--- a/seampond/forwarding/connection.py
+++ b/seampond/forwarding/connection.py
@@ -53,6 +53,8 @@
         When the connection was made.
     received_ms : int
         When data was last received.
+    ended_ms : int
+        When the end of the connection arrived, 0 for not yet.
     ends_at_eof : bool
         Whether the current answer ends with the connection.
     carried_ids : deque[bytes]
@@ -84,6 +86,7 @@
         self.received_bytes = 0
         self.connected_ms = 0
         self.received_ms = 0
+        self.ended_ms = 0
         self.ends_at_eof = False
         self.on_lost: Callable[[], None] = _do_nothing
         self.carried_ids: deque[bytes] = deque(maxlen=_CARRIED_IDS)
@@ -260,6 +263,7 @@
 
     def eof_received(self) -> None:
         """Complete an answer that has no length."""
+        self.ended_ms = self._clock.now()
         if self._has_head and self.ends_at_eof and not self._error:
             self._is_complete = True
         self._is_broken = True
--- a/seampond/forwarding/survival.py
+++ b/seampond/forwarding/survival.py
@@ -52,6 +52,7 @@
     backends: Backends,
     backend: Backend,
     clock: Clock,
+    ended_ms: int,
     wait_ms: int,
     keep_alive_ms: int,
 ) -> bool:
@@ -68,6 +69,9 @@
 
     Parameters
     ----------
+    ended_ms : int
+        When the end of the answer arrived, which may have waited for other
+        checks since.
     wait_ms : int
         How long the connection must stay open.
     keep_alive_ms : int
@@ -75,7 +79,6 @@
         request.
 
     """
-    ended_ms = clock.now()
     open_spare = functools.partial(
         _open_spare, backends, backend, clock, keep_alive_ms
     )
--- a/seampond/forwarding/tests/test_survival.py
+++ b/seampond/forwarding/tests/test_survival.py
@@ -27,6 +27,7 @@
 
 _KEEP_ALIVE_MS = 4000
 _WAIT_MS = 20
+_LATE_MS = 600
 Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
 
@@ -68,6 +69,15 @@
         self.backend.closed_ms = Clock().now()
         self.assertFalse(await self._has_survived())
 
+    async def test_server_that_ended_before_a_late_check_has_survived(
+        self,
+    ) -> None:
+        """Another server listens at its address since."""
+        await self._listen(_keep_open)
+        ended_ms = Clock().now() - _LATE_MS
+        self.backend.closed_ms = ended_ms
+        self.assertFalse(await self._has_survived(ended_ms))
+
     async def test_whole_answer_beside_resets_is_given_up(self) -> None:
         """A server that resets single connections has not ended."""
         await self._listen(_keep_open)
@@ -106,9 +116,15 @@
         self.backend.close_idle_connections()
         await asyncio.sleep(0)
 
-    async def _has_survived(self) -> bool:
+    async def _has_survived(self, ended_ms: int | None = None) -> bool:
+        clock = Clock()
         return await has_survived(
-            self.backends, self.backend, Clock(), _WAIT_MS, _KEEP_ALIVE_MS
+            self.backends,
+            self.backend,
+            clock,
+            clock.now() if ended_ms is None else ended_ms,
+            _WAIT_MS,
+            _KEEP_ALIVE_MS,
         )
 
     async def _forward(self) -> None:
