Rows of dead gateways are removed by the living

Callers saw 429 for most requests after a restart of all gateways, although their tenant was within its quota: 48 replaced gateways kept 48 of 52 shares.

Cause: nothing removed the row of a gateway that died, and one that starts counts each listed gateway for 20 s.

Mend: the first reachable gateway removes rows silent for 20 s, under the version it has read; the next ones follow 2 s later each. Only rows that say that their gateway renews them are removed, so builds that do not notice keep theirs. A gateway that hears none counts the others until their rows are gone. After a suspension or a failed call silence is observed anew.

Open: for less than the time of one write both sides of a cut may grant all. A gateway cut off from everything and store keeps its quarter of four while the others grant all of it; its age of configuration has to stop it.

--- a/seampond/gateway/daemon.py
+++ b/seampond/gateway/daemon.py
@@ -34,6 +34,7 @@
 )
 from seampond.platform.quarantine import QuarantineTable
 from seampond.settings.gateway import GatewaySettings
+from seampond.sharing.dead_rows import remove_dead_rows
 from seampond.sharing.transport import (
     TransportContext,
     apply_gateway_rows,
@@ -119,7 +120,8 @@
         open_table(settings.store.address, GATEWAYS_TABLE, clock) as table,
         exchange_heartbeats(settings.peer_listen, sharing) as senders,
         run_tasks(
-            register(table, components.peers, settings.peer_listen, clock)
+            register(table, components.peers, settings.peer_listen, clock),
+            remove_dead_rows(table, components.peers, clock),
         ),
     ):
         components.permit_manager.send = senders.send_permit
--- a/seampond/sharing/peers.py
+++ b/seampond/sharing/peers.py
@@ -23,7 +23,9 @@
 # Expected number of gateways that reply to a newcomer; more than one, since
 # replies may be lost or come from gateways without levels.
 _SAMPLE_SIZE = 8
-_FORGET_AFTER_MS = 20_000
+FORGET_AFTER_MS = 20_000
+# Time for others to remove its row, and for it to write the row again.
+_RENEWAL_MS = 5000
 # Spans several heartbeats, some of which may be lost.
 _NEWCOMER_UPTIME_MS = 2000
 # The summary visits every peer and is used several times per request.
@@ -45,6 +47,8 @@
         Time of its last undecodable datagram, 0 for never.
     is_silent : bool
         Whether its heartbeats have been missing.
+    is_listed : bool
+        Whether the gateways' table lists it.
     counted_loads : Mapping[int, Load]
         Its loads as included in the totals.
 
@@ -56,8 +60,14 @@
     heartbeat: Heartbeat | None = None
     undecodable_ms: int = 0
     is_silent: bool = True
+    is_listed: bool = True
     counted_loads: Mapping[int, Load] = field(default_factory=dict)
 
+    @property
+    def heard_ms(self) -> int:
+        """Time of its last datagram, or else when it was first listed."""
+        return max(self.last_seen_ms, self.undecodable_ms)
+
     @property
     def has_stopped(self) -> bool:
         """Whether it has completed a planned stop."""
@@ -70,6 +80,14 @@
         silent_ms = now_ms - self.last_seen_ms
         return silent_ms > _SILENT_INTERVALS * interval_ms
 
+    def is_serving(self, now_ms: int, interval_ms: float) -> bool:
+        """Return True if it is heard and has not begun a planned stop."""
+        return (
+            self.heartbeat is not None
+            and not (self.has_stopped or self.heartbeat.is_stopping)
+            and not self.has_been_silent(now_ms, interval_ms)
+        )
+
     def update_load_totals(
         self, totals: LoadTotals, loads: Mapping[int, Load]
     ) -> None:
@@ -102,6 +120,8 @@
         Names of reachable ones that lend retries.
     connection_lenders : tuple[str, ...]
         Names of reachable ones that lend connections.
+    lost : tuple[Peer, ...]
+        Those silent for long whose rows may be removed.
 
     """
 
@@ -115,6 +135,7 @@
     origin_keepers: tuple[str, ...] = ()
     lenders: tuple[str, ...] = ()
     connection_lenders: tuple[str, ...] = ()
+    lost: tuple[Peer, ...] = ()
 
 
 def compute_heartbeat_interval_ms(gateways: int) -> int:
@@ -154,7 +175,9 @@
     Explanation
     -----------
     A silent gateway may still be serving, so it is counted until it has been
-    silent for a long time.  After a planned stop it is not counted.
+    silent for a long time.  After a planned stop it is not counted.  One whose
+    row was removed while it is heard is alive, so it stays until it is silent.
+    A gateway that hears none counts the others until their rows are removed.
 
     Parameters
     ----------
@@ -169,6 +192,8 @@
         Whether the gateways' table has been read.
     registration_version : int
         Version of this gateway's row, 0 if it has not been seen.
+    removable_rows : dict[str, int]
+        Versions of the rows that their gateways write again if removed.
 
     """
 
@@ -177,6 +202,7 @@
         self.registration_lost = asyncio.Event()
         self.has_gateway_list = False
         self.registration_version = 0
+        self.removable_rows: dict[str, int] = {}
         self.name = name
         self.load_totals = LoadTotals()
         self._clock = clock
@@ -236,7 +262,7 @@
         """
         if not self.all_reachable:
             return None
-        oldest_ms = self._clock.now() - _FORGET_AFTER_MS
+        oldest_ms = self._clock.now() - FORGET_AFTER_MS
         return [
             peer.heartbeat
             for peer in self._peers.values()
@@ -366,7 +392,7 @@
 
     def record_silent_peers(self) -> None:
         """Record and log the gateways that have become silent."""
-        for peer in self._peers.values():
+        for peer in tuple(self._peers.values()):
             if (
                 peer.has_been_silent(
                     self._clock.now(), self.heartbeat_interval_ms
@@ -383,6 +409,8 @@
                         'silent_ms': self._clock.now() - peer.last_seen_ms,
                     },
                 )
+                if not peer.is_listed:
+                    self._apply_row(peer.name, '')
 
     @property
     def summary(self) -> PeerSummary:
@@ -396,12 +424,13 @@
         return self._cached_summary
 
     def _summarize(self, now_ms: int) -> PeerSummary:
-        oldest_ms = now_ms - _FORGET_AFTER_MS
+        oldest_ms = now_ms - FORGET_AFTER_MS
         alive = [
             peer
             for peer in self._peers.values()
-            if max(peer.last_seen_ms, peer.undecodable_ms) >= oldest_ms
-            and not peer.has_stopped
+            if not peer.has_stopped
+            and peer.heard_ms
+            >= oldest_ms - _RENEWAL_MS * (peer.name in self.removable_rows)
         ]
         silent_ms = _SILENT_INTERVALS * compute_heartbeat_interval_ms(
             len(alive) + 1
@@ -412,6 +441,18 @@
             if peer.heartbeat is not None
             and peer.last_seen_ms >= now_ms - silent_ms
         ]
+        # A gateway that hears no other may be cut off from all of them.
+        lost = tuple(
+            peer
+            for peer in self._peers.values()
+            if peer.heard_ms < oldest_ms and peer.name in self.removable_rows
+        )
+        if not reachable:
+            alive.extend(
+                peer
+                for peer in lost
+                if peer not in alive and not peer.has_stopped
+            )
         return PeerSummary(
             now_ms,
             len(alive),
@@ -442,16 +483,23 @@
                 for heartbeat in reachable
                 if heartbeat.lends_connections
             ),
+            lost,
         )
 
     def _apply_row(self, name: str, address: str) -> None:
         peer = self._peers.get(name)
         if address and peer is not None:
             peer.address = address
+            peer.is_listed = True
         elif address:
             self._peers[name] = Peer(name, address, self._clock.now())
             _logger.info('gateway added', extra={'peer': name})
         elif peer is not None:
+            peer.is_listed = False
+            if self.removable_rows.pop(name, 0) and peer.is_serving(
+                self._clock.now(), self.heartbeat_interval_ms
+            ):
+                return
             peer.update_load_totals(self.load_totals, {})
             self._peers.pop(name)
             _logger.info('gateway removed', extra={'peer': name})
--- a/seampond/sharing/transport.py
+++ b/seampond/sharing/transport.py
@@ -23,7 +23,11 @@
     encode_permit,
     is_permit_message,
 )
-from seampond.platform.gateways import encode_gateway, parse_gateway
+from seampond.platform.gateways import (
+    GatewayRow,
+    encode_gateway,
+    parse_gateway,
+)
 from seampond.sharing.heartbeats import Heartbeat, decode, encode
 from seampond.sharing.peers import Peers, compute_sample_probability
 from seampond.streams.messages import (
@@ -258,26 +262,38 @@
     """Apply rows of the gateways' table."""
     latest = {row.key: row for row in page.rows}
     listed: dict[str, str] = {}
+    removable: dict[str, int] = {}
     for row in latest.values():
         try:
-            listed[row.key] = '' if row.is_deleted else _read_address(row)
+            gateway = None if row.is_deleted else _parse_row(row)
         except PlatformError as error:
             _logger.warning(
                 'invalid row in the table of gateways',
                 extra={'key': row.key, 'reason': error.message},
             )
+            continue
+        listed[row.key] = gateway.address if gateway else ''
+        if gateway and gateway.renews:
+            removable[row.key] = row.version
     if page.is_snapshot:
         # A snapshot has no deleted rows: missing gateways were removed.
         listed |= dict.fromkeys(peers.names - latest.keys(), '')
-        if peers.registration_version and peers.name not in latest:
-            peers.registration_lost.set()
     peers.apply_rows(listed.items())
-    own = latest.get(peers.name)
+    peers.removable_rows |= removable
+    _check_registration(peers, page.is_snapshot, latest.get(peers.name))
+
+
+def _check_registration(
+    peers: Peers, is_snapshot: bool, own: Row | None
+) -> None:
+    """Record the version of the own row, or that it was removed."""
     if own is not None and not own.is_deleted:
         peers.registration_version = own.version
+    elif peers.registration_version and (is_snapshot or own is not None):
+        peers.registration_lost.set()
 
 
-def _read_address(row: Row) -> str:
+def _parse_row(row: Row) -> GatewayRow:
     return parse_gateway(row.key, row.content)
 
 
