A known failure: a server replaced while its gateway is frozen has survived

Its gateway was frozen from 19.1 to 20.4 s while i-15 was killed and i-17 started at the same address; on waking it read the end of the answer and connected to i-17.

--- a/seampond/forwarding/tests/test_survival.py
+++ b/seampond/forwarding/tests/test_survival.py
@@ -78,6 +78,13 @@
         self.backend.closed_ms = ended_ms
         self.assertFalse(await self._has_survived(ended_ms))
 
+    async def test_server_replaced_during_a_freeze_has_survived(self) -> None:
+        """The row of its server has gone, another is listed at its address."""
+        await self._listen(_keep_open)
+        address = self.backend.server.address
+        self.backends.replace_all([build_server('j', address)])
+        self.assertFalse(await self._has_survived())
+
     async def test_whole_answer_beside_resets_is_given_up(self) -> None:
         """A server that resets single connections has not ended."""
         await self._listen(_keep_open)
