A server that was replaced before a late check has not survived its answer

Cause: the check of an answer's end may come late, since the gateway was frozen or held the answer until its server was verified. Meanwhile another server had started at the address and accepted the connection, and no other answer had been cut inside an event.

Mend: a connection that was refused since the answer ended speaks against the server, and so does the row of another server at its address once its own has gone.

--- a/seampond/forwarding/attempt.py
+++ b/seampond/forwarding/attempt.py
@@ -473,7 +473,7 @@
         job, server = self.progress.job, self.backend.server
         now_ms = self.clock.now()
         self.backend.record_lost_connection(now_ms)
-        if error.is_orderly:
+        if error.is_orderly or not error.was_sent:
             self.backend.closed_ms = now_ms
         if error.was_sent:
             self.quarantine.runs.record_lost(
--- a/seampond/forwarding/survival.py
+++ b/seampond/forwarding/survival.py
@@ -64,8 +64,9 @@
     reset, so the end of a connection alone does not complete an answer.  A
     server that runs on accepts a connection and keeps it.  One that resets
     it may only have too many, and accepts another one.  Where another
-    process listens at the same address, other answers that were cut at the
-    same moment show that the server has ended.
+    process listens at the same address by now, other answers that were cut
+    at the same moment, a refused connection since, or the row of the other
+    server show that the server has ended.
 
     Parameters
     ----------
@@ -96,10 +97,23 @@
             'server busy at the end of its answer',
             extra={'server': backend.server.id},
         )
-    except ExchangeError:
+    except ExchangeError as error:
+        if error.is_lost:
+            backend.closed_ms = clock.now()
         return False
-    has_closed_others = backend.closed_ms >= ended_ms - _EXIT_MS
-    return backend.is_current and not has_closed_others
+    has_ended = backend.closed_ms >= ended_ms - _EXIT_MS
+    return not (has_ended or _is_replaced(backends, backend))
+
+
+def _is_replaced(backends: Backends, backend: Backend) -> bool:
+    """Return True if another server or process has taken its address."""
+    if backend.is_listed or not backend.is_current:
+        return not backend.is_current
+    address = backend.server.address
+    return any(
+        other.is_listed and other.server.address == address
+        for other in backends
+    )
 
 
 @asynccontextmanager
--- a/seampond/forwarding/tests/test_survival.py
+++ b/seampond/forwarding/tests/test_survival.py
@@ -85,6 +85,19 @@
         self.backends.replace_all([build_server('j', address)])
         self.assertFalse(await self._has_survived())
 
+    async def test_server_that_refused_before_a_late_check_has_survived(
+        self,
+    ) -> None:
+        """The answer waited for other checks, and another server listens."""
+        listening = await self._listen(_keep_open)
+        ended_ms = Clock().now()
+        listening.close()
+        self.assertFalse(await self._has_survived())
+        host, port = self.backend.server.address.split(':')
+        again = await asyncio.start_server(_keep_open, host, int(port))
+        self.addCleanup(again.close)
+        self.assertFalse(await self._has_survived(ended_ms))
+
     async def test_whole_answer_beside_resets_is_given_up(self) -> None:
         """A server that resets single connections has not ended."""
         await self._listen(_keep_open)
