Tests of survival verdicts run on virtual time

test_whole_stream_is_aborted_at_its_deadline failed once in a run of all tests in seven parts at a load of 21, and passed in the others. It has 70 ms between the end of its stream and the deadline on the real clock, which a busy machine uses up: an assert on wall time.

--- a/seampond/forwarding/tests/test_survival_verdicts.py
+++ b/seampond/forwarding/tests/test_survival_verdicts.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import socket
-import unittest
 from collections.abc import Awaitable, Callable
 
 from seampond.forwarding.forwarder import AbortedResponseError
@@ -24,6 +23,7 @@
     read_request,
     reset_connection,
 )
+from seampond.testing.virtual_time import VirtualTimeCase
 
 _ANSWERS = 30
 _RESET_ANSWER = 10
@@ -36,7 +36,7 @@
     return format_unframed_response(headers, body)
 
 
-class SurvivalVerdictTest(unittest.IsolatedAsyncioTestCase):
+class SurvivalVerdictTest(VirtualTimeCase):
     """One server that runs on after each answer."""
 
     async def test_one_reset_makes_later_answers_lost(self) -> None:
