Failing tests: streams after the loss of all gateways

All gateways are killed as processes while two versions serve. On this code 19 and 16 streams join versions where callers state their whole wait, or more, in each attempt; 0 of 21 cut streams go on where both versions, or one alone, serve.

--- a/seampond/testing/streaming.py
+++ b/seampond/testing/streaming.py
@@ -1,6 +1,7 @@
 """Servers whose streams name their version, and callers that resume them."""
 
 import asyncio
+import enum
 import itertools
 from collections.abc import AsyncIterator, Iterable, Iterator, Sequence
 from contextlib import asynccontextmanager, suppress
@@ -40,11 +41,8 @@
 _EVENTS_BEFORE_BREAK = 4
 _SLOTS = 8
 _DRAIN_MS = 1000
-_ATTEMPTS_MAX = 3
 # Callers give up a stream after such a gap.
 _GAP_MAX_MS = 3200
-_RETRY_PAUSE_MS = 50
-_CALLER_WAIT_MS = 5000
 _LAST_EVENT_HEADER = HEADERS.last_event.decode()
 _RESUMES_HEADER = HEADERS.resumes.decode()
 _DEADLINE_HEADER = HEADERS.deadline.decode()
@@ -66,6 +64,8 @@
         Whether its row says that it drains.
     framing : Framing
         How it marks the ends of its answers.
+    event_interval_ms : int
+        Time from each event to the next.
 
     """
 
@@ -73,6 +73,7 @@
     is_draining: bool = False
     framing: Framing = Framing.chunks
     started_count: int = 0
+    event_interval_ms: int = _EVENT_INTERVAL_MS
 
     @property
     def version(self) -> str:
@@ -119,7 +120,7 @@
         size = sum(map(len, events))
         writer.write(format_head(self.framing, headers, size))
         for sent, event in enumerate(events, start=1):
-            await self.clock.sleep(_EVENT_INTERVAL_MS)
+            await self.clock.sleep(self.event_interval_ms)
             writer.write(encode_event(event, self.framing))
             if is_broken and sent == _EVENTS_BEFORE_BREAK:
                 await writer.drain()
@@ -176,6 +177,8 @@
     ----------
     numbers, versions : list
         Number and server version of each event.
+    begun_ms : int
+        When the first event arrived.
 
     """
 
@@ -186,6 +189,7 @@
     versions: list[str] = field(default_factory=list)
     is_complete: bool = False
     first_request: str = ''
+    begun_ms: int = 0
 
     @property
     def is_joined(self) -> bool:
@@ -208,6 +212,16 @@
         return self.is_complete and EVENT_COUNT not in self.numbers
 
 
+@enum.unique
+class StatedWait(enum.Enum):
+    """Which wait a caller states in each of its attempts."""
+
+    nothing = 'nothing'
+    rest = 'rest'
+    whole = 'whole'
+    more = 'more'
+
+
 @dataclass(frozen=True, slots=True)
 class CallerPlan:
     """How a caller loses its connection and resumes its stream.
@@ -222,6 +236,14 @@
         Time until it resumes the stream.
     names_first : bool
         Whether it names the request that brought the first event.
+    wait_ms : int
+        How long it waits for the whole stream.
+    stated_wait : StatedWait
+        Which wait it states.
+    attempts_max : int
+        How many attempts it makes.
+    retry_pause_ms : int
+        Time until the next attempt where the answer names none.
 
     """
 
@@ -229,6 +251,10 @@
     cuts: int = 1
     return_ms: int = 0
     names_first: bool = True
+    wait_ms: int = 5000
+    stated_wait: StatedWait = StatedWait.rest
+    attempts_max: int = 3
+    retry_pause_ms: int = 50
 
 
 @dataclass
@@ -367,7 +393,7 @@
         record = StreamRecord(b'%d' % len(self.records))
         self.records.append(record)
         for address in itertools.islice(
-            itertools.cycle(addresses), _ATTEMPTS_MAX
+            itertools.cycle(addresses), plan.attempts_max
         ):
             attempt = self._make_attempt(record, address)
             cut_after = 0
@@ -377,9 +403,9 @@
             attempt.ended_ms = self.clock.now()
             if record.is_complete or _is_final(attempt):
                 break
-            if attempt.ended_ms - record.attempts[0].at_ms >= _CALLER_WAIT_MS:
+            if attempt.ended_ms - record.attempts[0].at_ms >= plan.wait_ms:
                 break
-            pause_ms = plan.return_ms if cut_after else _RETRY_PAUSE_MS
+            pause_ms = plan.return_ms if cut_after else plan.retry_pause_ms
             await self.clock.sleep(attempt.retry_after_ms or pause_ms)
         return record
 
@@ -438,6 +464,7 @@
                 return
             *events, pending = (pending + payload).split(b'\n\n')
             for event in events:
+                record.begun_ms = record.begun_ms or self.clock.now()
                 _record_event(event, record, attempt)
             if cut_after and attempt.event_count >= cut_after:
                 return
@@ -458,10 +485,17 @@
     return is_refusal and attempt.retry_after_ms is None
 
 
-def _compute_left_ms(record: StreamRecord, attempt: StreamAttempt) -> int:
-    """Return how much longer a caller waits."""
+def _compute_stated_ms(
+    record: StreamRecord, attempt: StreamAttempt, plan: CallerPlan
+) -> int:
+    """Return the wait that a caller states, 0 for none."""
     waited_ms = attempt.at_ms - record.attempts[0].at_ms
-    return max(1, _CALLER_WAIT_MS - waited_ms)
+    return {
+        StatedWait.nothing: 0,
+        StatedWait.rest: max(1, plan.wait_ms - waited_ms),
+        StatedWait.whole: plan.wait_ms,
+        StatedWait.more: plan.wait_ms + waited_ms,
+    }[plan.stated_wait]
 
 
 def _encode_request(
@@ -470,10 +504,12 @@
     headers = {
         'Host': HOST,
         ID_HEADER: attempt.request_id,
-        _DEADLINE_HEADER: str(_compute_left_ms(record, attempt)),
         'Authorization': f'Token {KEY}',
         'Content-Length': str(len(record.body)),
     }
+    stated_ms = _compute_stated_ms(record, attempt, plan)
+    if stated_ms:
+        headers[_DEADLINE_HEADER] = str(stated_ms)
     if attempt.last_event:
         headers[_LAST_EVENT_HEADER] = str(attempt.last_event)
         if plan.names_first:
