Origins of streams outlive the loss of all gateways

Cause: what was known of a stream died with the gateways, and a guess about its caller took its place. `CallerWaits.max_age_ms` computed the age of a stream from the wait that its caller states, so that any version that had been listed alone for a second was believed to have begun it. Evidence: joined streams only where callers state the whole wait or more, and only after the loss of all.

The versions of each pool, and the origins of streams that begin while more than one version may have begun them, are now kept in the store. A single version is inferred only from complete history of 60 s, of this gateway, of those that reply, or of the store; what callers state has no part in it. `first_start` tells a new system that its history is complete.

test_fleet_loss failed before (three tests) and passes: 0 joined whatever callers state, 21 of 21 and 42 of 42 cut streams that had begun a second before go on, also after two losses.

--- a/seampond/forwarding/admission.py
+++ b/seampond/forwarding/admission.py
@@ -6,7 +6,7 @@
 from typing import Protocol
 
 from seampond.clock import Clock
-from seampond.forwarding.caller_waits import MAX_AGE_MS, CallerWaits
+from seampond.forwarding.caller_waits import CallerWaits
 from seampond.forwarding.job import Headers, Job, parse_prompt
 from seampond.forwarding.models import (
     Configuration,
@@ -285,9 +285,6 @@
         timeout_ms = min(route.timeout_ms, max_wait_ms)
         waits = self._waits.setdefault(route.name, CallerWaits())
         waits.record(max_wait_ms)
-        max_age_ms = MAX_AGE_MS
-        if stated_wait.isdigit():
-            max_age_ms = waits.max_age_ms(max_wait_ms, route.timeout_ms)
         pool = choose_pool(route, self._rng)
         return Job(
             request_id=head.get(names.request_id),
@@ -306,7 +303,6 @@
             last_event=head.get(names.last_event),
             resumes=head.get(names.resumes),
             is_retry=waits.is_retry(max_wait_ms),
-            max_age_ms=max_age_ms,
             fingerprint=fingerprint(
                 head.method,
                 head.get(b'host').lower(),
--- a/seampond/forwarding/job.py
+++ b/seampond/forwarding/job.py
@@ -91,8 +91,6 @@
         How long the caller waits for the response, from `arrived_ms`.
     deadline_ms : int
         When the complete response is due.
-    max_age_ms : int
-        For how long its caller may have been trying.
     is_retry : bool
         Whether the caller seems to have been refused before.
     has_streamed : bool
@@ -133,7 +131,6 @@
     prompt: Prompt
     last_event: bytes = b''
     resumes: bytes = b''
-    max_age_ms: int = 60_000
     charged_units: float = 0
     attempts: int = 0
     may_have_run: bool = False
--- a/seampond/gateway/components.py
+++ b/seampond/gateway/components.py
@@ -40,6 +40,7 @@
     hash_name,
 )
 from seampond.streams.registry import OriginRegistry
+from seampond.streams.stream_store import StreamStore
 from seampond.watches import FreshnessProof, Page, TableFreshness, Watch
 
 _PROOF_SENT_MS = 1000
@@ -73,6 +74,7 @@
     permit_manager: PermitManager
     stalls: EventLoopStalls
     origins: OriginRegistry
+    stream_store: StreamStore
     loans: RetryLoans
     connection_loans: ConnectionLoans
     watches: dict[str, Watch] = field(default_factory=dict)
--- a/seampond/gateway/daemon.py
+++ b/seampond/gateway/daemon.py
@@ -31,8 +31,10 @@
     QUARANTINE_TABLE,
     SERVERS_TABLE,
     STATUS_TABLE,
+    STREAMS_TABLE,
 )
 from seampond.platform.quarantine import QuarantineTable
+from seampond.platform.streams import StoredStreams
 from seampond.settings.gateway import GatewaySettings
 from seampond.sharing.dead_rows import remove_dead_rows
 from seampond.sharing.transport import (
@@ -215,6 +217,23 @@
         trials.table = None
 
 
+@asynccontextmanager
+async def _run_stream_store(
+    components: GatewayComponents,
+) -> AsyncIterator[None]:
+    """Keep what the store knows of streams until the end of the `with`."""
+    address, clock = components.settings.store.address, components.clock
+    stream_store = components.stream_store
+    async with (
+        open_table(address, STREAMS_TABLE, clock) as reader,
+        open_table(address, STREAMS_TABLE, clock) as writer,
+    ):
+        stream_store.table = StoredStreams(reader, writer)
+        async with run_tasks(stream_store.run()):
+            yield
+        stream_store.table = None
+
+
 def _port_of(address: str) -> int:
     return int(address.rpartition(':')[2])
 
@@ -295,6 +314,7 @@
         await stack.enter_async_context(_share_with_peers(components))
         await stack.enter_async_context(_run_rollouts(components))
         await stack.enter_async_context(_run_quarantine(components))
+        await stack.enter_async_context(_run_stream_store(components))
         await stack.enter_async_context(
             run_tasks(
                 watch_suspension(components.metrics.record_suspension, clock)
--- a/seampond/gateway/followers.py
+++ b/seampond/gateway/followers.py
@@ -81,6 +81,10 @@
     """Ignore the servers."""
 
 
+def _ignore_missed_changes() -> None:
+    """Do nothing."""
+
+
 class ServerFollower:
     """Keeps the backends in line with the list of servers.
 
@@ -88,6 +92,8 @@
     ----------
     on_change : Callable[[Iterable[Server]], None]
         Called with all servers after an answer of the store.
+    on_missed_changes : Callable[[], None]
+        Called when the list was read anew, without the changes before.
 
     """
 
@@ -95,6 +101,7 @@
         """Start without a list."""
         self.is_loaded = False
         self.on_change: Callable[[Iterable[Server]], None] = _ignore_servers
+        self.on_missed_changes: Callable[[], None] = _ignore_missed_changes
         self._backends = backends
         self._scheduler = scheduler
         self._refused: set[tuple[str, str]] = set()
@@ -120,6 +127,8 @@
         else:
             self._backends.update(servers, removed)
         self._backends.mark_unreadable(unreadable)
+        if page.is_snapshot and self.is_loaded:
+            self.on_missed_changes()
         self.is_loaded = True
         self.on_change(backend.server for backend in self._backends)
         self._scheduler.process_queues()
--- a/seampond/gateway/wiring.py
+++ b/seampond/gateway/wiring.py
@@ -41,7 +41,9 @@
 from seampond.rollouts import Report, RolloutManager
 from seampond.settings.gateway import BoundSettings, GatewaySettings
 from seampond.sharing import Peers, Quotas, hash_name
+from seampond.streams.known_origins import KnownOrigins
 from seampond.streams.registry import OriginRegistry
+from seampond.streams.stream_store import StreamStore
 from seampond.watches import StoreClock, TableFreshness
 
 _INCARNATION_BITS = 48
@@ -224,13 +226,9 @@
     configuration_state.is_outdated = lambda: (
         freshness[CONFIGURATION_TABLE].is_behind
     )
-    origins = OriginRegistry(
-        peers,
+    known_origins = KnownOrigins(
         clock,
-        lambda: clock.now() - freshness[SERVERS_TABLE].proved_ms,
         backends.has_uncertain_version,
-        random.Random(),
-        lambda source: metrics.resumed.labels(source).inc(),
         ServerRuns(
             backends,
             hash_name,
@@ -238,9 +236,28 @@
             clock,
         ),
     )
+    incarnation = secrets.randbits(_INCARNATION_BITS)
+    stream_store = StreamStore(
+        known_origins.history,
+        peers,
+        store_clock,
+        clock,
+        f'{settings.name}/{incarnation:x}/',
+        is_first_start=settings.first_start,
+    )
+    origins = OriginRegistry(
+        peers,
+        known_origins,
+        stream_store,
+        clock,
+        lambda: clock.now() - freshness[SERVERS_TABLE].proved_ms,
+        random.Random(),
+        lambda source: metrics.resumed.labels(source).inc(),
+    )
     backends.failed_ms = lambda: freshness[SERVERS_TABLE].failed_ms
     server_follower = ServerFollower(backends, scheduler)
     server_follower.on_change = origins.update_servers
+    server_follower.on_missed_changes = stream_store.request_read
     admission = Admission(
         configuration_state,
         HEADERS,
@@ -289,13 +306,14 @@
         quotas=quotas,
         retry_budget=retry_budget,
         is_heartbeat_due=is_heartbeat_due,
-        incarnation=secrets.randbits(_INCARNATION_BITS),
+        incarnation=incarnation,
         server_follower=server_follower,
         rollout_follower=RolloutFollower(rollouts, clock),
         quarantine=quarantine,
         permit_manager=permit_manager,
         stalls=stalls,
         origins=origins,
+        stream_store=stream_store,
         loans=loans,
         connection_loans=connection_loans,
     )
--- a/seampond/platform/names.py
+++ b/seampond/platform/names.py
@@ -57,10 +57,14 @@
 GATEWAYS_TABLE = 'gateways'
 QUARANTINE_TABLE = 'quarantine'
 STATUS_TABLE = 'status'
+STREAMS_TABLE = 'streams'
 # Rollout orders are in the configuration table, their states and steps in the
 # status table; only gateways read and write steps.
 ROLLOUT_PREFIX = 'rollout/'
 STEP_PREFIX = 'rollout-step/'
+# Keys of the streams' table: the versions of a pool, the streams of a gateway.
+VERSIONS_PREFIX = 'versions/'
+ORIGINS_PREFIX = 'origins/'
 
 READY_STATE = 'ready'
 DRAINING_STATE = 'draining'
--- a/seampond/platform/store.py
+++ b/seampond/platform/store.py
@@ -239,22 +239,7 @@
                 step='change',
                 peer=self._address,
             )
-        parts = {
-            names.EXPECTED_FIELD: [
-                _encode_row_name(row) | {'ver': revision_of(version)}
-                for row, version in transaction.expected.items()
-            ],
-            'put': [
-                _encode_row_name(row)
-                | {'value': base64.b64encode(content).decode()}
-                for row, content in transaction.puts.items()
-            ],
-            names.REMOVED_FIELD: [
-                _encode_row_name(row) for row in transaction.removed
-            ],
-        }
-        non_empty = {name: rows for name, rows in parts.items() if rows}
-        body = json.dumps(non_empty).encode()
+        body = encode_transaction(transaction)
         status, _ = await self._call(
             names.TRANSACTION_PATH, _CallLimits(), body
         )
@@ -446,6 +431,33 @@
         await self._store.commit(transaction)
 
 
+def encode_transaction(transaction: RowTransaction) -> bytes:
+    """Return the body of the call that applies a transaction.
+
+    Examples
+    --------
+    >>> encode_transaction(RowTransaction({}, {}, [('t', 'k')]))
+    b'{"remove": [{"table": "t", "part": "", "tls-key": "k"}]}'
+
+    """
+    parts = {
+        names.EXPECTED_FIELD: [
+            _encode_row_name(row) | {'ver': revision_of(version)}
+            for row, version in transaction.expected.items()
+        ],
+        'put': [
+            _encode_row_name(row)
+            | {'value': base64.b64encode(content).decode()}
+            for row, content in transaction.puts.items()
+        ],
+        names.REMOVED_FIELD: [
+            _encode_row_name(row) for row in transaction.removed
+        ],
+    }
+    non_empty = {name: rows for name, rows in parts.items() if rows}
+    return json.dumps(non_empty).encode()
+
+
 def _compute_encoded_limit(max_bytes: int | None) -> int:
     """Return the maximum size of an answer whose rows have `max_bytes`."""
     if max_bytes is None:
--- a/seampond/settings/gateway.py
+++ b/seampond/settings/gateway.py
@@ -134,7 +134,15 @@
 
 
 class GatewaySettings(Section, frozen=True):
-    """Settings of `seampond gateway`."""
+    """Settings of `seampond gateway`.
+
+    Parameters
+    ----------
+    first_start : bool
+        Whether no gateway of the system has run before, so that no stream has
+        begun.
+
+    """
 
     name: Name
     zone: str
@@ -145,6 +153,7 @@
     store: StoreSettings
     bounds: BoundSettings = msgspec.field(default_factory=BoundSettings)
     linger_ms: NonNegativeMs = 2600
+    first_start: bool = False
     logs: LogSettings = msgspec.field(default_factory=LogSettings)
 
 
--- a/seampond/slopes/stream_origins.py
+++ b/seampond/slopes/stream_origins.py
@@ -14,6 +14,7 @@
 from seampond.forwarding.server import Server
 from seampond.forwarding.stream_origins import StreamOrigin
 from seampond.sharing.hashing import hash_name
+from seampond.streams.known_origins import KnownOrigins
 from seampond.streams.messages import (
     OriginMessage,
     OriginReply,
@@ -22,6 +23,8 @@
     encode_origin,
 )
 from seampond.streams.registry import OriginRegistry, hash_stream
+from seampond.streams.servers import NO_SERVERS
+from seampond.streams.stored import NOT_STORED
 
 _POOL = 'llm'
 _STREAMS_PER_S = 8000
@@ -81,9 +84,10 @@
             others = tuple(other for other in names if other != name)
             registry = OriginRegistry(
                 Directory(name, others),
+                KnownOrigins(clock, lambda pool: False, NO_SERVERS),
+                NOT_STORED,
                 clock,
                 int,
-                lambda pool: False,
                 random.Random(1),
                 lambda source: None,
             )
--- a/seampond/streams/known_origins.py
+++ b/seampond/streams/known_origins.py
@@ -28,6 +28,15 @@
     has_uncertain_version : Callable[[str], bool]
         Return whether a server of a pool may run an unknown version.
 
+    Attributes
+    ----------
+    history : VersionHistory
+        The versions of each pool.
+    table : OriginTable
+        The recorded origins.
+    servers : ServerDirectory
+        The servers that this gateway knows.
+
     """
 
     def __init__(
@@ -40,12 +49,12 @@
         self.history = VersionHistory(clock)
         self.table = OriginTable(clock)
         self._clock = clock
+        self.servers = servers
         self._has_uncertain_version = has_uncertain_version
-        self._servers = servers
 
     def verify_runs(self) -> None:
         """Verify recorded origins, after a proof of the list of servers."""
-        self.table.verify_runs(self._servers.check_run)
+        self.table.verify_runs(self.servers.check_run)
 
     def find(self, stream: int) -> OriginEntry | None:
         """Return an origin that is verified or may be soon, None if unknown.
@@ -57,8 +66,8 @@
         entry = self.table.find(stream)
         if entry is None or entry.run is None:
             return entry
-        self._servers.request_proof(entry.run)
-        is_known = self._servers.check_run(entry.run) is not RunState.unknown
+        self.servers.request_proof(entry.run)
+        is_known = self.servers.check_run(entry.run) is not RunState.unknown
         return entry if is_known else None
 
     def answer(self, request: OriginRequest) -> OriginReply:
--- a/seampond/streams/registry.py
+++ b/seampond/streams/registry.py
@@ -23,7 +23,7 @@
 from seampond.streams.reporting import OriginReporter
 from seampond.streams.requests import OriginRequests
 from seampond.streams.search import OriginSearch, hash_stream
-from seampond.streams.servers import NO_SERVERS, ServerDirectory
+from seampond.streams.stored import StoredOrigins
 
 _OWNERS = 2
 _UNKNOWN_RETRY_MS = 300
@@ -38,19 +38,16 @@
     A caller may resume its stream at another gateway, also when the one that
     began it has died.  That one therefore reports the origin to two owners,
     which follow from the stream's key, and a gateway that resumes a stream
-    asks them.  Nothing is reported while a single version has served a pool
-    for longer than streams last.
+    asks them.  All gateways may be lost at once, so the origins are kept in
+    the store as well.  Nothing is reported or stored while a single version
+    has served a pool for longer than streams last.
 
     Parameters
     ----------
     proof_age_ms : Callable[[], int]
         Return the age of the proof that the list of servers is current.
-    has_uncertain_version : Callable[[str], bool]
-        Return whether a server of a pool may run an unknown version.
     count : Callable[[str], None]
         Counts resumed streams by the source of their origin.
-    servers : ServerDirectory
-        The servers that this gateway knows.
 
     Attributes
     ----------
@@ -62,12 +59,12 @@
     def __init__(
         self,
         gateways: GatewayDirectory,
+        known: KnownOrigins,
+        stored: StoredOrigins,
         clock: Clock,
         proof_age_ms: Callable[[], int],
-        has_uncertain_version: Callable[[str], bool],
         rng: random.Random,
         count: Callable[[str], None],
-        servers: ServerDirectory = NO_SERVERS,
     ) -> None:
         """Start without streams."""
         self.requests = OriginRequests(rng)
@@ -75,20 +72,21 @@
         self._clock = clock
         self._rng = rng
         self._count = count
-        self._servers = servers
         self._owners = OriginOwners(gateways)
-        self._known = KnownOrigins(clock, has_uncertain_version, servers)
-        self._history = self._known.history
-        self._table = self._known.table
+        self._known = known
+        self._stored = stored
+        self._servers = known.servers
+        self._history = known.history
+        self._table = known.table
         self._reporter = OriginReporter(
             gateways, self._owners, self.requests, clock
         )
         self._search = OriginSearch(
-            self._known,
+            known,
+            stored,
             gateways,
             self._owners,
             self.requests,
-            servers,
             proof_age_ms,
             clock,
         )
@@ -167,9 +165,8 @@
         self._history.update(servers)
         for pool in before:
             if not self._history.is_settled(pool):
-                self._reporter.report(
-                    self._table.list_unreported(hash_name(pool))
-                )
+                unreported = self._table.list_unreported(hash_name(pool))
+                self._keep(list(unreported))
 
     async def adopt_history(self) -> None:
         """Take over the versions that another gateway has seen."""
@@ -212,7 +209,13 @@
         # Owners that know of it verify it themselves.
         is_new = self._table.add(stream, entry)
         if is_new and not self._history.is_settled(origin.pool):
-            self._reporter.report([(stream, entry)])
+            self._keep([(stream, entry)])
+
+    def _keep(self, entries: Iterable[tuple[int, OriginEntry]]) -> None:
+        """Let the owners and the store know the origins of streams."""
+        for stream, entry in entries:
+            self._stored.record(stream, entry)
+        self._reporter.report(entries)
 
     def _apply_report(
         self, report: OriginReport | UnverifiedReport, run: ServerRun | None
--- a/seampond/streams/search.py
+++ b/seampond/streams/search.py
@@ -14,7 +14,8 @@
 from seampond.streams.origin_table import OriginEntry
 from seampond.streams.owners import GatewayDirectory, OriginOwners
 from seampond.streams.requests import OriginRequests
-from seampond.streams.servers import ServerDirectory
+from seampond.streams.stored import StoredOrigins, StoredRun
+from seampond.streams.version_history import RETENTION_MS
 
 # More than the owners, since gateways may differ in whom they know.
 _ASKED = 4
@@ -39,7 +40,7 @@
 
 
 class OriginSearch:
-    """Finds origins here, at the owners, or by the versions that served.
+    """Finds origins here, at the owners, in the store, or by the versions.
 
     Parameters
     ----------
@@ -51,19 +52,20 @@
     def __init__(
         self,
         known: KnownOrigins,
+        stored: StoredOrigins,
         gateways: GatewayDirectory,
         owners: OriginOwners,
         requests: OriginRequests,
-        servers: ServerDirectory,
         proof_age_ms: Callable[[], int],
         clock: Clock,
     ) -> None:
         """Initialize the search."""
         self._known = known
+        self._stored = stored
         self._gateways = gateways
         self._owners = owners
         self._requests = requests
-        self._servers = servers
+        self._servers = known.servers
         self._proof_age_ms = proof_age_ms
         self._clock = clock
 
@@ -129,12 +131,17 @@
         if recorded and stream:
             best = max(recorded, key=lambda reply: reply.is_known)
             return self._describe_reply(job, best)
-        if not pool:
-            return None
-        inferred = self._infer(pool, replies, job.max_age_ms)
-        if inferred is None or replies:
+        if not replies:
+            # Nobody else can tell which versions this gateway has missed.
+            await self._stored.refresh(since_ms)
+        inferred = self._infer(pool, replies, since_ms)
+        read_ms = since_ms if stream else 0
+        if inferred is not None or not await self._stored.refresh(read_ms):
             return inferred
-        return self._check_list(inferred, since_ms)
+        run = self._stored.find(stream) if stream else None
+        if run is not None:
+            return self._describe_run(job, run)
+        return self._infer(pool, replies, since_ms)
 
     def _describe_entry(self, job: Job, entry: OriginEntry) -> Resumption:
         # A pool that the route lacks has an empty name.
@@ -155,32 +162,32 @@
             is_verified=reply.is_known,
         )
 
+    def _describe_run(self, job: Job, run: StoredRun) -> Resumption:
+        pool = find_pool(run.pool, job.route.pools)
+        return Resumption(StreamOrigin(pool, run.version), 'stored')
+
     def _infer(
-        self, pool: str, replies: Sequence[OriginReply], max_age_ms: int
+        self, pool: str, replies: Sequence[OriginReply], since_ms: int
     ) -> Resumption | None:
-        """Return the only version that may have begun a stream.
-
-        Parameters
-        ----------
-        max_age_ms : int
-            Longest time since the stream may have begun.
-
-        """
+        """Return the only version of a pool that may have begun a stream."""
         known = (self._known.describe_pool(0, pool), *replies)
         versions = {
             version
             for reply in known
             for version, ago_ms in reply.seen_ago_ms.items()
-            if least_local_ms(ago_ms) <= max_age_ms
+            if least_local_ms(ago_ms) <= RETENTION_MS
         }
         is_covered = any(
-            least_local_ms(reply.watched_ms) >= max_age_ms for reply in known
+            least_local_ms(reply.watched_ms) >= RETENTION_MS for reply in known
         )
-        if len(versions) != 1 or not is_covered:
-            return None
-        if any(reply.is_uncertain for reply in known):
+        is_certain = is_covered and not any(
+            reply.is_uncertain for reply in known
+        )
+        if not pool or len(versions) != 1 or not is_certain:
             return None
-        return Resumption(StreamOrigin(pool, versions.pop()), 'single-version')
+        origin = StreamOrigin(pool, versions.pop())
+        inferred = Resumption(origin, 'single-version')
+        return inferred if replies else self._check_list(inferred, since_ms)
 
     def _check_list(self, inferred: Resumption, since_ms: int) -> Resumption:
         """Return an inference, unverified if the list of servers is older.
--- a/seampond/streams/version_history.py
+++ b/seampond/streams/version_history.py
@@ -3,10 +3,10 @@
 from collections.abc import Iterable, Mapping
 
 from seampond.clock import Clock, least_local_ms
-from seampond.forwarding.caller_waits import MAX_AGE_MS
 from seampond.forwarding.server import Server
 
-RETENTION_MS = MAX_AGE_MS
+# For how long a stream may be resumed after its version has left.
+RETENTION_MS = 60_000
 # Gateways that start together do not load the servers at the same moment.
 _START_SPREAD_MS = 30_000
 
@@ -18,7 +18,7 @@
     -----------
     Where one version alone has served for longer than streams last, it began
     all of them.  A gateway that has just started takes over what others have
-    seen, since servers may have gone before.
+    seen and what the store keeps, since servers may have gone before.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -31,6 +31,11 @@
         # By pool and version: when the version was last listed.
         self._seen_ms: dict[str, dict[str, int]] = {}
 
+    @property
+    def is_loaded(self) -> bool:
+        """Whether the list of servers has been read."""
+        return self._loaded_ms is not None
+
     @property
     def pools(self) -> list[str]:
         """Pools of which a version has been listed."""
@@ -45,6 +50,10 @@
             if self.watched_ms(pool) < RETENTION_MS
         ]
 
+    def listed(self, pool: str) -> frozenset[str]:
+        """Return the versions of a pool that are listed."""
+        return self._listed.get(pool, frozenset())
+
     def watched_ms(self, pool: str) -> int:
         """Return for how long all versions of a pool have been known."""
         if self._loaded_ms is None:
@@ -89,7 +98,7 @@
     def adopt(
         self, pool: str, seen_ago_ms: Mapping[str, int], watched_ms: int
     ) -> None:
-        """Take over what another gateway has seen of a pool.
+        """Take over what another gateway or the store knows of a pool.
 
         Explanation
         -----------
--- a/seampond/testing/gateway_processes.py
+++ b/seampond/testing/gateway_processes.py
@@ -22,6 +22,8 @@
 GATEWAY_COUNT = 3
 _PORTS_PER_GATEWAY = 4
 _READY_TIMEOUT_S = 30
+_LINE_END = '\n'
+_FIRST_START = 'first_start = true'
 _SETTINGS = """[gateway]
 name = "{name}"
 zone = "a"
@@ -45,6 +47,10 @@
 
     Parameters
     ----------
+    path : Path
+        Its settings file.
+    settings : str
+        The settings but for that of the first start.
     build : Path or None
         Folder of the build that it runs, None for this one.
 
@@ -53,11 +59,14 @@
     name: str
     ports: tuple[str, ...]
     path: Path
+    settings: str
     build: Path | None = None
     process: asyncio.subprocess.Process | None = None
+    has_started: bool = False
 
     async def start(self) -> None:
         """Start the process; its log is appended to."""
+        self._write_settings()
         # Other waiters for the end of the old process must not restart it.
         self.process = None
         environment = dict(os.environ)
@@ -87,6 +96,16 @@
         if self.process is not None:
             await self.process.wait()
 
+    def _write_settings(self) -> None:
+        """Write the settings; earlier builds know no setting of a start."""
+        is_first = self.build is None and not self.has_started
+        self.has_started = True
+        first_line, _, rest = self.settings.partition(_LINE_END)
+        lines = (
+            [first_line, _FIRST_START, rest] if is_first else [first_line, rest]
+        )
+        self.path.write_text(_LINE_END.join(lines))
+
 
 async def wait_ready(
     gateways: Sequence[GatewayProcess], client: aiosonic.HTTPClient
@@ -124,12 +143,12 @@
             f'127.0.0.1:{port}' for port in islice(ports, _PORTS_PER_GATEWAY)
         )
         path = folder / f'{name}.toml'
-        path.write_text(
-            _SETTINGS.format(
-                name=name, ports=gateway_ports, store=store.address
-            )
+        settings = _SETTINGS.format(
+            name=name, ports=gateway_ports, store=store.address
+        )
+        gateways.append(
+            GatewayProcess(name, gateway_ports, path, settings, build)
         )
-        gateways.append(GatewayProcess(name, gateway_ports, path, build))
     try:
         for gateway in gateways:
             await gateway.start()
