Bytes that are no event end the run of a stream

Callers got garbage among the events of a stream, and streams that a server broke off with garbage were complete after 0 to 5 of 6 events: since CR LF CR LF ends an event, any bytes before it counted as an event without an id, and the end after it as one between two events. The class: what a peer sends was passed on without a look.

Other bytes end the run there, so an unmarked end never completes it; good events before them in the same chunk are passed on.

--- a/seampond/forwarding/attempt.py
+++ b/seampond/forwarding/attempt.py
@@ -313,6 +313,8 @@
             events = progress.splitter.feed(chunk)
             if events.payload:
                 await self._pass_on(events, connection, head)
+            if events.fault:
+                raise self._make_error(events.fault, cut=Cut.not_event)
             if progress.splitter.remaining_bytes > _EVENT_MAX_BYTES:
                 raise self._make_error('event too long')
         cut = _find_cut(progress, connection)
--- a/seampond/forwarding/response_head.py
+++ b/seampond/forwarding/response_head.py
@@ -20,6 +20,7 @@
     before_first_event = 'before-first-event'
     server_lost = 'server-lost'
     event_order = 'event-order'
+    not_event = 'not-event'
 
 
 class ExchangeError(EngineError):
--- a/seampond/testing/streaming.py
+++ b/seampond/testing/streaming.py
@@ -3,6 +3,7 @@
 import asyncio
 import enum
 import itertools
+import re
 from collections.abc import AsyncIterator, Iterable, Iterator, Sequence
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field
@@ -49,6 +50,7 @@
 _INSTANCE_HEADER = HEADERS.expect_instance.decode()
 _NOT_RUN_HEADER = HEADERS.not_run.decode()
 _HEAD_END = b'\r\n\r\n'
+_EVENT = re.compile(rb'id: \d+\ndata: \w+')
 
 
 @dataclass
@@ -66,6 +68,9 @@
         How it marks the ends of its answers.
     event_interval_ms : int
         Time from each event to the next.
+    garbage : Sequence[bytes]
+        What it sends in turn before it closes a connection, empty if it
+        resets connections instead.
 
     """
 
@@ -74,6 +79,7 @@
     framing: Framing = Framing.chunks
     started_count: int = 0
     event_interval_ms: int = _EVENT_INTERVAL_MS
+    garbage: Sequence[bytes] = ()
 
     @property
     def version(self) -> str:
@@ -123,14 +129,24 @@
             await self.clock.sleep(self.event_interval_ms)
             writer.write(encode_event(event, self.framing))
             if is_broken and sent == _EVENTS_BEFORE_BREAK:
-                await writer.drain()
-                reset_connection(writer)
+                await self._break(writer)
                 return
         writer.write(format_end(self.framing))
         await writer.drain()
         if self.framing is Framing.close:
             writer.close()
 
+    async def _break(self, writer: asyncio.StreamWriter) -> None:
+        if not self.garbage:
+            await writer.drain()
+            reset_connection(writer)
+            return
+        number = self.started_count // self.break_every
+        garbage = self.garbage[number % len(self.garbage)]
+        writer.write(encode_event(garbage, self.framing))
+        await writer.drain()
+        writer.close()
+
     def _must_break(self) -> bool:
         self.started_count += 1
         return bool(
@@ -179,6 +195,8 @@
         Number and server version of each event.
     begun_ms : int
         When the first event arrived.
+    garbage : list[bytes]
+        What arrived between events.
 
     """
 
@@ -190,6 +208,7 @@
     is_complete: bool = False
     first_request: str = ''
     begun_ms: int = 0
+    garbage: list[bytes] = field(default_factory=list)
 
     @property
     def is_joined(self) -> bool:
@@ -538,6 +557,9 @@
     event: bytes, record: StreamRecord, attempt: StreamAttempt
 ) -> None:
     number, _, version = event.partition(b'\n')
+    if not _EVENT.fullmatch(event):
+        record.garbage.append(event)
+        return
     if not record.numbers:
         record.first_request = attempt.request_id
     record.numbers.append(int(number.removeprefix(b'id: ')))
