An old list of servers does not show that a version has left

A gateway that reads the table of streams but not the list of servers wrote that a version had left that it does not list, and another gateway wrote it back, each half second. Nothing is written either before the time of the store is known: that error would have ended the task for good.

--- a/seampond/gateway/wiring.py
+++ b/seampond/gateway/wiring.py
@@ -237,11 +237,16 @@
         ),
     )
     incarnation = secrets.randbits(_INCARNATION_BITS)
+
+    def list_age_ms() -> int:
+        return clock.now() - freshness[SERVERS_TABLE].proved_ms
+
     stream_store = StreamStore(
         known_origins.history,
         peers,
         store_clock,
         clock,
+        list_age_ms,
         f'{settings.name}/{incarnation:x}/',
         is_first_start=settings.first_start,
     )
@@ -250,7 +255,7 @@
         known_origins,
         stream_store,
         clock,
-        lambda: clock.now() - freshness[SERVERS_TABLE].proved_ms,
+        list_age_ms,
         random.Random(),
         lambda source: metrics.resumed.labels(source).inc(),
     )
--- a/seampond/streams/stored.py
+++ b/seampond/streams/stored.py
@@ -35,6 +35,15 @@
     era: int
     version: int = 0
 
+    @property
+    def listed(self) -> frozenset[str]:
+        """The versions that are listed."""
+        return frozenset(
+            version
+            for version, last_ms in self.listed_until_ms.items()
+            if last_ms is None
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class StoredRun:
--- a/seampond/streams/stream_store.py
+++ b/seampond/streams/stream_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 from typing import Protocol
 
 from seampond.clock import MS_PER_SECOND, Clock
@@ -32,6 +33,7 @@
 _CHECKING_GATEWAYS = 4
 _CHECK_STEP_MS = 1000
 _ABANDONED_PER_WRITE = 32
+_LIST_AGE_MAX_MS = 5000
 # All versions since the first start of the system are known.
 _ALWAYS_MS = 100 * RETENTION_MS
 _logger = logging.getLogger(__name__)
@@ -73,6 +75,8 @@
 
     Parameters
     ----------
+    list_age_ms : Callable[[], int]
+        Return the age of the proof that the list of servers is current.
     prefix : str
         Begins the keys of this process's rows.
     is_first_start : bool
@@ -91,6 +95,7 @@
         fleet: Fleet,
         store_clock: StoreClock,
         clock: Clock,
+        list_age_ms: Callable[[], int],
         prefix: str,
         *,
         is_first_start: bool = False,
@@ -101,6 +106,7 @@
         self._fleet = fleet
         self._store_clock = store_clock
         self._clock = clock
+        self._list_age_ms = list_age_ms
         self._is_first_start = is_first_start
         self._copy = StoredCopy()
         self._batches = OriginBatches(prefix, clock)
@@ -155,7 +161,7 @@
             return
         if self._is_read_due:
             self._is_read_due = not await self._read_after(self._clock.now())
-        if self._copy.version:
+        if self._copy.version and self._store_clock.is_known:
             await self._write_batch()
             await self._write_versions()
 
@@ -284,13 +290,17 @@
         since_ms = store_ms - self._history.watched_ms(pool)
         if stored is None and self._is_first_start:
             since_ms = 0
+        listed = self._history.listed(pool)
+        if stored is not None and self._list_age_ms() > _LIST_AGE_MAX_MS:
+            # An old list does not show that a version has left.
+            listed |= stored.listed
         view = PoolView(
             pool,
             {
                 version: store_ms - ago_ms
                 for version, ago_ms in self._history.seen_ago_ms(pool).items()
             },
-            self._history.listed(pool),
+            listed,
             max(0, since_ms),
             store_ms,
             self.table.era,
--- a/seampond/streams/tests/test_stream_store.py
+++ b/seampond/streams/tests/test_stream_store.py
@@ -80,6 +80,7 @@
         self.table = MemoryStreamTable(
             lambda: self.clock.now() + _CLOCK_AHEAD_MS
         )
+        self.list_age_ms = 0
         self.names = iter(f'g{number}' for number in range(100))
 
     async def start(self, *versions: str, first_start: bool = False) -> Gateway:
@@ -96,6 +97,7 @@
             fleet,
             store_clock,
             self.clock,
+            lambda: self.list_age_ms,
             f'{fleet.name}/',
             is_first_start=first_start,
         )
@@ -327,6 +329,18 @@
         stored = self.table.pools[hash_name(POOL)]
         self.assertEqual(set(stored.listed_until_ms), {'v1', 'v2', 'v3'})
 
+    async def test_old_list_shows_that_a_version_has_left(self) -> None:
+        """The gateway is cut off from the list of servers only."""
+        first = await self.start('v1', first_start=True)
+        second = await self.start('v1')
+        second.list_servers(['v1', 'v2'])
+        await self.tick(second)
+        self.list_age_ms = 60_000
+        first.store.request_read()
+        await self.tick(first, 2)
+        stored = self.table.pools[hash_name(POOL)]
+        self.assertEqual(stored.listed, {'v1', 'v2'})
+
     async def test_row_that_cannot_be_read_is_believed(self) -> None:
         """Another writer left one; it is written again."""
         gateway = await self.start('v1', first_start=True)
--- a/seampond/watches/store_clock.py
+++ b/seampond/watches/store_clock.py
@@ -95,6 +95,11 @@
         self.era = 0
         self._bounds: _Bounds | None = None
 
+    @property
+    def is_known(self) -> bool:
+        """Whether the store has answered."""
+        return self._bounds is not None
+
     def update(self, page: Page) -> None:
         """Narrow the bounds by an answer.
 
