An event has one id, and data where the events before had

Once an event of a stream had an id and data, each one that has either needs both; two ids in one event are none. The byte order mark of a second run is not passed on inside a stream, where it would hide the id of the event behind it from the caller.

--- a/seampond/forwarding/events.py
+++ b/seampond/forwarding/events.py
@@ -51,8 +51,9 @@
 
     Attributes
     ----------
-    has_ids : bool
-        Whether an event of the stream had an id, so that all need one.
+    is_established : bool
+        Whether an event of the stream had an id and data, so that all that
+        have one need both.
 
     Examples
     --------
@@ -68,10 +69,11 @@
 
     def __init__(self) -> None:
         """Initialize an empty splitter."""
-        self.has_ids = False
+        self.is_established = False
         self._buffered = bytearray()
         self._has_passed_cr = False
         self._is_at_start = True
+        self._has_passed_events = False
 
     @property
     def remainder(self) -> bytes:
@@ -101,9 +103,22 @@
         self._has_passed_cr = False
         self._is_at_start = True
 
+    def _find_end(self, searched: int) -> int:
+        """Return the end of the last whole event, 0 if there is none."""
+        start = max(0, searched - _LINE_END_MAX_BYTES)
+        last_end = _LAST_EVENT_END.match(self._buffered, start)
+        if last_end:
+            return last_end.end()
+        # The line end of an event that has been passed on without waiting.
+        return int(self._has_passed_cr and self._buffered.startswith(_LF))
+
     def _parse(self, payload: bytes) -> Events:
         """Return the events up to the first bytes that are none."""
         start = self._skip_mark(payload)
+        if self._has_passed_events:
+            # Inside a stream a mark would hide the field behind it.
+            payload, start = payload[start:], 0
+        self._has_passed_events = True
         ids: list[bytes] = []
         while start < len(payload):
             event = _EVENT.match(payload, start)
@@ -127,25 +142,18 @@
             return ''
         if not (_is_text(lines) and _KNOWN_LINE.search(lines)):
             return 'not an event'
-        # An empty id does not tell from which event to go on.
         own = [text.strip() for text in _ID_FIELD.findall(lines)]
+        if len(own) > 1:
+            return 'event with two ids'
+        # An empty id does not tell from which event to go on.
         named = list(filter(None, own))
+        has_data = _DATA_FIELD.search(lines) is not None
+        if self.is_established and has_data != bool(named):
+            return 'event without data' if named else 'event without an id'
         ids.extend(named)
-        is_unnamed = not named and _DATA_FIELD.search(lines)
-        if is_unnamed and self.has_ids:
-            return 'event without an id'
-        self.has_ids = self.has_ids or bool(named)
+        self.is_established = self.is_established or (has_data and bool(named))
         return ''
 
-    def _find_end(self, searched: int) -> int:
-        """Return the end of the last whole event, 0 if there is none."""
-        start = max(0, searched - _LINE_END_MAX_BYTES)
-        last_end = _LAST_EVENT_END.match(self._buffered, start)
-        if last_end:
-            return last_end.end()
-        # The line end of an event that has been passed on without waiting.
-        return int(self._has_passed_cr and self._buffered.startswith(_LF))
-
 
 def _is_text(lines: bytes) -> bool:
     if lines.isascii():
--- a/seampond/forwarding/progress.py
+++ b/seampond/forwarding/progress.py
@@ -173,7 +173,7 @@
         that was.
         """
         self.last_id = self.job.last_event
-        self.splitter.has_ids = bool(self.last_id)
+        self.splitter.is_established = bool(self.last_id)
         follows = self.last_id if self.job.route.may_resume else b''
         self.order = EventOrder(steps, follows)
 
--- a/seampond/forwarding/tests/test_events.py
+++ b/seampond/forwarding/tests/test_events.py
@@ -32,6 +32,20 @@
             self.assertEqual(received + splitter.remainder, stream)
             self.assertEqual(first.ids + second.ids, (b'1', b'2', b'3'))
 
+    def test_mark_of_a_second_run_is_passed_on(self) -> None:
+        """It would hide the id of the event behind it."""
+        splitter = EventSplitter()
+        splitter.feed(b'\xef\xbb\xbfid: 1\ndata: a\n\n')
+        splitter.restart()
+        events = splitter.feed(b'\xef\xbb\xbfid: 2\ndata: b\n\n')
+        self.assertEqual(events.payload, b'id: 2\ndata: b\n\n')
+
+    def test_event_with_two_ids_is_passed_on(self) -> None:
+        """Callers take the second one, and miss the events between."""
+        events = EventSplitter().feed(b'id: 1\nid: 7\ndata: a\n\n')
+        self.assertEqual(events.payload, b'')
+        self.assertNotEqual(events.fault, '')
+
     def _check(self, ending: bytes) -> None:
         first, second = (b'id: %b\n%b' % (name, ending) for name in _IDS)
         splitter = EventSplitter()
