A version that came back is remembered; the stored origin comes first

Found by a review that had not seen the work, each with a test that failed: - A row kept the time at which a version had first left, though it came back for less than a write interval later: after a loss of all gateways another version counted as the only one. The later time holds now. - The inference of a single version was believed before the origin that the store holds was looked up. The record comes first now. - `first_start` was believed after the store had been restored without its rows. It counts in the first era only. - Reads of the table that take longer than a caller waits were cancelled with the caller, so none ever ended. All who wait now share one read, which goes on; a caller waits for one second once, not twice.

--- a/seampond/streams/search.py
+++ b/seampond/streams/search.py
@@ -110,9 +110,12 @@
             return await self._ask(job, 0, since_ms)
         stream = hash_stream(first_request)
         entry = self._known.find(stream)
-        if entry is None:
-            return await self._ask(job, stream, since_ms)
-        return self._describe_entry(job, entry)
+        if entry is not None:
+            return self._describe_entry(job, entry)
+        run = self._stored.find(stream)
+        if run is not None:
+            return self._describe_run(job, run)
+        return await self._ask(job, stream, since_ms)
 
     async def _ask(
         self, job: Job, stream: int, since_ms: int
@@ -131,13 +134,12 @@
         if recorded and stream:
             best = max(recorded, key=lambda reply: reply.is_known)
             return self._describe_reply(job, best)
-        if not replies:
-            # Nobody else can tell which versions this gateway has missed.
-            await self._stored.refresh(since_ms)
-        inferred = self._infer(pool, replies, since_ms)
-        read_ms = since_ms if stream else 0
-        if inferred is not None or not await self._stored.refresh(read_ms):
+        inferred = self._infer(pool, replies, since_ms) if replies else None
+        if inferred is not None:
             return inferred
+        # Without a reply, the store alone can tell which versions were missed.
+        read_ms = since_ms if stream or not replies else 0
+        await self._stored.refresh(read_ms)
         run = self._stored.find(stream) if stream else None
         if run is not None:
             return self._describe_run(job, run)
--- a/seampond/streams/stored_versions.py
+++ b/seampond/streams/stored_versions.py
@@ -8,6 +8,8 @@
 
 # Gateways whose copies differ a little do not write by turns.
 _FORGOTTEN_MS = 2 * RETENTION_MS
+# Gateways learn at different times that a version has left.
+_SAME_MS = 1000
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,7 +93,8 @@
     if version in view.listed:
         return None
     stored_ms = base.listed_until_ms.get(version)
-    if stored_ms is not None and base.era == view.era:
-        return stored_ms
-    # Not longer than until now, since this gateway does not list it.
-    return view.seen_ms.get(version, view.now_ms)
+    if stored_ms is None or base.era != view.era:
+        # Not longer than until now, since this gateway does not list it.
+        return view.seen_ms.get(version, view.now_ms)
+    seen_ms = view.seen_ms.get(version, stored_ms)
+    return seen_ms if seen_ms > stored_ms + _SAME_MS else stored_ms
--- a/seampond/streams/stream_store.py
+++ b/seampond/streams/stream_store.py
@@ -34,6 +34,8 @@
 _CHECK_STEP_MS = 1000
 _ABANDONED_PER_WRITE = 32
 _LIST_AGE_MAX_MS = 5000
+# Eras are counted from 1, 0 if the store names none.
+_FIRST_ERA = 1
 # All versions since the first start of the system are known.
 _ALWAYS_MS = 100 * RETENTION_MS
 _logger = logging.getLogger(__name__)
@@ -110,7 +112,7 @@
         self._is_first_start = is_first_start
         self._copy = StoredCopy()
         self._batches = OriginBatches(prefix, clock)
-        self._lock = asyncio.Lock()
+        self._reading: asyncio.Task[bool] | None = None
         self._is_read_due = True
         self._read_ms: int | None = None
         self._failed_ms: int | None = None
@@ -145,9 +147,13 @@
 
     async def run(self) -> None:
         """Read the table, then write what changes; never ends."""
-        while True:
-            await self.synchronize()
-            await self._clock.sleep(self._interval_ms)
+        try:
+            while True:
+                await self.synchronize()
+                await self._clock.sleep(self._interval_ms)
+        finally:
+            if self._reading is not None:
+                self._reading.cancel()
 
     async def synchronize(self) -> None:
         """Read the table if that is due, then write what has changed.
@@ -172,24 +178,39 @@
         return compute_write_interval_ms(self._fleet.count)
 
     async def _read_after(self, at_ms: int) -> bool:
-        """Read the table unless it was read after some time."""
-        async with self._lock:
-            if self._read_ms is not None and self._read_ms > at_ms:
-                return True
-            if self.table is None or self._has_just_failed():
-                return False
-            sent_ms = self._clock.now()
-            try:
-                rows = await self.table.read(self._copy.version)
-            except PlatformError as error:
-                self._failed_ms = self._clock.now()
-                _logger.warning(
-                    'rows of streams not read', extra={'reason': error.message}
-                )
-                return False
-            self._apply(rows)
-            self._read_ms = sent_ms
-            return True
+        """Read the table unless it was read after some time.
+
+        Explanation
+        -----------
+        All who wait share one read, which goes on if they give up.
+        """
+        while self._read_ms is None or self._read_ms <= at_ms:
+            is_own = self._reading is None
+            if self._reading is None:
+                if self.table is None or self._has_just_failed():
+                    return False
+                self._reading = asyncio.create_task(self._read(self.table))
+            is_read = await asyncio.shield(self._reading)
+            if is_own or not is_read:
+                return is_read
+        return True
+
+    async def _read(self, table: StreamTable) -> bool:
+        """Read what has changed; return whether the store has answered."""
+        sent_ms = self._clock.now()
+        try:
+            rows = await table.read(self._copy.version)
+        except PlatformError as error:
+            self._failed_ms = self._clock.now()
+            _logger.warning(
+                'rows of streams not read', extra={'reason': error.message}
+            )
+            return False
+        finally:
+            self._reading = None
+        self._apply(rows)
+        self._read_ms = sent_ms
+        return True
 
     def _has_just_failed(self) -> bool:
         if self._failed_ms is None:
@@ -288,7 +309,8 @@
         store_ms = self._store_ms()
         stored = self._copy.pools.get(hash_name(pool))
         since_ms = store_ms - self._history.watched_ms(pool)
-        if stored is None and self._is_first_start:
+        is_restored = self.table.era > _FIRST_ERA
+        if stored is None and self._is_first_start and not is_restored:
             since_ms = 0
         listed = self._history.listed(pool)
         if stored is not None and self._list_age_ms() > _LIST_AGE_MAX_MS:
--- a/seampond/streams/tests/test_stream_store.py
+++ b/seampond/streams/tests/test_stream_store.py
@@ -1,5 +1,6 @@
 """Tests of what outlives the loss of all gateways."""
 
+import asyncio
 import random
 import unittest
 from collections.abc import Sequence
@@ -15,7 +16,7 @@
 from seampond.streams.registry import OriginRegistry
 from seampond.streams.search import hash_stream
 from seampond.streams.servers import NO_SERVERS
-from seampond.streams.stored import StoredBatch
+from seampond.streams.stored import StoredBatch, StreamRows
 from seampond.streams.stream_store import StreamStore
 from seampond.streams.tests.test_registry import build_stream
 from seampond.streams.version_history import RETENTION_MS
@@ -305,7 +306,7 @@
         later = await self.start('v1')
         await self.check_refused(later)
         stored = self.table.pools[hash_name(POOL)]
-        self.assertEqual(stored.era, 1)
+        self.assertEqual(stored.era, 2)
         self.assertGreater(stored.since_ms, 0)
 
     async def test_settled_pool_costs_calls(self) -> None:
@@ -348,9 +349,79 @@
         await self.tick(gateway)
         self.table.batches['odd'] = StoredBatch(0, ())
         self.table.pools[hash_name(POOL)] = type(row)(
-            '', {}, self.table.read_ms(), 0, row.version
+            '', {}, self.table.read_ms(), row.era, row.version
         )
         later = await self.start('v1')
         await self.check_refused(later)
         stored = self.table.pools[hash_name(POOL)]
         self.assertEqual(set(stored.listed_until_ms), {'v1'})
+
+
+class ForgottenVersionTest(StoreCase):
+    """A version is remembered for longer than callers come back."""
+
+    async def test_version_that_came_back_between_writes_is_forgotten(
+        self,
+    ) -> None:
+        """The row keeps when it had left before, not the later time."""
+        gateway = await self.start('v1', 'v2', first_start=True)
+        await self.tick(gateway)
+        gateway.list_servers(['v2'])
+        await self.tick(gateway)
+        self.clock.advance(40_000)
+        gateway.list_servers(['v1', 'v2'])
+        self.clock.advance(200)
+        gateway.list_servers(['v2'])
+        await self.tick(gateway)
+        self.clock.advance(RETENTION_MS - 35_000)
+        later = await self.start('v2')
+        await self.check_refused(later)
+
+    async def test_inference_precedes_the_stored_origin(self) -> None:
+        """The same; the store holds the origin, which is not read."""
+        gateway = await self.start('v1', 'v2', first_start=True)
+        await self.tick(gateway)
+        gateway.list_servers(['v2'])
+        await self.tick(gateway)
+        self.clock.advance(40_000)
+        gateway.list_servers(['v1', 'v2'])
+        gateway.begin('r1', _OLD)
+        self.clock.advance(200)
+        gateway.list_servers(['v2'])
+        await self.tick(gateway)
+        self.assertEqual(len(self.table.batches), 1)
+        self.clock.advance(RETENTION_MS - 35_000)
+        later = await self.start('v2')
+        job = await later.resume('r1')
+        self.assertEqual(job.origin, _OLD)
+
+    async def test_first_start_holds_after_a_restore(self) -> None:
+        """The setting is still there; the store has lost its rows."""
+        gateway = await self.start('v1', 'v2', first_start=True)
+        await self.tick(gateway)
+        self.table.restore()
+        later = await self.start('v2', first_start=True)
+        await self.tick(later)
+        await self.check_refused(later)
+
+    async def test_read_that_takes_longer_than_a_caller_waits_is_lost(
+        self,
+    ) -> None:
+        """Each caller cancels the read, and the next begins anew."""
+        gateway = await self.start('v1', 'v2')
+        gateway.begin('r1', _OLD)
+        await self.tick(gateway)
+        later = await self.start('v1', 'v2')
+        gateway.begin('r2', _OLD)
+        await self.tick(gateway)
+        read = self.table.read
+
+        async def read_slowly(since: int) -> StreamRows:
+            await asyncio.sleep(1.2)
+            return await read(since)
+
+        self.table.read = read_slowly  # type: ignore[method-assign]
+        await self.check_refused(later, 'r2')
+        await asyncio.sleep(0.4)
+        job = await later.resume('r2')
+        self.assertEqual(job.origin, _OLD)
--- a/seampond/testing/stream_table.py
+++ b/seampond/testing/stream_table.py
@@ -32,7 +32,7 @@
     calls: list[str] = field(default_factory=list)
     pools: dict[int, StoredVersions] = field(default_factory=dict)
     batches: dict[str, StoredBatch] = field(default_factory=dict)
-    era: int = 0
+    era: int = 1
     _revision: int = 1
     _held: list[tuple[str, StoredBatch]] = field(default_factory=list)
 
