An answer that other bytes follow is not whole

Callers got a 200 with an empty or short body, framed as whole, where a server's head stated a length that was cut in its digits (1 or 0 of 16) or the size of a chunk was cut to 0, and the rest of the body followed. The parser had completed the answer, so its error at the bytes behind was dropped: only the connection was not used again.

Bytes behind an answer that begin no other answer now make it incomplete, wherever they arrive before it has been passed on. Answers to HEAD, 204 and 304 end at their heads whatever follows; another whole answer behind leaves the first one whole, as before.

Rest of a wrong body that arrives after the answer has been passed on cannot be seen.

--- a/seampond/forwarding/connection.py
+++ b/seampond/forwarding/connection.py
@@ -239,14 +239,19 @@
 
     def data_received(self, payload: bytes) -> None:
         """Parse received bytes; close on bytes that belong to no request."""
-        if not self._request_id or (self._is_complete and payload):
+        if not self._request_id:
             self.close()
             return
         self.received_ms = self._clock.now()
         body_bytes = self.received_bytes
+        was_complete = self._is_complete
         try:
             self._parser.feed_data(payload)
         except httptools.HttpParserError as error:
+            if self._has_body and self._head.may_have_body:
+                # Bytes of no answer are the rest of a body whose length or
+                # last chunk is wrong.
+                self._is_complete = False
             self._fail(f'invalid HTTP response: {error}')
         except httptools.HttpParserUpgrade:
             self._fail('unexpected protocol upgrade')
@@ -259,6 +264,8 @@
         if self._bytes_without_body > _MAX_BYTES_WITHOUT_BODY:
             self._fail('too many bytes without any of a body')
             self.close()
+        if was_complete:
+            self.close()
         self._wake_reader()
 
     def eof_received(self) -> None:
--- a/seampond/forwarding/response_head.py
+++ b/seampond/forwarding/response_head.py
@@ -95,6 +95,11 @@
         declared = self.get(b'content-length')
         return int(declared) if declared.isdigit() else 0
 
+    @property
+    def may_have_body(self) -> bool:
+        """Whether answers of this status may have a body."""
+        return self.status not in _STATUSES_WITHOUT_BODY
+
     @property
     def end(self) -> AnswerEnd:
         """How the end of the body is marked.
@@ -109,8 +114,7 @@
         """
         if self.has(b'transfer-encoding'):
             return AnswerEnd.chunks
-        has_no_body = self.status in _STATUSES_WITHOUT_BODY
-        if has_no_body or self.has(b'content-length'):
+        if not self.may_have_body or self.has(b'content-length'):
             return AnswerEnd.length
         return AnswerEnd.connection
 
