Answers beside cut heads are believed while their server lives

On a route that may not be repeated, callers got a 502 for each sound answer without framing while other answers of the same server ended in their heads: another answer that was closed without a reset within 0.1 s counted as the end of the server. A server that only cuts heads so made all its answers doubtful.

The system closes all connections of a process that ends. So a connection made before the end of the answer that is still open after the check shows that the process lives, and other cuts say nothing. Connections made less than 20 ms before, or later, may lead to a process that took the address; one whose reading pauses may have ended unseen; neither counts. A refused connection, kept apart now as refused_ms, speaks against the server whatever is open.

test_cut_heads_make_sound_answers_lost, 30 requests of which each other answer is cut: 0 of 15 sound answers passed on before, 15 of 15 now.

Given up: of a server with several processes behind one listener, of which one is killed, an answer may be taken for whole while an earlier connection leads to another process. Still in doubt: sound answers while no earlier connection is open.

--- a/seampond/forwarding/attempt.py
+++ b/seampond/forwarding/attempt.py
@@ -475,7 +475,7 @@
         job, server = self.progress.job, self.backend.server
         now_ms = self.clock.now()
         self.backend.record_lost_connection(now_ms)
-        if error.is_orderly or not error.was_sent:
+        if error.is_orderly:
             self.backend.closed_ms = now_ms
         if error.was_sent:
             self.quarantine.runs.record_lost(
@@ -485,6 +485,7 @@
                 has_connections=self.backend.open_connections > 0,
             )
         else:
+            self.backend.refused_ms = now_ms
             self.quarantine.runs.record_refused_connection(server)
 
     def _make_error(
--- a/seampond/forwarding/connection.py
+++ b/seampond/forwarding/connection.py
@@ -55,6 +55,8 @@
         When data was last received.
     ended_ms : int
         When the end of the connection arrived, 0 for not yet.
+    is_paused : bool
+        Whether reading pauses, which hides the end of the connection.
     ends_at_eof : bool
         Whether the current answer ends with the connection.
     carried_ids : deque[bytes]
@@ -87,6 +89,7 @@
         self.connected_ms = 0
         self.received_ms = 0
         self.ended_ms = 0
+        self.is_paused = False
         self.ends_at_eof = False
         self.on_lost: Callable[[], None] = _do_nothing
         self.carried_ids: deque[bytes] = deque(maxlen=_CARRIED_IDS)
@@ -168,6 +171,7 @@
         self._chunks.clear()
         if self._buffered_bytes > _HIGH_WATER_BYTES and self._transport:
             self._transport.resume_reading()
+            self.is_paused = False
         self._buffered_bytes = 0
         return chunk
 
@@ -324,6 +328,7 @@
         self._buffered_bytes += len(payload)
         if self._buffered_bytes > _HIGH_WATER_BYTES and self._transport:
             self._transport.pause_reading()
+            self.is_paused = True
 
     def on_message_complete(self) -> None:
         """Complete the answer if it is the current one."""
--- a/seampond/forwarding/process_state.py
+++ b/seampond/forwarding/process_state.py
@@ -29,8 +29,10 @@
         When a connection to it was lost, which may mean that its process
         ended; 0 if it is known to run on as its row says.
     closed_ms : int
-        When a connection to it was last refused, or closed in the middle of
-        an answer without a reset, as the system of a killed process does.
+        When a connection to it was last closed in the middle of an answer
+        without a reset, as the system of a killed process does.
+    refused_ms : int
+        When a connection to it was last refused.
     reconnected_ms : int
         When a connection was made after that, 0 for not yet.
     verified_ms : int
@@ -48,6 +50,7 @@
     is_current: bool = True
     lost_ms: int = 0
     closed_ms: int = 0
+    refused_ms: int = 0
     reconnected_ms: int = 0
     verified_ms: int = 0
 
--- a/seampond/forwarding/survival.py
+++ b/seampond/forwarding/survival.py
@@ -17,6 +17,8 @@
 
 # The connections of a process that ends are closed within this time.
 _EXIT_MS = 100
+# An end that has arrived may be read after a later connection was made.
+_LATE_READ_MS = 20
 _WAIT_FRACTION = 0.1
 # Leaves time to end the answer before its deadline.
 _DEADLINE_MARGIN_MS = 20
@@ -64,9 +66,10 @@
     reset, so the end of a connection alone does not complete an answer.  A
     server that runs on accepts a connection and keeps it.  One that resets
     it may only have too many, and accepts another one.  Where another
-    process listens at the same address by now, other answers that were cut
-    at the same moment, a refused connection since, or the row of the other
-    server show that the server has ended.
+    process listens at the same address by now, a refused connection since,
+    the row of the other server, or other answers that were cut at the same
+    moment show that the server has ended; the latter do not if an earlier
+    connection is still open.
 
     Parameters
     ----------
@@ -99,12 +102,37 @@
         )
     except ExchangeError as error:
         if error.is_lost:
-            backend.closed_ms = clock.now()
+            backend.refused_ms = clock.now()
         return False
-    has_ended = backend.closed_ms >= ended_ms - _EXIT_MS
+    has_ended = _has_ended(backend, ended_ms)
     return not (has_ended or _is_replaced(backends, backend))
 
 
+def _has_ended(backend: Backend, ended_ms: int) -> bool:
+    """Return True if other connections show that its process has ended."""
+    since_ms = ended_ms - _EXIT_MS
+    if backend.refused_ms >= since_ms:
+        return True
+    return backend.closed_ms >= since_ms and not _lives(backend, ended_ms)
+
+
+def _lives(backend: Backend, ended_ms: int) -> bool:
+    """Return True if a process lives that may have ended at a time.
+
+    Explanation
+    -----------
+    The system closes all connections of a process that ends.  One that was
+    made before and is open shows that it lives, unless its end would not have
+    been read.
+    """
+    return any(
+        connection.is_open
+        and not connection.is_paused
+        and connection.connected_ms < ended_ms - _LATE_READ_MS
+        for connection in backend.connections
+    )
+
+
 def _is_replaced(backends: Backends, backend: Backend) -> bool:
     """Return True if another server or process has taken its address."""
     if backend.is_listed or not backend.is_current:
--- a/seampond/forwarding/tests/test_survival.py
+++ b/seampond/forwarding/tests/test_survival.py
@@ -69,6 +69,29 @@
         self.backend.closed_ms = Clock().now()
         self.assertFalse(await self._has_survived())
 
+    async def test_cuts_beside_an_open_connection_end_the_server(self) -> None:
+        """An earlier connection shows that it lives, if its end is read."""
+        listening = await self._listen(_keep_open)
+        earlier = await self.backends.connect(self.backend)
+        earlier.connected_ms -= _LATE_MS
+        ended_ms = Clock().now()
+        self.backend.closed_ms = ended_ms
+        self.assertTrue(await self._has_survived(ended_ms))
+        earlier.is_paused = True
+        self.assertFalse(await self._has_survived(ended_ms))
+        earlier.is_paused = False
+        listening.close()
+        self.assertFalse(await self._has_survived(ended_ms))
+        earlier.close()
+
+    async def test_connection_made_at_the_end_outlives_the_server(self) -> None:
+        """It may lead to another process at the same address."""
+        await self._listen(_keep_open)
+        later = await self.backends.connect(self.backend)
+        self.backend.closed_ms = later.connected_ms
+        self.assertFalse(await self._has_survived(later.connected_ms))
+        later.close()
+
     async def test_server_that_ended_before_a_late_check_has_survived(
         self,
     ) -> None:
--- a/seampond/forwarding/tests/test_survival_verdicts.py
+++ b/seampond/forwarding/tests/test_survival_verdicts.py
@@ -27,6 +27,7 @@
 
 _ANSWERS = 30
 _RESET_ANSWER = 10
+_CUT_HEAD_BYTES = 40
 _EVENTS = b'id: 1\ndata: a\n\nid: 2\ndata: b\n\n'
 Answer = Callable[[ReceivedRequest, asyncio.StreamWriter], Awaitable[None]]
 
@@ -61,6 +62,27 @@
         complete = sum(sink.is_complete for sink in sinks)
         self.assertEqual(complete, _ANSWERS - 1)
 
+    async def test_cut_heads_make_sound_answers_lost(self) -> None:
+        """Each other answer ends in its head, and the server runs on."""
+
+        async def answer(
+            request: ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> None:
+            await asyncio.sleep(0.15)
+            whole = _format_answer(request, b'whole')
+            is_cut = int(request.get(ID_HEADER)[1:]) % 2
+            writer.write(whole[:_CUT_HEAD_BYTES] if is_cut else whole)
+
+        self._listen(socket.create_server(('127.0.0.1', 0)))
+        await self._serve(answer)
+        forwarding = []
+        for number in range(_ANSWERS):
+            forwarding.append(asyncio.create_task(self._forward(number)))
+            await asyncio.sleep(0.02)
+        sinks = await asyncio.gather(*forwarding)
+        complete = [sink.is_complete for sink in sinks]
+        self.assertEqual(sum(complete), _ANSWERS // 2, complete)
+
     async def test_server_with_a_full_backlog_is_taken_for_lost(self) -> None:
         """It does not accept a connection in time, but refuses none."""
         listening = socket.create_server(('127.0.0.1', 0), backlog=0)
