--- a/seampond/forwarding/connection.py
+++ b/seampond/forwarding/connection.py
@@ -55,6 +55,8 @@
         When data was last received.
     ended_ms : int
         When the end of the connection arrived, 0 for not yet.
+    is_paused : bool
+        Whether reading pauses, which hides the end of the connection.
     ends_at_eof : bool
         Whether the current answer ends with the connection.
     carried_ids : deque[bytes]
@@ -87,6 +89,7 @@
         self.connected_ms = 0
         self.received_ms = 0
         self.ended_ms = 0
+        self.is_paused = False
         self.ends_at_eof = False
         self.on_lost: Callable[[], None] = _do_nothing
         self.carried_ids: deque[bytes] = deque(maxlen=_CARRIED_IDS)
@@ -168,6 +171,7 @@
         self._chunks.clear()
         if self._buffered_bytes > _HIGH_WATER_BYTES and self._transport:
             self._transport.resume_reading()
+            self.is_paused = False
         self._buffered_bytes = 0
         return chunk
 
@@ -239,14 +243,19 @@
 
     def data_received(self, payload: bytes) -> None:
         """Parse received bytes; close on bytes that belong to no request."""
-        if not self._request_id or (self._is_complete and payload):
+        if not self._request_id:
             self.close()
             return
         self.received_ms = self._clock.now()
         body_bytes = self.received_bytes
+        was_complete = self._is_complete
         try:
             self._parser.feed_data(payload)
         except httptools.HttpParserError as error:
+            if self._has_body and self._head.may_have_body:
+                # Bytes of no answer are the rest of a body whose length or
+                # last chunk is wrong.
+                self._is_complete = False
             self._fail(f'invalid HTTP response: {error}')
         except httptools.HttpParserUpgrade:
             self._fail('unexpected protocol upgrade')
@@ -259,6 +268,8 @@
         if self._bytes_without_body > _MAX_BYTES_WITHOUT_BODY:
             self._fail('too many bytes without any of a body')
             self.close()
+        if was_complete:
+            self.close()
         self._wake_reader()
 
     def eof_received(self) -> None:
@@ -317,6 +328,7 @@
         self._buffered_bytes += len(payload)
         if self._buffered_bytes > _HIGH_WATER_BYTES and self._transport:
             self._transport.pause_reading()
+            self.is_paused = True
 
     def on_message_complete(self) -> None:
         """Complete the answer if it is the current one."""
