Release soak with losses of gateways, any stated wait, and garbage

No soak ended several gateways at a point of a release, callers stated only the rest of their wait, and servers broke streams off by resets alone. Earlier seeds keep their draws (LOSS_FAULTS is new). The share of resumed streams counts those that name their first request; all callers of the earlier draws do.

--- a/seampond/gateway/tests/test_release_soak.py
+++ b/seampond/gateway/tests/test_release_soak.py
@@ -10,13 +10,14 @@
 from pathlib import Path
 
 from seampond.testing.release_soak import ReleasePlan, run_release_soak
-from seampond.testing.soak_faults import KILLS
+from seampond.testing.soak_faults import KILLS, LOSS_FAULTS
 
 _SEED = 1
 _SECONDS = 8
 # Seeds with the number of gateways.
 _FREEZE_SEEDS = ((222, 3), (308, 4), (336, 2))
 _FREEZE_SECONDS = 6
+_LOSS_SEED = 401
 
 
 class ReleaseSoakTest(unittest.TestCase):
@@ -49,3 +50,13 @@
             ):
                 report = asyncio.run(run_release_soak(Path(folder), plan))
                 self.assertEqual(report.wrong, [])
+
+    def test_stream_joins_versions_or_holds_garbage_under_losses(self) -> None:
+        """Some or all gateways end at once in the middle of a release."""
+        plan = ReleasePlan(
+            _LOSS_SEED, _FREEZE_SECONDS, faults=LOSS_FAULTS, has_losses=True
+        )
+        with tempfile.TemporaryDirectory() as folder:
+            report = asyncio.run(run_release_soak(Path(folder), plan))
+        self.assertEqual(report.wrong, [])
+        self.assertGreater(report.faults['in_release'], 0)
--- a/seampond/testing/release_soak.py
+++ b/seampond/testing/release_soak.py
@@ -29,10 +29,17 @@
     wait_ready,
 )
 from seampond.testing.signalling import SignallingFleet
+from seampond.testing.soak_draws import (
+    draw_callers,
+    draw_garbages,
+    is_partial_event,
+)
 from seampond.testing.soak_faults import (
+    LOSS_FAULTS,
     RELEASE_FAULTS,
     Fault,
     SoakContext,
+    end_some,
     inject_faults,
     replace_builds,
 )
@@ -57,6 +64,8 @@
 # Streams that a report describes.
 _SHOWN = 3
 _VERSIONS = ('v1', 'v2', 'v3')
+_DRAINS_MS = (0, 1000)
+_LOSS_MAX_MS = 500
 _CONFIGURATION = ConfigurationRow(kind=STREAM, may_resume=True)
 _CALLER_PLANS = (
     CallerPlan(),
@@ -82,6 +91,9 @@
         Number of gateways.
     earlier_build : Path or None
         Folder of the build to start with and replace, None for this one.
+    has_losses : bool
+        Whether gateways end together in releases, callers state any wait and
+        servers break streams off with garbage.
 
     """
 
@@ -90,6 +102,8 @@
     gateways: int = GATEWAY_COUNT
     faults: Sequence[Fault] = RELEASE_FAULTS
     earlier_build: Path | None = None
+    has_losses: bool = False
+    servers: int = _SERVERS
 
 
 @dataclass
@@ -100,7 +114,8 @@
     ----------
     resumed, went_on : int
         Requests that resume a stream at a gateway in touch while two servers
-        of its version serve, and how many of them brought an event.
+        of its version serve, and name the request that began it, and how many
+        of them brought an event.
 
     """
 
@@ -123,14 +138,39 @@
         await fleet.release(rng.choice(_VERSIONS), round(rng.uniform(50, 700)))
 
 
+async def _release_with_losses(
+    context: SoakContext, fleet: StreamingFleet
+) -> None:
+    """Release versions; end gateways before, during or after each release."""
+    rng = context.rng
+    while fleet.clock.now() < context.until_ms:
+        await fleet.clock.sleep(rng.uniform(0, 1000))
+        interval_ms = rng.uniform(20, 400)
+        drain_ms = rng.choice(_DRAINS_MS)
+        serving = sum(server.takes_work for server in fleet.servers)
+        release_ms = interval_ms * serving + drain_ms + _LOSS_MAX_MS
+        version = rng.choice(_VERSIONS)
+        async with asyncio.TaskGroup() as group:
+            group.create_task(_lose_at(context, rng.uniform(0, release_ms)))
+            group.create_task(
+                fleet.release(version, round(interval_ms), drain_ms)
+            )
+
+
+async def _lose_at(context: SoakContext, after_ms: float) -> None:
+    await context.clock.sleep(after_ms)
+    context.faults['in_release'] += 1
+    await end_some(context)
+
+
 async def _crash_servers(
-    fleet: StreamingFleet, rng: random.Random, until_ms: int
+    fleet: StreamingFleet, rng: random.Random, until_ms: int, servers: int
 ) -> None:
     """Crash servers that start again, some of them as another version."""
     while fleet.clock.now() < until_ms:
         await fleet.clock.sleep(rng.uniform(*_CRASH_PAUSE_MS))
         running = [server for server in fleet.servers if server.takes_work]
-        if len(running) <= _SERVERS // 2:
+        if len(running) <= servers // 2:
             continue
         server = rng.choice(running)
         server.may_restart = True
@@ -140,13 +180,16 @@
 
 
 async def _send_load(
-    context: SoakContext, fleet: StreamingFleet, for_ms: int
+    context: SoakContext,
+    fleet: StreamingFleet,
+    plans: Sequence[CallerPlan],
+    for_ms: int,
 ) -> None:
     """Open streams of callers with different plans at the same time."""
-    interval_ms = _STREAM_INTERVAL_MS * len(_CALLER_PLANS)
+    interval_ms = _STREAM_INTERVAL_MS * len(plans)
     addresses = [gateway.ports[0] for gateway in context.gateways]
     async with asyncio.TaskGroup() as group:
-        for plan in _CALLER_PLANS:
+        for plan in plans:
             await fleet.clock.sleep(context.rng.uniform(0, _STREAM_INTERVAL_MS))
             group.create_task(
                 fleet.send_streams(addresses, plan, interval_ms, for_ms)
@@ -166,7 +209,7 @@
     resumed = [
         attempt
         for attempt in fleet.resumptions(serving=2)
-        if _is_in_touch(context, attempt)
+        if attempt.is_named and _is_in_touch(context, attempt)
     ]
     report = ReleaseReport(
         len(fleet.records),
@@ -189,12 +232,21 @@
         report.wrong.extend(
             f'cut: {record.describe()}' for record in fleet.cut[:_SHOWN]
         )
+    report.wrong.extend(_find_garbage(fleet))
     least = _RESUMED_SHARE * report.started_share * report.resumed
     if report.resumed >= _RESUMED_MIN and report.went_on < least:
         report.wrong.append('streams that are resumed do not go on')
     return report
 
 
+def _find_garbage(fleet: StreamingFleet) -> Iterator[str]:
+    """Yield the streams that hold garbage, also behind the last event."""
+    for record in fleet.records:
+        cut = [attempt.cut_text for attempt in record.attempts]
+        if record.garbage or not all(map(is_partial_event, cut)):
+            yield f'garbage: {record.describe()}, cut {cut}'
+
+
 def _read_logs(gateways: Sequence[GatewayProcess]) -> list[str]:
     """Return the gateways that log a broken promise or a traceback."""
     wrong = []
@@ -211,6 +263,28 @@
         yield rng.choice(tuple(Framing))
 
 
+async def _run_faults(
+    context: SoakContext, fleet: StreamingFleet, plan: ReleasePlan
+) -> None:
+    """Release servers and open streams while faults overlap."""
+    rng, until_ms = context.rng, context.until_ms
+    plans: Sequence[CallerPlan] = _CALLER_PLANS
+    if plan.has_losses:
+        plans = draw_callers(random.Random(plan.seed), plans)
+        releases = _release_with_losses(context, fleet)
+    else:
+        releases = _release(fleet, rng, until_ms)
+    for_ms = round(plan.seconds * MS_PER_SECOND) + _RECOVERY_MS
+    async with asyncio.TaskGroup() as group:
+        if plan.faults:
+            group.create_task(inject_faults(context))
+        if plan.earlier_build is not None:
+            group.create_task(replace_builds(context))
+        group.create_task(releases)
+        group.create_task(_crash_servers(fleet, rng, until_ms, plan.servers))
+        group.create_task(_send_load(context, fleet, plans, for_ms))
+
+
 async def run_release_soak(folder: Path, plan: ReleasePlan) -> ReleaseReport:
     """Run gateways through releases and faults, then for some time without."""
     rng = random.Random(plan.seed)
@@ -225,8 +299,10 @@
     ):
         put_configuration(store, _CONFIGURATION)
         fleet.framings = _draw_framings(random.Random(plan.seed))
+        if plan.has_losses:
+            fleet.garbages = draw_garbages(random.Random(plan.seed))
         await fleet.add_servers(
-            _SERVERS, _VERSIONS[0], break_every=_BREAK_EVERY
+            plan.servers, _VERSIONS[0], break_every=_BREAK_EVERY
         )
         await wait_ready(
             gateways, make_client(plan.gateways, reuse_connections=False)
@@ -245,16 +321,7 @@
         # A gateway is not in touch right after its start either.
         for gateway in gateways:
             context.record_disruption(gateway)
-        async with asyncio.TaskGroup() as group:
-            if plan.faults:
-                group.create_task(inject_faults(context))
-            if plan.earlier_build is not None:
-                group.create_task(replace_builds(context))
-            group.create_task(_release(fleet, rng, context.until_ms))
-            group.create_task(_crash_servers(fleet, rng, context.until_ms))
-            group.create_task(
-                _send_load(context, fleet, fault_ms + _RECOVERY_MS)
-            )
+        await _run_faults(context, fleet, plan)
         report = _build_report(context, fleet)
         report.wrong.extend(_read_logs(gateways))
     return report
@@ -266,6 +333,12 @@
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--seconds', type=float, default=20)
     parser.add_argument('--gateways', type=int, default=GATEWAY_COUNT)
+    parser.add_argument('--servers', type=int, default=_SERVERS)
+    parser.add_argument(
+        '--losses',
+        action='store_true',
+        help='gateways end together in releases, and servers send garbage',
+    )
     parser.add_argument('--folder', type=Path)
     parser.add_argument(
         '--from',
@@ -287,7 +360,10 @@
             options.seed,
             options.seconds,
             options.gateways,
-            earlier_build=earlier_build,
+            LOSS_FAULTS if options.losses else RELEASE_FAULTS,
+            earlier_build,
+            has_losses=options.losses,
+            servers=options.servers,
         )
         report = asyncio.run(run_release_soak(folder, plan))
     sys.stdout.write(f'seed {options.seed}: {report}\n')
--- a/seampond/testing/soak_faults.py
+++ b/seampond/testing/soak_faults.py
@@ -155,6 +155,27 @@
     await asyncio.gather(*restarts)
 
 
+async def end_some(
+    context: SoakContext, number: signal.Signals = signal.SIGKILL
+) -> None:
+    """End one, some or all gateways at once, and start them again."""
+    rng = context.rng
+    total = len(context.gateways)
+    count = rng.choice((1, rng.randint(1, total), total))
+    ended = rng.sample(context.gateways, count)
+    for gateway in ended:
+        context.send_signal(gateway, number)
+    await asyncio.gather(*(_restart(context, one) for one in ended))
+
+
+async def _kill_some(context: SoakContext) -> None:
+    await end_some(context)
+
+
+async def _stop_some(context: SoakContext) -> None:
+    await end_some(context, signal.SIGTERM)
+
+
 async def _store_away(context: SoakContext) -> None:
     context.store.is_down = True
     context.record_store_disruption()
@@ -310,6 +331,16 @@
 )
 
 
+# For soaks in which one, some or all gateways end at once.
+LOSS_FAULTS: tuple[Fault, ...] = (
+    *STREAM_FAULTS,
+    _kill_some,
+    _kill_some,
+    _kill_some,
+    _stop_some,
+)
+
+
 # For soaks in which only single gateways are killed.
 KILLS: tuple[Fault, ...] = (_kill,)
 
--- a/seampond/testing/streaming.py
+++ b/seampond/testing/streaming.py
@@ -171,6 +171,10 @@
         sent, for a request that resumes a stream.
     ended_ms : int
         When it ended.
+    is_named : bool
+        Whether it names the request that began the stream.
+    cut_text : bytes
+        What came after the last whole event.
 
     """
 
@@ -183,6 +187,8 @@
     serving: int = 0
     ended_ms: int = 0
     retry_after_ms: int | None = None
+    is_named: bool = False
+    cut_text: bytes = b''
 
 
 @dataclass(slots=True)
@@ -218,7 +224,10 @@
     def describe(self) -> str:
         """Return the ids of the requests and the version of each event."""
         ids = [attempt.request_id for attempt in self.attempts]
-        return f'requests {ids}, versions {self.versions}'
+        return (
+            f'requests {ids}, versions {self.versions}, '
+            f'numbers {self.numbers}, garbage {self.garbage}'
+        )
 
     @property
     def is_in_order(self) -> bool:
@@ -240,6 +249,15 @@
     whole = 'whole'
     more = 'more'
 
+    def compute_ms(self, wait_ms: int, waited_ms: int) -> int:
+        """Return the wait that a caller states, 0 for none."""
+        return {
+            StatedWait.nothing: 0,
+            StatedWait.rest: max(1, wait_ms - waited_ms),
+            StatedWait.whole: wait_ms,
+            StatedWait.more: wait_ms + waited_ms,
+        }[self]
+
 
 @dataclass(frozen=True, slots=True)
 class CallerPlan:
@@ -284,6 +302,8 @@
     ----------
     framings : Iterator[Framing]
         How the next servers mark the ends of their answers.
+    garbages : Iterator[Sequence[bytes]]
+        What the next servers break streams off with.
 
     """
 
@@ -292,6 +312,9 @@
     framings: Iterator[Framing] = field(
         default_factory=lambda: itertools.repeat(Framing.chunks)
     )
+    garbages: Iterator[Sequence[bytes]] = field(
+        default_factory=lambda: itertools.repeat(())
+    )
     servers: list[StreamingServer] = field(default_factory=list)
     records: list[StreamRecord] = field(default_factory=list)
     deliveries: list[Delivery] = field(default_factory=list)
@@ -363,7 +386,7 @@
                 row={'version': version, 'slots': _SLOTS},
                 may_restart=False,
                 framing=next(self.framings),
-                **changes,
+                **{'garbage': next(self.garbages), **changes},
             )
             for _ in range(count)
         ]
@@ -372,7 +395,9 @@
         self.servers.extend(added)
         return added
 
-    async def release(self, version: str, interval_ms: int) -> None:
+    async def release(
+        self, version: str, interval_ms: int, drain_ms: int = _DRAIN_MS
+    ) -> None:
         """Replace all servers one by one by servers of another version."""
         async with asyncio.TaskGroup() as group:
             replaced = [
@@ -385,7 +410,7 @@
                     1, version, break_every=server.break_every
                 )
                 await self.clock.sleep(interval_ms)
-                group.create_task(server.leave())
+                group.create_task(server.leave(drain_ms))
 
     async def send_streams(
         self,
@@ -414,7 +439,7 @@
         for address in itertools.islice(
             itertools.cycle(addresses), plan.attempts_max
         ):
-            attempt = self._make_attempt(record, address)
+            attempt = self._make_attempt(record, address, plan)
             cut_after = 0
             if len(record.attempts) <= plan.cuts:
                 cut_after = plan.cut_after
@@ -433,13 +458,14 @@
             yield from record.attempts
 
     def _make_attempt(
-        self, record: StreamRecord, address: str
+        self, record: StreamRecord, address: str, plan: CallerPlan
     ) -> StreamAttempt:
         attempt = StreamAttempt(
             f'r{next(self._ids)}',
             address,
             self.clock.now(),
             record.numbers[-1] if record.numbers else 0,
+            is_named=plan.names_first,
         )
         if record.versions:
             attempt.serving = self.count_serving(record.versions[0])
@@ -482,6 +508,7 @@
                 record.is_complete = True
                 return
             *events, pending = (pending + payload).split(b'\n\n')
+            attempt.cut_text = pending
             for event in events:
                 record.begun_ms = record.begun_ms or self.clock.now()
                 _record_event(event, record, attempt)
@@ -504,19 +531,6 @@
     return is_refusal and attempt.retry_after_ms is None
 
 
-def _compute_stated_ms(
-    record: StreamRecord, attempt: StreamAttempt, plan: CallerPlan
-) -> int:
-    """Return the wait that a caller states, 0 for none."""
-    waited_ms = attempt.at_ms - record.attempts[0].at_ms
-    return {
-        StatedWait.nothing: 0,
-        StatedWait.rest: max(1, plan.wait_ms - waited_ms),
-        StatedWait.whole: plan.wait_ms,
-        StatedWait.more: plan.wait_ms + waited_ms,
-    }[plan.stated_wait]
-
-
 def _encode_request(
     record: StreamRecord, attempt: StreamAttempt, plan: CallerPlan
 ) -> bytes:
@@ -526,7 +540,8 @@
         'Authorization': f'Token {KEY}',
         'Content-Length': str(len(record.body)),
     }
-    stated_ms = _compute_stated_ms(record, attempt, plan)
+    waited_ms = attempt.at_ms - record.attempts[0].at_ms
+    stated_ms = plan.stated_wait.compute_ms(plan.wait_ms, waited_ms)
     if stated_ms:
         headers[_DEADLINE_HEADER] = str(stated_ms)
     if attempt.last_event:
