Event soak with losses of gateways, any stated wait, and garbage

Servers that are processes broke streams off only by their end, and the check of events had no kind for bytes that are none.

--- a/seampond/gateway/tests/test_event_soak.py
+++ b/seampond/gateway/tests/test_event_soak.py
@@ -13,6 +13,7 @@
     EventSoakPlan(1, _SECONDS, gateways=2),
     EventSoakPlan(2, _SECONDS, gateways=3, framings=(Framing.close,)),
 )
+_LOSS_PLAN = EventSoakPlan(501, _SECONDS, has_losses=True)
 
 
 class EventSoakTest(unittest.TestCase):
@@ -28,3 +29,10 @@
                 report = asyncio.run(run_event_soak(Path(folder), plan))
                 self.assertEqual(report.wrong, [])
                 self.assertGreater(report.taken_up, 0)
+
+    def test_stream_holds_garbage_or_ends_early_after_losses(self) -> None:
+        """Some or all gateways end at once; callers state any wait."""
+        with tempfile.TemporaryDirectory() as folder:
+            report = asyncio.run(run_event_soak(Path(folder), _LOSS_PLAN))
+        self.assertEqual(report.wrong, [])
+        self.assertGreater(report.taken_up, 0)
--- a/seampond/testing/event_callers.py
+++ b/seampond/testing/event_callers.py
@@ -4,14 +4,21 @@
 import itertools
 import json
 import random
+import re
 from collections.abc import AsyncIterator, Sequence
 from contextlib import suppress
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from http import HTTPStatus
 
 from seampond.clock import MS_PER_SECOND, Clock
 from seampond.platform.names import HEADERS
 from seampond.platform.tests.rows import HOST, ID_HEADER, KEY
+from seampond.testing.soak_draws import (
+    draw_stated_wait,
+    draws_name,
+    is_partial_event,
+)
+from seampond.testing.streaming import StatedWait
 
 _HEAD_END = b'\r\n\r\n'
 _EVENT_END = b'\n\n'
@@ -28,6 +35,7 @@
 _CUT_PROBABILITY = 0.3
 _OVERLAP_PROBABILITY = 0.1
 _REFUSALS = (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS)
+_EVENT = re.compile(rb'id: \d+\ndata: [ -~]+')
 _Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
 
@@ -63,6 +71,8 @@
         Whether its answer ended well.
     cut_bytes : int
         Bytes after the last whole event.
+    garbage : list[bytes]
+        What arrived between or after events.
 
     """
 
@@ -76,6 +86,7 @@
     is_complete: bool = False
     cut_bytes: int = 0
     retry_after_ms: int | None = None
+    garbage: list[bytes] = field(default_factory=list)
 
     @property
     def runs(self) -> set[str]:
@@ -108,6 +119,8 @@
             wrong.add('other')
         if self._has_returned_run():
             wrong.add('joined')
+        if self.garbage:
+            wrong.add('garbage')
         if self.is_complete and (self.newest < event_count or self.cut_bytes):
             wrong.add('early')
         return wrong
@@ -118,9 +131,20 @@
         return (
             f'{self.request_id} at {self.at_ms} via {self.gateway} after '
             f'{self.last_event}: {self.status} {events} cut {self.cut_bytes} '
-            f'complete {self.is_complete}'
+            f'complete {self.is_complete} garbage {self.garbage}'
         )
 
+    def record(self, events: Sequence[bytes], remainder: bytes) -> None:
+        """Record events, and the bytes that follow them."""
+        for text in events:
+            if _EVENT.fullmatch(text):
+                self.events.append(parse_event(text))
+            else:
+                self.garbage.append(text)
+        self.cut_bytes = len(remainder)
+        if not is_partial_event(remainder):
+            self.garbage.append(remainder)
+
     def _numbers(self) -> list[int]:
         return [event.number for event in self.events]
 
@@ -231,6 +255,10 @@
         Whether it goes on reading the first answer meanwhile.
     return_ms : int
         Time until it comes back.
+    stated_wait : StatedWait
+        Which wait it states.
+    names_first : bool
+        Whether it names the request that brought the first event.
 
     """
 
@@ -238,6 +266,8 @@
     cut_after: int = 0
     keeps_first: bool = False
     return_ms: int = 0
+    stated_wait: StatedWait = StatedWait.rest
+    names_first: bool = True
 
 
 def draw_plan(rng: random.Random, event_count: int) -> EventPlan:
@@ -254,10 +284,18 @@
 
 @dataclass
 class EventCallers:
-    """Callers that use open connections until these are closed."""
+    """Callers that use open connections until these are closed.
+
+    Parameters
+    ----------
+    draws : random.Random or None
+        What draws the wait that each caller states, None for the rest of it.
+
+    """
 
     clock: Clock
     event_count: int
+    draws: random.Random | None = None
     streams: list[EventStream] = field(default_factory=list)
     _idle: dict[str, list[_Streams]] = field(default_factory=dict)
 
@@ -273,7 +311,7 @@
         async with asyncio.TaskGroup() as group:
             while self.clock.now() < until_ms:
                 order = rng.sample(addresses, len(addresses))
-                plan = draw_plan(rng, self.event_count)
+                plan = self._draw_plan(rng)
                 group.create_task(self.send_stream(order, plan))
                 await self.clock.sleep(interval_ms)
         for _, writer in itertools.chain.from_iterable(self._idle.values()):
@@ -300,6 +338,16 @@
                 pause_ms = plan.return_ms if cut_after else _RETRY_PAUSE_MS
                 await self.clock.sleep(attempt.retry_after_ms or pause_ms)
 
+    def _draw_plan(self, rng: random.Random) -> EventPlan:
+        plan = draw_plan(rng, self.event_count)
+        if self.draws is None:
+            return plan
+        return replace(
+            plan,
+            stated_wait=draw_stated_wait(self.draws),
+            names_first=draws_name(self.draws),
+        )
+
     def _is_over(self, stream: EventStream, attempt: EventAttempt) -> bool:
         waited_ms = self.clock.now() - stream.attempts[0].at_ms
         if attempt.is_complete or waited_ms >= _WAIT_MS:
@@ -334,7 +382,7 @@
             attempt.has_arrived = True
             is_reusable = False
             try:
-                writer.write(self._encode(stream, attempt))
+                writer.write(self._encode(stream, attempt, plan))
                 is_reusable = await _read_answer(reader, attempt, stop_after)
             finally:
                 if is_reusable:
@@ -355,17 +403,22 @@
         async with asyncio.timeout(_GAP_MAX_MS / MS_PER_SECOND):
             return await asyncio.open_connection(host, int(port))
 
-    def _encode(self, stream: EventStream, attempt: EventAttempt) -> bytes:
+    def _encode(
+        self, stream: EventStream, attempt: EventAttempt, plan: EventPlan
+    ) -> bytes:
         waited_ms = attempt.at_ms - stream.attempts[0].at_ms
         headers = {
             'Host': HOST,
             ID_HEADER: attempt.request_id,
-            HEADERS.deadline.decode(): str(max(1, _WAIT_MS - waited_ms)),
             'Authorization': f'Token {KEY}',
             'Content-Length': str(len(stream.name)),
         }
+        stated_ms = plan.stated_wait.compute_ms(_WAIT_MS, waited_ms)
+        if stated_ms:
+            headers[HEADERS.deadline.decode()] = str(stated_ms)
         if attempt.last_event:
             headers[HEADERS.last_event.decode()] = str(attempt.last_event)
+        if attempt.last_event and plan.names_first:
             headers[HEADERS.resumes.decode()] = stream.first_request
         path = '/x/y' if stream.may_resume else '/once/y'
         lines = [f'POST {path} HTTP/1.1']
@@ -401,8 +454,7 @@
         if attempt.status != HTTPStatus.OK:
             continue
         *events, pending = (pending + payload).split(_EVENT_END)
-        attempt.events.extend(map(parse_event, events))
-        attempt.cut_bytes = len(pending)
+        attempt.record(events, pending)
         if stop_after and len(attempt.events) >= stop_after:
             return False
     attempt.is_complete = attempt.status == HTTPStatus.OK
--- a/seampond/testing/event_fleet.py
+++ b/seampond/testing/event_fleet.py
@@ -6,7 +6,7 @@
 from collections.abc import AsyncIterator, Iterator, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
-from itertools import count
+from itertools import count, repeat
 
 from seampond.clock import MS_PER_SECOND
 from seampond.demo.fleet import free_ports
@@ -36,6 +36,8 @@
         How the servers may mark the ends of answers.
     servers : list[ServerProcess]
         Those that have not been ended.
+    garbages : Iterator[tuple[bytes, ...]]
+        What the next servers break streams off with.
 
     """
 
@@ -43,6 +45,9 @@
     rng: random.Random
     framings: Sequence[Framing]
     servers: list[ServerProcess] = field(default_factory=list)
+    garbages: Iterator[tuple[bytes, ...]] = field(
+        default_factory=lambda: repeat(())
+    )
     _started: list[ServerProcess] = field(default_factory=list)
     _ids: Iterator[int] = field(default_factory=count)
     _ports: Iterator[int] = field(default_factory=free_ports)
@@ -57,6 +62,7 @@
             interval_ms=self.rng.choice(_INTERVALS_MS),
             pieces=self.rng.choice(_PIECES),
             drain_ms=self.rng.choice(_DRAINS_MS),
+            garbage=next(self.garbages),
         )
         server = ServerProcess(plan)
         self._started.append(server)
--- a/seampond/testing/event_server.py
+++ b/seampond/testing/event_server.py
@@ -70,6 +70,10 @@
         In how many writes an event leaves, spread over the interval.
     drain_ms : int
         How long open streams go on after SIGTERM, 0 to end at once.
+    garbage : tuple[bytes, ...]
+        What it breaks streams off with in turn, empty for no such break.
+    break_every : int
+        It breaks every n-th run off.
 
     """
 
@@ -81,6 +85,15 @@
     interval_ms: int = 50
     pieces: int = 1
     drain_ms: int = 0
+    garbage: tuple[bytes, ...] = ()
+    break_every: int = 5
+
+    def find_break(self, number: int) -> tuple[int, bytes]:
+        """Return after how many events a run breaks off, and with what."""
+        turn, rest = divmod(number, self.break_every)
+        if rest or not self.garbage:
+            return self.events, b''
+        return turn % self.events, self.garbage[turn % len(self.garbage)]
 
     def first_event(self, last_event: int) -> int:
         """Return the number of the event after which a stream goes on."""
@@ -127,11 +140,13 @@
 
 async def _stream(
     plan: ServerPlan,
-    run: str,
+    number: int,
     request: ReceivedRequest,
     writer: asyncio.StreamWriter,
-) -> None:
-    """Answer one request with a stream of events."""
+) -> bool:
+    """Answer with a stream of events; return False if it is broken off."""
+    run = f'{plan.id}-{number}'
+    whole, garbage = plan.find_break(number)
     first = plan.first_event(int(request.get(_LAST_EVENT_HEADER) or 0))
     events = [
         make_event(number, run, request.body.decode())
@@ -140,9 +155,14 @@
     headers = {_ID_HEADER: request.get(_ID_HEADER), _STAMP_HEADER: plan.id}
     size = sum(map(len, events))
     writer.write(format_head(plan.framing, headers, size))
-    for event in events:
+    for event in events[:whole]:
         await _write_pieces(plan, encode_event(event, plan.framing), writer)
+    if garbage:
+        writer.write(encode_event(garbage, plan.framing))
+        await writer.drain()
+        return False
     writer.write(format_end(plan.framing))
+    return plan.framing is not Framing.close
 
 
 async def _write_pieces(
@@ -166,7 +186,7 @@
     writer.write(format_response(HTTPStatus.MISDIRECTED_REQUEST, headers))
 
 
-def _end_after_streams(plan: ServerPlan, open_runs: set[str]) -> None:
+def _end_after_streams(plan: ServerPlan, open_runs: set[int]) -> None:
     """On SIGTERM, let open streams go on for some time, then end."""
     loop = asyncio.get_running_loop()
     until = loop.time() + plan.drain_ms / MS_PER_SECOND
@@ -182,7 +202,7 @@
 async def serve_events(plan: ServerPlan) -> None:
     """Serve until the process ends."""
     runs: Iterator[int] = count()
-    open_runs: set[str] = set()
+    open_runs: set[int] = set()
     if plan.drain_ms:
         asyncio.get_running_loop().add_signal_handler(
             signal.SIGTERM, _end_after_streams, plan, open_runs
@@ -195,13 +215,12 @@
         if _is_for_another(plan, request):
             _reject(request, writer)
             return True
-        run = f'{plan.id}-{next(runs)}'
+        run = next(runs)
         open_runs.add(run)
         try:
-            await _stream(plan, run, request, writer)
+            return await _stream(plan, run, request, writer)
         finally:
             open_runs.discard(run)
-        return plan.framing is not Framing.close
 
     async def serve(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -233,6 +252,8 @@
         'interval-ms': plan.interval_ms,
         'pieces': plan.pieces,
         'drain-ms': plan.drain_ms,
+        'garbage': ','.join(text.hex() for text in plan.garbage),
+        'break-every': plan.break_every,
     }
 
 
@@ -246,6 +267,10 @@
     return [sys.executable, '-m', module, *chain.from_iterable(options)]
 
 
+def _parse_garbage(text: str) -> tuple[bytes, ...]:
+    return tuple(map(bytes.fromhex, filter(None, text.split(','))))
+
+
 def main() -> None:
     """Run a server."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -259,6 +284,8 @@
     parser.add_argument('--interval-ms', type=int, default=50)
     parser.add_argument('--pieces', type=int, default=1)
     parser.add_argument('--drain-ms', type=int, default=0)
+    parser.add_argument('--garbage', type=_parse_garbage, default=())
+    parser.add_argument('--break-every', type=int, default=5)
     options = parser.parse_args()
     plan = ServerPlan(
         options.id,
@@ -269,6 +296,8 @@
         options.interval_ms,
         options.pieces,
         options.drain_ms,
+        options.garbage,
+        options.break_every,
     )
     asyncio.run(serve_events(plan))
 
--- a/seampond/testing/event_soak.py
+++ b/seampond/testing/event_soak.py
@@ -11,6 +11,7 @@
 from collections import Counter
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field, replace
+from itertools import repeat
 from pathlib import Path
 
 from seampond.backing.http_client import make_client
@@ -36,7 +37,9 @@
     wait_ready,
 )
 from seampond.testing.signalling import SignallingFleet
+from seampond.testing.soak_draws import draw_garbages
 from seampond.testing.soak_faults import (
+    LOSS_FAULTS,
     STREAM_FAULTS,
     Fault,
     SoakContext,
@@ -71,6 +74,9 @@
         Folder of the build to start with, None for this one.
     is_replaced : bool
         Whether gateways of the earlier build are replaced one by one.
+    has_losses : bool
+        Whether gateways end together, callers state any wait and servers
+        break streams off with garbage.
 
     """
 
@@ -81,6 +87,7 @@
     framings: Sequence[Framing] = tuple(Framing)
     earlier_build: Path | None = None
     is_replaced: bool = True
+    has_losses: bool = False
 
 
 @dataclass
@@ -159,11 +166,22 @@
     """Run gateways under faults, then for some time without."""
     clock = Clock()
     fault_ms = round(plan.seconds * MS_PER_SECOND)
-    callers = EventCallers(clock, EVENT_COUNT)
+    draws = random.Random(plan.seed) if plan.has_losses else None
+    callers = EventCallers(clock, EVENT_COUNT, draws)
+    garbages = (
+        draw_garbages(random.Random(plan.seed))
+        if plan.has_losses
+        else repeat(())
+    )
     async with (
         run_store() as store,
         run_event_fleet(
-            EventFleet(store, random.Random(plan.seed), plan.framings),
+            EventFleet(
+                store,
+                random.Random(plan.seed),
+                plan.framings,
+                garbages=garbages,
+            ),
             plan.servers,
         ) as fleet,
         run_gateways(
@@ -182,7 +200,7 @@
             clock,
             clock.now() + fault_ms,
             _CONFIGURATION,
-            STREAM_FAULTS,
+            LOSS_FAULTS if plan.has_losses else STREAM_FAULTS,
             plan.earlier_build,
         )
         await _run_load(context, ServerFaults(fleet).kinds, callers, plan)
@@ -229,6 +247,11 @@
     parser.add_argument(
         '--framings', type=_parse_framings, default=tuple(Framing)
     )
+    parser.add_argument(
+        '--losses',
+        action='store_true',
+        help='gateways end together, and servers send garbage',
+    )
     parser.add_argument('--folder', type=Path)
     parser.add_argument(
         '--from',
@@ -262,6 +285,7 @@
             options.framings,
             earlier_build,
             is_replaced=not options.keep,
+            has_losses=options.losses,
         )
         report = asyncio.run(run_event_soak(folder, plan))
     sys.stdout.write(f'seed {options.seed}: {report}\n')
