A cut datagram does not end the process

A datagram of 13 bytes from any address ended a gateway with SIGABRT; no report of callers names it, but processes that end were reported.

Cause: the decoder of packed Cap'n Proto messages reads all segments but the first one lazily and skips the rest in its destructor; if they are missing, its exception there calls std::terminate. No 'except' can catch it. Sizes were bounded by the library's default of 64 MiB only.

Evidence: messages of two segments of which the second is cut ended all five decoders (heartbeats, permits, loans, streams, links): exit code 134.

Change: read_packed leaves to the decoder only messages of one segment, which it reads at once. Others are unpacked and checked here and are read in place.

--- a/seampond/links/codec.py
+++ b/seampond/links/codec.py
@@ -11,6 +11,7 @@
 
 from seampond.errors import ForeignMessageError
 from seampond.links import messages
+from seampond.packed import read_packed
 
 MAX_PACKET_BYTES = 67_108_864
 _TRAVERSAL_WORDS = 16_777_216
@@ -150,9 +151,7 @@
 
     """
     try:
-        reader = _schema().Packet.from_bytes_packed(
-            packet, traversal_limit_in_words=_TRAVERSAL_WORDS
-        )
+        reader = read_packed(_schema().Packet, packet, _TRAVERSAL_WORDS)
         return [_read(row) for row in reader.items]
     except _DECODE_FAILURES as error:
         raise ForeignMessageError(
--- a/seampond/loans/messages.py
+++ b/seampond/loans/messages.py
@@ -10,6 +10,7 @@
 import capnp
 
 from seampond.errors import ForeignMessageError
+from seampond.packed import read_packed
 
 # Tells these messages from heartbeats; older releases drop them as invalid.
 _PREFIX = b'RTL1'
@@ -129,7 +130,7 @@
 
     """
     try:
-        message = _schema().Message.from_bytes_packed(packet[len(_PREFIX) :])
+        message = read_packed(_schema().Message, packet[len(_PREFIX) :])
         return _read(message)
     except _DECODE_ERRORS as error:
         raise ForeignMessageError(
--- a/seampond/permits/messages.py
+++ b/seampond/permits/messages.py
@@ -9,6 +9,7 @@
 import capnp
 
 from seampond.errors import ForeignMessageError
+from seampond.packed import read_packed
 
 # Tells permit messages from heartbeats; older releases drop them as invalid.
 _PREFIX = b'PMT1'
@@ -156,9 +157,7 @@
 
     """
     try:
-        return _read(
-            _schema().Message.from_bytes_packed(packet[len(_PREFIX) :])
-        )
+        return _read(read_packed(_schema().Message, packet[len(_PREFIX) :]))
     except _DECODE_ERRORS as error:
         raise ForeignMessageError(
             f'invalid permit message: {type(error).__name__}',
--- a/seampond/sharing/heartbeats.py
+++ b/seampond/sharing/heartbeats.py
@@ -10,6 +10,7 @@
 import capnp
 
 from seampond.errors import ForeignMessageError, LinkError
+from seampond.packed import read_packed
 from seampond.permits.messages import LimitReport, decode_rate, encode_rate
 from seampond.quarantine.models import CrashReport
 from seampond.rollouts.models import Report, Stage, Tally, TallyKey
@@ -315,7 +316,7 @@
 
     """
     try:
-        reader = _schema().Heartbeat.from_bytes_packed(packet)
+        reader = read_packed(_schema().Heartbeat, packet)
         return Heartbeat(
             reader.name,
             reader.incarnation,
