An odd answer of the store does not end the follower of a table

Machines that read the list stopped following it, or ended: one odd answer for the table of servers, 68 kinds, each for 1.5 s on a gateway with a stand-in store. After 17 of them no later server was learned: nested 100,000 deep (in three places), infinite or huge versions and times, keys that are no text, eras of many digits. Nine of these ended in answers of 503 to all callers.

Cause: answers were read field by field with int() and indexing, and a list of errors was expected; RecursionError, OverflowError, IndexError and unhashable keys ended the task. Numbers had no bounds, so a version, era or time that no message can hold was taken for true and made each later sound answer old.

Change: platform/answers.py is the only place that decodes answers, by typed models with bounds; what does not fit is an error of the call.

--- a/seampond/platform/rows.py
+++ b/seampond/platform/rows.py
@@ -17,7 +17,7 @@
 _TEXT_MAX = 200
 # Deep nesting raises `RecursionError`; lone surrogates and bytes that are not
 # UTF-8 raise `ValueError`.
-_DECODE_ERRORS = (
+DECODE_ERRORS = (
     msgspec.MsgspecError,
     RecursionError,
     OverflowError,
@@ -60,7 +60,7 @@
     """
     try:
         return msgspec.json.decode(content, type=model, strict=is_strict)
-    except _DECODE_ERRORS as error:
+    except DECODE_ERRORS as error:
         name = type(error).__name__
         raise PlatformError(f'{name}: {error}', step=step, peer=peer) from error
 
--- a/seampond/platform/store.py
+++ b/seampond/platform/store.py
@@ -8,7 +8,6 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, replace
 from http import HTTPStatus
-from typing import Any
 from urllib.parse import urlencode
 
 from seampond.clock import MS_PER_SECOND, Clock
@@ -26,11 +25,17 @@
     parse_keep_alive_ms,
 )
 from seampond.platform import names
+from seampond.platform.answers import (
+    MAX_ERA,
+    AnswerRows,
+    decode_answer,
+    decode_rows,
+)
+from seampond.platform.rows import DECODE_ERRORS
 from seampond.watches import (
     HistoryGoneError,
     LongChangesError,
     Page,
-    Row,
     era_of,
     make_version,
     revision_of,
@@ -47,9 +52,10 @@
 # Base64 and JSON make rows longer by a third and more.
 _ENCODED_RATIO = 1.5
 _CALL_ID = b'call'
-_DECODE_ERRORS = (ValueError, KeyError, TypeError)
+_REASONS_MAX = 64
+_REASONS_LOGGED = 4
 _logger = logging.getLogger(__name__)
-_CALL_ERRORS = (ExchangeError, TimeoutError, *_DECODE_ERRORS)
+_CALL_ERRORS = (ExchangeError, TimeoutError, *DECODE_ERRORS)
 
 
 RowName = tuple[str, str]
@@ -108,6 +114,7 @@
         self._connection: Connection | None = None
         self._era = 0
         self._is_answering = False
+        self._odd_reasons: set[str] = set()
 
     @property
     def is_answering(self) -> bool:
@@ -140,8 +147,14 @@
         limits = _CallLimits(body_timeout_ms=_TABLE_TIMEOUT_MS)
         first, has_more = await self._fetch_page(names.READ_PATH, query, limits)
         rows = list(first.rows)
+        starts: set[str] = set()
         while has_more:
-            last = rows[-1].key
+            last = rows[-1].key if rows else ''
+            if not rows or last in starts:
+                raise PlatformError(
+                    'pages without end', step='read', peer=self._address
+                )
+            starts.add(last)
             query[names.START_PARAMETER] = f'{last}\0'
             page, has_more = await self._fetch_page(
                 names.READ_PATH, query, limits
@@ -273,27 +286,50 @@
     ) -> tuple[Page, bool]:
         sent_ms = self._clock.now()
         target = f'{path}?{urlencode(query)}'
-        status, content = await self._call(target, limits)
+        _, text = await self._call(target, limits)
         try:
-            page = Page(
-                tuple(_read_row(row, self._era) for row in content['rows']),
-                make_version(self._era, int(content['ver'])),
-                int(content['now_ms']),
-                sent_ms,
-                self._clock.now(),
-                is_snapshot=False,
+            answer = decode_answer(text)
+        except DECODE_ERRORS as error:
+            failure = self._make_error(path, error)
+            self.close()
+            raise failure from error
+        decoded = decode_rows(answer, self._era)
+        self._log_odd_rows(path, decoded)
+        # A row that is missing from a table would be taken for removed.
+        if decoded.left_out and path == names.READ_PATH:
+            raise PlatformError(
+                'row without a key', step='read', peer=self._address
             )
-        except _DECODE_ERRORS as error:
-            raise self._make_error(path, error) from error
-        return page, bool(content.get('more'))
+        page = Page(
+            decoded.rows,
+            make_version(self._era, answer.ver),
+            answer.now_ms,
+            sent_ms,
+            self._clock.now(),
+            is_snapshot=False,
+        )
+        return page, answer.more
+
+    def _log_odd_rows(self, path: str, decoded: AnswerRows) -> None:
+        """Log the reasons why rows are not valid, each once."""
+        news = decoded.reasons - self._odd_reasons
+        if not news:
+            return
+        if len(self._odd_reasons) >= _REASONS_MAX:
+            self._odd_reasons.clear()
+        self._odd_reasons.update(news)
+        _logger.error(
+            'invalid rows in an answer',
+            extra={'step': path, 'reasons': sorted(news)[:_REASONS_LOGGED]},
+        )
 
     async def _call(
         self,
         target: str,
         limits: '_CallLimits',
         body: bytes | None = None,
-    ) -> tuple[int, Any]:
-        """Make one call; return the status and the decoded body."""
+    ) -> tuple[int, bytes]:
+        """Make one call; return the status and the body."""
         step = target.partition('?')[0]
         head_timeout_ms = limits.wait_ms + _INACTIVITY_TIMEOUT_MS
         try:
@@ -301,7 +337,6 @@
                 connection, head = await self._send_call(target, body)
             async with asyncio.timeout(limits.body_timeout_ms / MS_PER_SECOND):
                 text = await self._read_body(connection, head, limits.max_bytes)
-            content = json.loads(text) if head.status == HTTPStatus.OK else None
         except _CALL_ERRORS as error:
             failure = self._make_error(step, error)
             self.close()
@@ -317,7 +352,7 @@
             raise PlatformError(
                 f'answered {head.status}', step=step, peer=self._address
             )
-        return head.status, content
+        return head.status, text
 
     async def _send_call(
         self, target: str, body: bytes | None
@@ -349,6 +384,8 @@
         header = head.get(names.ERA_HEADER)
         # Counted from 1, since 0 means that the era is unknown.
         era = int(header) + 1 if header.isdigit() else self._era
+        if era > MAX_ERA:
+            raise ValueError(f'era {era}')
         if era < self._era:
             self.close()
             raise PlatformError(
@@ -470,15 +507,6 @@
     return {'table': table, 'part': '', names.KEY_FIELD: key}
 
 
-def _read_row(row: Mapping[str, Any], era: int) -> Row:
-    return Row(
-        row[names.KEY_FIELD],
-        base64.b64decode(row.get('value') or ''),
-        make_version(era, int(row.get('ver', 0))),
-        is_deleted=bool(row.get('gone')),
-    )
-
-
 @asynccontextmanager
 async def open_table(
     address: str, table: str, clock: Clock
