--- a/seampond/testing/soak_faults.py
+++ b/seampond/testing/soak_faults.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import signal
+from asyncio.subprocess import Process
 from collections import Counter
 from collections.abc import Awaitable, Callable, Sequence
 from contextlib import suppress
@@ -73,10 +74,18 @@
 
     def send_signal(
         self, gateway: GatewayProcess, number: signal.Signals
-    ) -> None:
-        """Send a signal to a gateway and record the time."""
+    ) -> Process | None:
+        """Send a signal to a gateway and record the time.
+
+        Returns
+        -------
+        Process or None
+            The process that got it, None while the gateway is being started.
+
+        """
         self.record_disruption(gateway)
         gateway.signal(number)
+        return gateway.process
 
     def record_disruption(self, gateway: GatewayProcess) -> None:
         """Record that a gateway may have lost the signals it received."""
@@ -91,19 +100,21 @@
 # Reports print the names of the fault functions.
 async def _kill(context: SoakContext) -> None:
     gateway = context.rng.choice(context.gateways)
-    context.send_signal(gateway, signal.SIGKILL)
-    await _restart(context, gateway)
+    await _end(context, [gateway], signal.SIGKILL)
 
 
 async def _stop(context: SoakContext) -> None:
     gateway = context.rng.choice(context.gateways)
-    context.send_signal(gateway, signal.SIGTERM)
-    await _restart(context, gateway)
+    await _end(context, [gateway], signal.SIGTERM)
 
 
-async def _restart(context: SoakContext, gateway: GatewayProcess) -> None:
-    process = gateway.process
-    await gateway.wait()
+async def _restart(
+    context: SoakContext, gateway: GatewayProcess, process: Process | None
+) -> None:
+    """Start a gateway again once a process of it has ended."""
+    if process is None:
+        return
+    await process.wait()
     # It received signals until it ended; those are lost too.
     context.record_disruption(gateway)
     await context.clock.sleep(context.rng.uniform(100, 1000))
@@ -122,12 +133,12 @@
 async def _hang_up(context: SoakContext) -> None:
     """Send a hang-up; start the gateway again if that ends it."""
     gateway = context.rng.choice(context.gateways)
-    context.send_signal(gateway, signal.SIGHUP)
+    process = context.send_signal(gateway, signal.SIGHUP)
     with suppress(TimeoutError):
         async with asyncio.timeout(_HANG_UP_S):
             await gateway.wait()
         # It had not yet set up its signal handlers.
-        await _restart(context, gateway)
+        await _restart(context, gateway, process)
 
 
 async def _change_configuration(context: SoakContext) -> None:
@@ -149,10 +160,22 @@
 
 
 async def _kill_all(context: SoakContext) -> None:
-    for gateway in context.gateways:
-        context.send_signal(gateway, signal.SIGKILL)
-    restarts = [_restart(context, killed) for killed in context.gateways]
-    await asyncio.gather(*restarts)
+    await _end(context, context.gateways, signal.SIGKILL)
+
+
+async def _end(
+    context: SoakContext,
+    gateways: Sequence[GatewayProcess],
+    number: signal.Signals,
+) -> None:
+    """End gateways at once, and start them again."""
+    ended = [context.send_signal(gateway, number) for gateway in gateways]
+    await asyncio.gather(
+        *(
+            _restart(context, gateway, process)
+            for gateway, process in zip(gateways, ended, strict=True)
+        )
+    )
 
 
 async def end_some(
@@ -162,10 +185,7 @@
     rng = context.rng
     total = len(context.gateways)
     count = rng.choice((1, rng.randint(1, total), total))
-    ended = rng.sample(context.gateways, count)
-    for gateway in ended:
-        context.send_signal(gateway, number)
-    await asyncio.gather(*(_restart(context, one) for one in ended))
+    await _end(context, rng.sample(context.gateways, count), number)
 
 
 async def _kill_some(context: SoakContext) -> None:
@@ -400,5 +420,4 @@
         return
     context.faults['replaced'] += 1
     gateway.build = build
-    context.send_signal(gateway, signal.SIGTERM)
-    await _restart(context, gateway)
+    await _end(context, [gateway], signal.SIGTERM)
