A cut datagram about streams is refused where it is decoded

The guard in the transport covered one caller of the decoder only, as the other messages need none. test_cut_message_ends_the_process holds it.

--- a/seampond/packed.py
+++ b/seampond/packed.py
@@ -56,22 +56,6 @@
         return reader
 
 
-def has_single_segment(packet: bytes) -> bool:
-    """Return True if a packed message is short enough for one segment.
-
-    Examples
-    --------
-    >>> has_single_segment(bytes((16, 1, 0, 0))), has_single_segment(b'')
-    (True, False)
-
-    """
-    try:
-        other_segments, words = _FIRST_WORD.unpack(unpack(packet, 1))
-    except ValueError:
-        return False
-    return not other_segments and words <= DATAGRAM_MAX_WORDS
-
-
 def unpack(packet: bytes, max_words: int, *, is_whole: bool = False) -> bytes:
     """Return the first words of a packed message.
 
--- a/seampond/sharing/tests/test_cut_datagrams.py
+++ b/seampond/sharing/tests/test_cut_datagrams.py
@@ -15,9 +15,15 @@
 from seampond.permits.messages import decode_permit
 from seampond.sharing import Peers, heartbeats
 from seampond.sharing.transport import TransportContext, exchange_heartbeats
+from seampond.streams.messages import decode_origin
 
 _DECODERS: MappingProxyType[bytes, Callable[[bytes], Any]] = MappingProxyType(
-    {b'PMT1': decode_permit, b'RTL1': decode_loan, b'': heartbeats.decode}
+    {
+        b'PMT1': decode_permit,
+        b'RTL1': decode_loan,
+        b'STV1': decode_origin,
+        b'': heartbeats.decode,
+    }
 )
 # Two segments of 4 and 50 words, of which the second one is missing.
 _CUT_SEGMENT = bytes.fromhex('11010401324001000000000000')
--- a/seampond/sharing/transport.py
+++ b/seampond/sharing/transport.py
@@ -16,7 +16,6 @@
     encode_loan,
     is_loan_message,
 )
-from seampond.packed import has_single_segment
 from seampond.permits.messages import (
     PermitReply,
     PermitRequest,
@@ -45,7 +44,6 @@
 _REGISTER_RETRY_MS = 500
 _UNREGISTER_TIMEOUT_MS = 300
 _FINAL_COPIES = 3
-_PREFIX_BYTES = 4
 # Heartbeats up to this uptime are answered at once.
 _NEWCOMER_UPTIME_MS = 400
 _FINAL_SEQUENCE = 4_611_686_018_427_387_904
@@ -214,10 +212,6 @@
     def _handle_origin(self, packet: bytes, peer: str) -> None:
         if peer not in self._context.peers.addresses:
             return
-        # Those that gateways send fit into one segment.
-        if not has_single_segment(packet[_PREFIX_BYTES:]):
-            self._context.count_dropped('origin')
-            return
         try:
             message = decode_origin(packet, peer=peer)
         except ForeignMessageError:
--- a/seampond/streams/messages.py
+++ b/seampond/streams/messages.py
@@ -9,6 +9,7 @@
 import capnp
 
 from seampond.errors import ForeignMessageError
+from seampond.packed import read_packed
 
 # Tells these messages from heartbeats; older releases drop them as invalid.
 _PREFIX = b'STV1'
@@ -147,9 +148,7 @@
 
     """
     try:
-        return _read(
-            _schema().Message.from_bytes_packed(packet[len(_PREFIX) :])
-        )
+        return _read(read_packed(_schema().Message, packet[len(_PREFIX) :]))
     except _DECODE_ERRORS as error:
         raise ForeignMessageError(
             f'invalid message about streams: {type(error).__name__}',
