Callers of streams in soaks wait no longer than they state

A caller of a quarantined request was refused three times (r173 in the logs); by reading, the next trial is ten minutes away and the caller sleeps for the Retry-After. test_caller_waits_longer_than_it_states failed before (600 s of virtual time). Only the driver changes.

--- a/seampond/testing/streaming.py
+++ b/seampond/testing/streaming.py
@@ -447,10 +447,12 @@
             attempt.ended_ms = self.clock.now()
             if record.is_complete or _is_final(attempt):
                 break
-            if attempt.ended_ms - record.attempts[0].at_ms >= plan.wait_ms:
-                break
             pause_ms = plan.return_ms if cut_after else plan.retry_pause_ms
-            await self.clock.sleep(attempt.retry_after_ms or pause_ms)
+            pause_ms = attempt.retry_after_ms or pause_ms
+            until_ms = record.attempts[0].at_ms + plan.wait_ms
+            if attempt.ended_ms + pause_ms >= until_ms:
+                break
+            await self.clock.sleep(pause_ms)
         return record
 
     def _attempts(self) -> Iterable[StreamAttempt]:
