--- a/seampond/gateway/tests/test_fleet_loss.py
+++ b/seampond/gateway/tests/test_fleet_loss.py
@@ -27,20 +27,21 @@
         self,
     ) -> None:
         """The version that began it has just left."""
-        for stated_wait in StatedWait:
-            with self.subTest(stated_wait=stated_wait):
-                report = self._play(
-                    LossPlan(leaves_ms=200, stated_wait=stated_wait)
-                )
+        plans = [
+            LossPlan(leaves_ms=200, stated_wait=stated_wait)
+            for stated_wait in StatedWait
+        ]
+        for plan, report in zip(plans, self._play(*plans), strict=True):
+            with self.subTest(stated_wait=plan.stated_wait):
                 self._check(report)
 
     def test_stream_of_a_serving_version_is_refused_after_the_loss(
         self,
     ) -> None:
         """Servers of both versions are there."""
-        for kills_ms in ((4000,), (4000, 6000)):
-            with self.subTest(kills_ms=kills_ms):
-                report = self._play(LossPlan(kills_ms=kills_ms))
+        plans = [LossPlan(), LossPlan(kills_ms=(4000, 6000))]
+        for plan, report in zip(plans, self._play(*plans), strict=True):
+            with self.subTest(kills_ms=plan.kills_ms):
                 self._check(report)
                 self._check_share(report)
 
@@ -48,15 +49,24 @@
         self,
     ) -> None:
         """Callers do not name the request that began it."""
-        report = self._play(
-            LossPlan(versions=(NEW_VERSION,), names_first=False)
-        )
+        plan = LossPlan(versions=(NEW_VERSION,), names_first=False)
+        report = self._play(plan)[0]
         self._check(report)
         self._check_share(report)
 
-    def _play(self, plan: LossPlan) -> LossReport:
+    def _play(self, *plans: LossPlan) -> list[LossReport]:
+        """Play fleets of their own at the same time."""
+
+        async def play(folder: str) -> list[LossReport]:
+            runs = []
+            for number, plan in enumerate(plans):
+                path = Path(folder, str(number))
+                path.mkdir()
+                runs.append(run_fleet_loss(path, plan))
+            return await asyncio.gather(*runs)
+
         with tempfile.TemporaryDirectory() as folder:
-            return asyncio.run(run_fleet_loss(Path(folder), plan))
+            return asyncio.run(play(folder))
 
     def _check(self, report: LossReport) -> None:
         self.assertEqual(len(report.joined), 0)
