An event in the head of an answer shows that the head was cut

Callers got a stream as 200 and complete without its first event: a head that is cut before its framing ends at the blank line of the first event, whose lines end with CR LF and count as header lines. Each event has data, and no answer has a header of that name, so such a head is refused as any other cut one.

--- a/seampond/forwarding/attempt.py
+++ b/seampond/forwarding/attempt.py
@@ -49,6 +49,8 @@
 
 _BODY_MAX_BYTES = 1_048_576
 _EVENT_MAX_BYTES = 524_288
+# Each event has one, and no head: there it shows a head that was cut.
+_EVENT_FIELD = b'data'
 _ERRORS_BEFORE_PAUSE = 4
 _LOAD_FIELD_COUNT = 3
 _CHUNKS_PER_UPDATE = 4
@@ -242,6 +244,8 @@
             raise self._make_error('successful answer without a stamp header')
         outcome = Outcome.complete
         if job.is_stream and head.status == HTTPStatus.OK:
+            if head.has(_EVENT_FIELD):
+                raise self._make_error('event in the head of an answer')
             if not await self._may_relay_stream(connection):
                 return Outcome.in_doubt
             await self._relay_stream(connection, head)
--- a/seampond/forwarding/tests/test_cut_heads.py
+++ b/seampond/forwarding/tests/test_cut_heads.py
@@ -103,6 +103,18 @@
             with self.subTest(sent=sent):
                 await self._check_incomplete(sent, RequestKind.once)
 
+    async def test_event_behind_a_cut_head_is_left_out(self) -> None:
+        """Its lines end as those of a head do, and count as such."""
+        events = b'id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n'
+        head = b'HTTP/1.1 200 OK\r\n%b' % _FIELDS
+        for cut in (len(head), len(head) - 2):
+            with self.subTest(cut=cut):
+                sink = await self._forward(
+                    head[:cut] + events, RequestKind.stream, is_reset=False
+                )
+                self.assertEqual(bytes(sink.body), b'')
+                self.assertFalse(sink.is_complete)
+
     async def _check_incomplete(
         self, sent: bytes, kind: RequestKind, *, is_reset: bool = False
     ) -> None:
