Review: each case names its switch and its record

Cause: TROUBLE and record.txt were handled in the shared stand-ins only, so nothing in the folder of a case showed them.

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -4,10 +4,14 @@
 """
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
+RECORD = FOLDER / 'record.txt'
+# TROUBLE=0 leaves the disruption out.
+HAS_TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 sys.path.insert(0, str(FOLDER.parent))
 
 import stand_ins_2 as stand_ins  # noqa: E402
@@ -87,7 +91,7 @@
 
 async def case() -> int:
     """Return 1 if fewer than a quarter is served after the recovery."""
-    async with stand_ins.deployment(FOLDER, GATEWAYS) as (
+    async with stand_ins.deployment(RECORD, GATEWAYS) as (
         record,
         store,
         gateways,
@@ -135,7 +139,7 @@
             await asyncio.sleep(0.03)
         await asyncio.sleep(0.7)
         leaving = [engine for engine in engines if engine.is_busy][:REPLACED]
-        if stand_ins.with_trouble():
+        if HAS_TROUBLE:
             record.note('release: two servers are replaced')
             for engine in leaving:
                 new = Engine(
--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -42,10 +42,10 @@
 
 
 class Record:
-    """What was sent, answered and run, in `record.txt`."""
+    """What was sent, answered and run, in the `record.txt` of a case."""
 
-    def __init__(self, folder: Path) -> None:
-        self._file = (folder / 'record.txt').open('w', encoding='utf-8')
+    def __init__(self, path: Path) -> None:
+        self._file = path.open('w', encoding='utf-8')
 
     def note(self, text: str) -> None:
         """Add one line."""
@@ -508,9 +508,9 @@
 
 
 @contextlib.asynccontextmanager
-async def deployment(folder: Path, gateways: int):
+async def deployment(record_path: Path, gateways: int):
     """Run a store and gateways until the end of the `with`."""
-    record = Record(folder)
+    record = Record(record_path)
     with tempfile.TemporaryDirectory() as name:
         store = Store()
         await store.start()
@@ -525,11 +525,6 @@
                 await gateway.kill()
 
 
-def with_trouble() -> bool:
-    """Return False if the case is to run without its disruption."""
-    return os.environ.get('TROUBLE', '1') != '0'
-
-
 def run_case(case) -> None:
     """Run a case and exit: 0 held, 1 broken, 2 could not run."""
 
