--- a/seampond/gateway/tests/test_limits.py
+++ b/seampond/gateway/tests/test_limits.py
@@ -25,8 +25,8 @@
 )
 
 
-class LimitsTest(GatewayCase):
-    """Limits of the configuration."""
+class LimitedCase(GatewayCase):
+    """Starts gateways with limits and sends them bytes."""
 
     async def start_limited(self, **limits: int) -> RunningGateway:
         """Start a gateway whose configuration has these limits."""
@@ -51,6 +51,10 @@
         async with asyncio.timeout(_TIMEOUT_S):
             return await reader.read()
 
+
+class LimitsTest(LimitedCase):
+    """Limits of the configuration."""
+
     async def test_slow_head_is_refused(self) -> None:
         """A head that does not end in time gets 408 and a close."""
         gateway = await self.start_limited(
