Check a head while it arrives, and close behind a refusal in order

What callers saw: a gateway ended out of memory while clients sent header lines, one header or a request line without end; with empty lines before a request it read on for ever.

Cause: the parser hands over the parts of a head as they come, and the limit was checked once the head was complete. Status pages read no body, so that bytes behind an answered request were parsed without a limit.

Evidence on the code before: peaks of 270 to 372 MB, 6.1 GB for header lines of one byte, with six connections (bound 128 MB); a connection took 34 MB of empty lines and was not closed.

RequestSize counts what has arrived of a request, empty lines included, and is checked after each piece: names and values against the limit of the configuration as before, the head as a whole against six times as much, which no head within the limit reaches. An answer before the end of its request ends the connection. A refused caller may send 1 MiB more for a second, so that the close does not reset the connection before it reads the answer. An idle connection keeps nothing of its last request. A request with a body that asks for another protocol gets 400: the parser takes the body for that protocol, so that it was forwarded without it. A connection that has sent nothing but empty lines ends after the time for a head; it stayed for ever.

--- a/seampond/forwarding/app.py
+++ b/seampond/forwarding/app.py
@@ -161,7 +161,9 @@
         outcome = 'caller-gone'
         try:
             outcome = await self._serve(receive)
-        except asyncio.CancelledError:
+        except asyncio.CancelledError as error:
+            # The connection tells why if it is not the caller's doing.
+            outcome = str(error) or outcome
             self._refund_if_not_run()
             raise
         finally:
@@ -269,28 +271,19 @@
             self._app.admission.refund(self._progress.job)
 
     async def _read_body(self, receive: Receive) -> bytes:
-        limits = self._app.admission.limits
-        header_bytes = sum(
-            len(name) + len(text) for name, text in self._arrival.headers
-        )
-        if header_bytes > limits.header_bytes:
-            raise Refusal(Cause.header_too_large, step='read')
+        """Return the body, whose size the connection limits."""
         chunks: list[bytes] = []
-        size = 0
         while True:
             message = await self._receive(receive)
-            chunk = message.get('body', b'')
-            size += len(chunk)
-            if size > limits.body_bytes:
-                raise Refusal(Cause.body_too_large, step='read')
-            chunks.append(chunk)
+            chunks.append(message.get('body', b''))
             if not message.get('more_body'):
                 break
-        if self._app.buffered_bytes + size > _BUFFERED_MAX_BYTES:
+        body = b''.join(chunks)
+        if self._app.buffered_bytes + len(body) > _BUFFERED_MAX_BYTES:
             raise Refusal(
                 Cause.no_memory, step='read', retry_after_ms=MS_PER_SECOND
             )
-        return b''.join(chunks)
+        return body
 
     async def _receive(self, receive: Receive) -> Message:
         """Return the next message; refuse the request on a time-out."""
--- a/seampond/forwarding/caller_protocol.py
+++ b/seampond/forwarding/caller_protocol.py
@@ -1,88 +1,49 @@
 """HTTP protocol for the connections of callers."""
 
-import asyncio
 from collections.abc import Callable
 from typing import Any
 
-from uvicorn.protocols.http.flow_control import FlowControl
-from uvicorn.protocols.http.httptools_impl import (
-    HttpToolsProtocol,
-    RequestResponseCycle,
-)
+import httptools
+from uvicorn.protocols.http.httptools_impl import RequestResponseCycle
 
 from seampond.clock import MS_PER_SECOND
+from seampond.forwarding.caller_connection import (
+    READ_AHEAD_BYTES,
+    CallerConnection,
+    CallerContext,
+)
 from seampond.forwarding.message_splitter import MessageSplitter
-from seampond.forwarding.models import RequestLimits
+from seampond.forwarding.refusals import Cause, Refusal
+from seampond.forwarding.timer import Timer
 from seampond.forwarding.unframed_answers import send_unframed
 
 TARGET_KEY = 'seampond.target'
 ON_DISCONNECT_KEY = 'seampond.watch'
 _CHUNKING_VERSION = '1.1'
 _CONTENT_LENGTH = b'content-length'
-_READ_AHEAD_BYTES = 65_536
+_BODY_HEADERS = (_CONTENT_LENGTH, b'transfer-encoding')
 # Filled for one connection at a time, which copies the bytes.
-_RECEIVED = memoryview(bytearray(_READ_AHEAD_BYTES))
-_REQUEST_TIMEOUT_RESPONSE = (
-    b'HTTP/1.1 408 Request Timeout\r\n'
-    b'content-length: 0\r\n'
-    b'connection: close\r\n\r\n'
-)
-
-
-class _LimitedFlow(FlowControl):
-    """Does not read on while enough unparsed bytes are held."""
+_RECEIVED = memoryview(bytearray(READ_AHEAD_BYTES))
 
-    def __init__(
-        self, transport: asyncio.Transport, unparsed: Callable[[], int]
-    ) -> None:
-        super().__init__(transport)
-        self._unparsed = unparsed
-
-    def resume_reading(self) -> None:
-        """Read on if there is room."""
-        if self._unparsed() < _READ_AHEAD_BYTES:
-            super().resume_reading()
 
-
-class CallerProtocol(HttpToolsProtocol, asyncio.BufferedProtocol):
-    """A caller's connection.
+class CallerProtocol(CallerConnection):
+    """Parses the requests of a caller's connection.
 
     Explanation
     -----------
     Adds what ASGI lacks: the raw target of a request, a callback on
-    disconnection, and time-outs that change with the configuration.  A
-    request is parsed once the one before it has been answered.
-
-    Parameters
-    ----------
-    get_limits : Callable[[], RequestLimits]
-        Returns the current time-outs.
-
+    disconnection, and limits that change with the configuration.  A request
+    is parsed once the one before it has been answered.
     """
 
     def __init__(
-        self, get_limits: Callable[[], RequestLimits], *args: Any, **kwargs: Any
+        self, context: CallerContext, *args: Any, **kwargs: Any
     ) -> None:
         """Initialize the protocol."""
-        super().__init__(*args, **kwargs)
-        self._get_limits = get_limits
-        self._on_disconnect: Callable[[], object] | None = None
-        self._unparsed = bytearray()
+        super().__init__(context, *args, **kwargs)
         self._splitter = MessageSplitter()
         self._is_in_message = False
-        self._is_reading_head = False
-        self._head_timer: asyncio.TimerHandle | None = None
-
-    def connection_made(  # type: ignore[override]
-        self, transport: asyncio.Transport
-    ) -> None:
-        """Start the idle time-out of the new connection."""
-        super().connection_made(transport)
-        self.flow = _LimitedFlow(transport, lambda: len(self._unparsed))
-        self.timeout_keep_alive_task = self.loop.call_later(
-            self._get_limits().idle_timeout_ms / MS_PER_SECOND,
-            self.timeout_keep_alive_handler,
-        )
+        self._head_timer = Timer(self._end_slow_head)
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer that the next bytes are read into."""
@@ -90,21 +51,30 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         """Parse bytes up to the end of a request."""
+        if self._is_discarding:
+            self._discard(nbytes)
+            return
         self._unparsed += _RECEIVED[:nbytes]
         self._parse()
 
     def on_message_begin(self) -> None:
-        """Record the start of a head."""
+        """Record the start of a request."""
         super().on_message_begin()
         self._is_in_message = True
-        self._is_reading_head = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Store a header."""
+        if not self._size.head_bytes:
+            self._size.add_field(name, value)
+        super().on_header(name, value)
 
     def on_headers_complete(self) -> None:
-        """Pass the raw target and disconnect hook to the application."""
-        self._is_reading_head = False
-        self._stop_head_timer()
-        size = dict(self.headers).get(_CONTENT_LENGTH, b'0')
-        self._splitter.expect_body(int(size))
+        """Check the head, then pass it to the application."""
+        self._size.check(self._context.get_limits())
+        self._expect_body()
+        self._size.end_head()
+        self._head_timer.stop()
+        self._on_disconnect = None
         self.scope['extensions'] = {
             TARGET_KEY: self.url,  # type: ignore[dict-item]
             ON_DISCONNECT_KEY: self._set_callback,  # type: ignore[dict-item]
@@ -113,6 +83,11 @@
         self.scope['headers'] = list(self.headers)
         super().on_headers_complete()
 
+    def on_body(self, body: bytes) -> None:
+        """Store a part of the body."""
+        self._size.body_bytes += len(body)
+        super().on_body(body)
+
     def on_message_complete(self) -> None:
         """Record the end of a request."""
         super().on_message_complete()
@@ -120,69 +95,104 @@
 
     def on_response_complete(self) -> None:
         """Set the configured idle time-out and parse the next request."""
-        idle_timeout_ms = self._get_limits().idle_timeout_ms
+        idle_timeout_ms = self._context.get_limits().idle_timeout_ms
         self.timeout_keep_alive = -(-idle_timeout_ms // MS_PER_SECOND)
         super().on_response_complete()
+        if self.transport.is_closing():
+            return
+        if self._is_in_message:
+            # The rest of the request is not needed.
+            self._discard_input()
+            return
+        self._forget_request()
         if self._unparsed:
             self._parse()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Cancel the request of a caller that has disconnected."""
+        """Stop waiting for a head."""
         super().connection_lost(exc)
-        self._unparsed.clear()
-        self._stop_head_timer()
-        self._unset_keepalive_if_required()
-        if self.cycle is not None and self.cycle.disconnected:
-            if self._on_disconnect is not None:
-                self._on_disconnect()
+        self._head_timer.stop()
 
     @property
     def _may_parse(self) -> bool:
         """Whether the next bytes do not follow an unanswered request."""
-        if self.transport.is_closing():
+        if self._is_discarding or self.transport.is_closing():
             return False
-        return (
-            self._is_in_message
-            or self.cycle is None
-            or self.cycle.response_complete
-        )
+        return self._is_in_message or not self._is_answering
 
     def _parse(self) -> None:
         """Parse what was received, up to the end of a request."""
         start = 0
         while start < len(self._unparsed) and self._may_parse:
+            self._unset_keepalive_if_required()
             end = self._splitter.find_end(self._unparsed, start)
-            # A request for another protocol gets an answer in this one.
-            self.data_received(bytes(self._unparsed[start:end]))
+            self._parse_piece(bytes(self._unparsed[start:end]))
             start = end
         self._unparsed = self._unparsed[start:]
-        if len(self._unparsed) >= _READ_AHEAD_BYTES:
+        if len(self._unparsed) >= READ_AHEAD_BYTES:
             self.flow.pause_reading()
         elif not self._is_in_message:
             # Shows when the caller disconnects.
             self.flow.resume_reading()
-        if self._is_reading_head and self._head_timer is None:
-            self._start_head_timer()
+        if self._is_discarding or self.transport.is_closing():
+            self._head_timer.stop()
+            return
+        is_head_begun = self._size.received_bytes and not self._size.head_bytes
+        if is_head_begun and not self._head_timer.is_running:
+            limits = self._context.get_limits()
+            self._head_timer.start(limits.header_timeout_ms)
+
+    def _parse_piece(self, piece: bytes) -> None:
+        self._size.received_bytes += len(piece)
+        try:
+            self.parser.feed_data(piece)
+        except httptools.HttpParserUpgrade:
+            # No other protocol is spoken: the next request follows.
+            return
+        except httptools.HttpParserError as error:
+            self._refuse(_find_refusal(error))
+            return
+        try:
+            self._size.check(self._context.get_limits())
+        except Refusal as refusal:
+            self._refuse(refusal)
+
+    def _expect_body(self) -> None:
+        """Tell the splitter the length of the body, if it is stated.
+
+        Raises
+        ------
+        Refusal
+            If the request has a body and asks for another protocol, which the
+            parser takes the body for.
+
+        """
+        body_headers = {
+            name: text for name, text in self.headers if name in _BODY_HEADERS
+        }
+        if body_headers and self.parser.should_upgrade():
+            raise Refusal(Cause.malformed, step='read')
+        self._splitter.expect_body(int(body_headers.get(_CONTENT_LENGTH, 0)))
 
     def _start_asgi_task(self, cycle: RequestResponseCycle, app: Any) -> None:
         if cycle.scope['http_version'] != _CHUNKING_VERSION:
             app = send_unframed(app, cycle)
         super()._start_asgi_task(cycle, app)
 
-    def _set_callback(self, callback: Callable[[], object]) -> None:
+    def _set_callback(self, callback: Callable[..., object]) -> None:
         self._on_disconnect = callback
 
-    def _start_head_timer(self) -> None:
-        seconds = self._get_limits().header_timeout_ms / MS_PER_SECOND
-        self._head_timer = self.loop.call_later(seconds, self._abort_slow_head)
-
-    def _stop_head_timer(self) -> None:
-        if self._head_timer is not None:
-            self._head_timer.cancel()
-            self._head_timer = None
-
-    def _abort_slow_head(self) -> None:
+    def _end_slow_head(self) -> None:
         """Answer 408 to a head that is not complete in time."""
-        self._head_timer = None
-        self.transport.write(_REQUEST_TIMEOUT_RESPONSE)
-        self.transport.close()
+        if self._is_in_message:
+            self._refuse(Refusal(Cause.header_too_slow, step='read'))
+        else:
+            # Nothing but empty lines has arrived.
+            self.transport.close()
+
+
+def _find_refusal(error: httptools.HttpParserError) -> Refusal:
+    """Return the refusal that a callback raised, or that of other bytes."""
+    if isinstance(error.__context__, Refusal):
+        return error.__context__
+    return Refusal(Cause.malformed, step='read')
--- a/seampond/forwarding/refusals.py
+++ b/seampond/forwarding/refusals.py
@@ -17,7 +17,9 @@
     no_route = 'no-route'
     wrong_key = 'wrong-key'
     over_quota = 'over-quota'
+    malformed = 'malformed-request'
     header_too_large = 'header-too-large'
+    header_too_slow = 'header-too-slow'
     body_too_large = 'body-too-large'
     body_too_slow = 'body-too-slow'
     no_memory = 'no-memory'
@@ -40,6 +42,8 @@
     (Cause.no_route, HTTPStatus.NOT_FOUND),
     (Cause.wrong_key, HTTPStatus.UNAUTHORIZED),
     (Cause.over_quota, HTTPStatus.TOO_MANY_REQUESTS),
+    (Cause.malformed, HTTPStatus.BAD_REQUEST),
+    (Cause.header_too_slow, HTTPStatus.REQUEST_TIMEOUT),
     (Cause.header_too_large, HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE),
     (Cause.body_too_large, HTTPStatus.REQUEST_ENTITY_TOO_LARGE),
     (Cause.body_too_slow, HTTPStatus.REQUEST_TIMEOUT),
@@ -53,8 +57,6 @@
     HTTPStatus.TOO_MANY_REQUESTS,
     HTTPStatus.REQUEST_TIMEOUT,
 )
-# The connection cannot be reused: the rest of the body may still arrive.
-_BODY_UNREAD_CAUSES = (Cause.body_too_large, Cause.body_too_slow)
 
 
 class Refusal(SeampondError):
@@ -89,8 +91,8 @@
 
     @property
     def closes_connection(self) -> bool:
-        """Whether the caller's connection has to be closed."""
-        return self.cause in _BODY_UNREAD_CAUSES
+        """Whether the rest of the request may still arrive."""
+        return self.cause is Cause.body_too_slow
 
     @property
     def status(self) -> HTTPStatus:
--- a/seampond/gateway/daemon.py
+++ b/seampond/gateway/daemon.py
@@ -12,6 +12,7 @@
 from seampond.errors import PlatformError
 from seampond.forwarding.app import PlannedStop
 from seampond.forwarding.caller_protocol import CallerProtocol
+from seampond.gateway.callers import make_caller_context
 from seampond.gateway.components import GatewayComponents
 from seampond.gateway.rollouts import execute_rollouts
 from seampond.gateway.stalls import record_stalls
@@ -328,7 +329,7 @@
                 settings.metrics_listen,
                 drain_ms=max(1, drain_ms),
                 protocol=functools.partial(
-                    CallerProtocol, lambda: components.web.admission.limits
+                    CallerProtocol, make_caller_context(components)
                 ),
             )
         )
--- a/seampond/gateway/tests/test_caller_input.py
+++ b/seampond/gateway/tests/test_caller_input.py
@@ -1,16 +1,45 @@
-"""Requests that arrive together."""
+"""What callers are told whose requests are incomplete or come together."""
 
 import asyncio
 
 from seampond.gateway.tests.test_limits import LimitedCase
-from seampond.platform.tests.rows import ID_HEADER
+from seampond.platform.tests.rows import HOST, ID_HEADER, KEY
 from seampond.testing.misbehaving import make_request
 
+_HEADER_BYTES = 400
+_BODY_BYTES = 1000
+# More than a caller sends before the answer to its head arrives.
+_SENT_BYTES = 300_000
 _TIMEOUT_S = 5
+_CHUNKED_HEAD = (
+    'POST /x/y HTTP/1.1\r\n'
+    f'Host: {HOST}\r\n{ID_HEADER}: r1\r\nAuthorization: Token {KEY}\r\n'
+    'Transfer-Encoding: chunked\r\n\r\n'
+)
 
 
 class CallerInputTest(LimitedCase):
-    """One gateway, one server."""
+    """One gateway, one server, small limits."""
+
+    async def test_refusals_reach_callers_that_still_send(self) -> None:
+        """The connection is not reset while they send."""
+        rest = 'x' * _SENT_BYTES
+        for sent, status in (
+            (f'GET /x/y HTTP/1.1\r\nx: {rest}', 431),
+            (f'GET /{rest}', 431),
+            (f'{_CHUNKED_HEAD}{_SENT_BYTES:x}\r\n{rest}\r\n', 413),
+            ('\r\n' * _SENT_BYTES, 431),
+        ):
+            with self.subTest(sent=sent[:100], status=status):
+                await self._check_refused(sent, status)
+
+    async def test_body_for_another_protocol_is_refused(self) -> None:
+        """The parser would take it for the next request."""
+        head = _CHUNKED_HEAD.replace(
+            'Transfer-Encoding: chunked',
+            'Connection: upgrade\r\nUpgrade: h2c\r\nContent-Length: 3',
+        )
+        await self._check_refused(f'{head}ask', 400)
 
     async def test_requests_sent_ahead_are_answered_in_order(self) -> None:
         """Each whole, and each sent once."""
@@ -36,3 +65,42 @@
             writer.write(second.encode())
             answer = await reader.readuntil(b'whole')
         self.assertTrue(answer.startswith(b'HTTP/1.1 200 '), answer)
+
+    async def test_connection_with_nothing_but_empty_lines_ends(self) -> None:
+        """It gets no answer, since it has asked nothing."""
+        gateway = await self.start_limited(header_timeout_ms=100)
+        reader, _ = await self.send(gateway, '\r\n')
+        self.assertEqual(await self.read_end(reader), b'')
+
+    async def test_request_at_the_limits_is_served(self) -> None:
+        """Its head and its body are as long as allowed."""
+        gateway = await self.start_limited(
+            max_header_bytes=_HEADER_BYTES, max_body_bytes=_BODY_BYTES
+        )
+        head, _, _ = make_request('r1').decode().partition('\r\n\r\n')
+        lines = head.replace('Length: 3', f'Length: {_BODY_BYTES}').split(
+            '\r\n'
+        )[1:]
+        size = sum(len(line) - len(': ') for line in lines)
+        filler = 'a:\r\n' * (_HEADER_BYTES - size)
+        body = 'b' * _BODY_BYTES
+        first = head.partition('\r\n')[0]
+        headers = '\r\n'.join(lines)
+        reader, _ = await self.send(
+            gateway, f'{first}\r\n{headers}\r\n{filler}\r\n{body}'
+        )
+        async with asyncio.timeout(_TIMEOUT_S):
+            answer = await reader.readuntil(b'whole')
+        self.assertTrue(answer.startswith(b'HTTP/1.1 200 '), answer)
+        self.assertEqual(self.server.received[0].body, body.encode())
+
+    async def _check_refused(self, sent: str, status: int) -> None:
+        gateway = await self.start_limited(
+            max_header_bytes=_HEADER_BYTES, max_body_bytes=_BODY_BYTES
+        )
+        reader, _ = await self.send(gateway, sent)
+        answer = await self.read_end(reader)
+        start = f'HTTP/1.1 {status} '.encode()
+        self.assertTrue(answer.startswith(start), answer)
+        self.assertIn(b'connection: close', answer)
+        self.assertEqual(self.server.received, [])
