Count trailers and the framing of chunks against the limits

What callers saw: a gateway ended out of memory while a client sent trailers without end behind a chunked body; the extension of a chunk without end kept a connection open for as long as bytes came.

Cause: a trailer was stored like a header, in the list of the head, without any limit; bytes that are neither head nor body were not counted.

Trailers are counted against the limit of a head and not stored: they were never sent on. Bytes of a chunked body besides its content may be eight times the content (a chunk of one byte takes five more) and six times the limit of a head. Over that the request gets 413.

--- a/seampond/forwarding/caller_protocol.py
+++ b/seampond/forwarding/caller_protocol.py
@@ -63,10 +63,10 @@
         self._is_in_message = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header."""
+        """Store a header; trailers are only counted."""
+        self._size.add_field(name, value)
         if not self._size.head_bytes:
-            self._size.add_field(name, value)
-        super().on_header(name, value)
+            super().on_header(name, value)
 
     def on_headers_complete(self) -> None:
         """Check the head, then pass it to the application."""
@@ -79,8 +79,6 @@
             TARGET_KEY: self.url,  # type: ignore[dict-item]
             ON_DISCONNECT_KEY: self._set_callback,  # type: ignore[dict-item]
         }
-        # Copied because the trailers of a chunked body are appended later.
-        self.scope['headers'] = list(self.headers)
         super().on_headers_complete()
 
     def on_body(self, body: bytes) -> None:
--- a/seampond/forwarding/request_size.py
+++ b/seampond/forwarding/request_size.py
@@ -8,6 +8,8 @@
 # A header of one byte takes five with its separators, and the request line
 # comes on top.
 _HEAD_OVERHEAD = 6
+# A chunk of one byte takes five more bytes.
+_CHUNK_OVERHEAD = 8
 
 
 @dataclass(slots=True)
@@ -21,7 +23,8 @@
     head_bytes : int
         `received_bytes` at the end of the head, 0 before.
     field_bytes : int
-        Size of the names and values of the headers.
+        Size of the names and values of the headers; after the head, of the
+        trailers.
     body_bytes : int
         Size of the content of the body.
 
@@ -33,7 +36,7 @@
     body_bytes: int = 0
 
     def add_field(self, name: bytes, text: bytes) -> None:
-        """Count a header."""
+        """Count a header or trailer."""
         self.field_bytes += len(name) + len(text)
 
     def end_head(self) -> None:
@@ -57,5 +60,10 @@
             if self.received_bytes > head_max_bytes:
                 raise Refusal(Cause.header_too_large, step='read')
             return
-        if self.body_bytes > limits.body_bytes:
+        framing_bytes = self.received_bytes - self.head_bytes - self.body_bytes
+        framing_max_bytes = head_max_bytes + self.body_bytes * _CHUNK_OVERHEAD
+        if (
+            self.body_bytes > limits.body_bytes
+            or framing_bytes > framing_max_bytes
+        ):
             raise Refusal(Cause.body_too_large, step='read')
--- a/seampond/gateway/tests/test_caller_input.py
+++ b/seampond/gateway/tests/test_caller_input.py
@@ -27,7 +27,9 @@
         for sent, status in (
             (f'GET /x/y HTTP/1.1\r\nx: {rest}', 431),
             (f'GET /{rest}', 431),
+            (f'{_CHUNKED_HEAD}0\r\nx: {rest}\r\ny: {rest}', 413),
             (f'{_CHUNKED_HEAD}{_SENT_BYTES:x}\r\n{rest}\r\n', 413),
+            (f'{_CHUNKED_HEAD}1;x={rest}', 413),
             ('\r\n' * _SENT_BYTES, 431),
         ):
             with self.subTest(sent=sent[:100], status=status):
