Limit what all connections of callers hold together

Cause: only whole bodies were counted. Bodies that still arrived, heads and answers that callers do not read were not.

CallerConnections counts what each connection holds: unparsed bytes, head, body and unread answer. When they hold more than callers.memory_bytes (by default a fifth of the machine's memory, 32 MiB at most), the connection that has used most memory for the longest time gives way: a request that is not complete gets 503 with Retry-After and has not run, an answer that is not read is cut, bytes read ahead are dropped and the connection ends after its answer. A request that may run is never given up. Requests over 64 KiB may use three quarters, so that small ones are served meanwhile; one within the configuration's limits always fits alone.

An answer of which nothing is read for the idle time is cut: it kept its connection for ever.

--- a/seampond/forwarding/app.py
+++ b/seampond/forwarding/app.py
@@ -34,7 +34,6 @@
 )
 _CLOSE_HEADER = (b'connection', b'close')
 _DISCONNECT = 'http.disconnect'
-_BUFFERED_MAX_BYTES = 33_554_432
 # The balancer removes a stopping gateway within two seconds, but a retry may
 # reach another one at once.
 _STOP_RETRY_MS = 300
@@ -72,8 +71,6 @@
         Returns whether another gateway accepts callers.
     stop : PlannedStop or None
         The planned stop that has begun, None otherwise.
-    buffered_bytes : int
-        Total size of the request bodies in memory.
 
     """
 
@@ -84,7 +81,6 @@
     promises: Promises
     has_ready_peer: Callable[[], bool]
     stop: PlannedStop | None = None
-    buffered_bytes: int = 0
     _open_tasks: set['asyncio.Task[Any]'] = field(default_factory=set)
 
     async def __call__(
@@ -143,7 +139,6 @@
         self._send = send
         self._status = 0
         self._progress: Progress | None = None
-        self._body_bytes = 0
         extensions = scope['extensions']
         self._arrival = RequestHead(
             scope['method'].encode(),
@@ -167,7 +162,6 @@
             self._refund_if_not_run()
             raise
         finally:
-            self._app.buffered_bytes -= self._body_bytes
             self._log_outcome(outcome)
 
     async def start(self, head: ResponseHead, length: int | None) -> None:
@@ -211,8 +205,6 @@
     async def _forward(self, receive: Receive) -> None:
         app = self._app
         body = await self._read_body(receive)
-        self._body_bytes = len(body)
-        app.buffered_bytes += self._body_bytes
         job = app.admission.admit(self._arrival, body)
         self._progress = Progress(job, self)
         self._check_stop(job)
@@ -277,13 +269,7 @@
             message = await self._receive(receive)
             chunks.append(message.get('body', b''))
             if not message.get('more_body'):
-                break
-        body = b''.join(chunks)
-        if self._app.buffered_bytes + len(body) > _BUFFERED_MAX_BYTES:
-            raise Refusal(
-                Cause.no_memory, step='read', retry_after_ms=MS_PER_SECOND
-            )
-        return body
+                return b''.join(chunks)
 
     async def _receive(self, receive: Receive) -> Message:
         """Return the next message; refuse the request on a time-out."""
--- a/seampond/forwarding/caller_protocol.py
+++ b/seampond/forwarding/caller_protocol.py
@@ -11,6 +11,7 @@
     READ_AHEAD_BYTES,
     CallerConnection,
     CallerContext,
+    make_no_memory_refusal,
 )
 from seampond.forwarding.message_splitter import MessageSplitter
 from seampond.forwarding.refusals import Cause, Refusal
@@ -73,6 +74,8 @@
         self._size.check(self._context.get_limits())
         self._expect_body()
         self._size.end_head()
+        if not self._make_room():
+            raise make_no_memory_refusal()
         self._head_timer.stop()
         self._on_disconnect = None
         self.scope['extensions'] = {
@@ -90,12 +93,15 @@
         """Record the end of a request."""
         super().on_message_complete()
         self._is_in_message = False
+        if self._is_answering:
+            self._set_waiting(is_waiting=False)
 
     def on_response_complete(self) -> None:
         """Set the configured idle time-out and parse the next request."""
         idle_timeout_ms = self._context.get_limits().idle_timeout_ms
         self.timeout_keep_alive = -(-idle_timeout_ms // MS_PER_SECOND)
         super().on_response_complete()
+        self._set_waiting(is_waiting=True)
         if self.transport.is_closing():
             return
         if self._is_in_message:
@@ -103,6 +109,7 @@
             self._discard_input()
             return
         self._forget_request()
+        self._context.connections.update(self)
         if self._unparsed:
             self._parse()
 
@@ -139,6 +146,8 @@
         if is_head_begun and not self._head_timer.is_running:
             limits = self._context.get_limits()
             self._head_timer.start(limits.header_timeout_ms)
+        if not self._make_room() and self.freeable_bytes:
+            self.free()
 
     def _parse_piece(self, piece: bytes) -> None:
         self._size.received_bytes += len(piece)
--- /dev/null
+++ b/seampond/forwarding/tests/test_caller_connections.py
@@ -0,0 +1,98 @@
+"""Tests of the limit on the memory of connections."""
+
+import unittest
+from dataclasses import dataclass
+
+from seampond.clock import Clock
+from seampond.forwarding.caller_connections import CallerConnections
+
+_BODY_MAX = 100
+_SMALL = 10
+_LARGE = 100_000
+
+
+@dataclass(eq=False)
+class _Connection:
+    """A connection that holds some bytes."""
+
+    held_bytes: int = 0
+    since_ms: int = 0
+    is_serving: bool = False
+    is_freed: bool = False
+
+    @property
+    def freeable_bytes(self) -> int:
+        return 0 if self.is_serving else self.held_bytes
+
+    def free(self) -> None:
+        self.is_freed = True
+        self.held_bytes = 0
+
+
+class CallerConnectionsTest(unittest.TestCase):
+    """Connections on a clock of their own."""
+
+    def setUp(self) -> None:
+        """Allow eight large bodies."""
+        self._now_ms = 1000
+        self.connections = CallerConnections(
+            8 * _LARGE, lambda: _BODY_MAX, Clock(lambda: self._now_ms)
+        )
+
+    def test_longest_use_of_memory_gives_way(self) -> None:
+        """Not the largest one, which has just arrived."""
+        old, new = self._add(2)
+        old.since_ms = 0
+        new.since_ms = self._now_ms
+        self._hold(old, 2 * _LARGE)
+        self._hold(new, 5 * _LARGE)
+        self.assertTrue(self.connections.make_room(new))
+        self.assertTrue(old.is_freed)
+        self.assertEqual(self.connections.held_bytes, 5 * _LARGE)
+
+    def test_connection_that_asks_may_have_to_give_way(self) -> None:
+        """The others are being answered."""
+        served, new = self._add(2)
+        served.is_serving = True
+        self._hold(served, 6 * _LARGE)
+        self._hold(new, _LARGE)
+        self.assertFalse(self.connections.make_room(new))
+        self.assertFalse(served.is_freed)
+
+    def test_small_requests_may_use_more(self) -> None:
+        """Large ones leave a quarter to them."""
+        served, small = self._add(2)
+        served.is_serving = True
+        self._hold(served, 7 * _LARGE)
+        self._hold(small, _SMALL)
+        self.assertTrue(self.connections.make_room(small))
+        self.assertFalse(self.connections.make_room(served))
+
+    def test_single_body_inside_the_limits_has_room(self) -> None:
+        """However small the memory is."""
+        connections = CallerConnections(
+            1, lambda: _LARGE, Clock(lambda: self._now_ms)
+        )
+        connection = _Connection(_LARGE)
+        connections.add(connection)
+        connections.update(connection)
+        self.assertTrue(connections.make_room(connection))
+
+    def test_lost_connection_holds_nothing(self) -> None:
+        """Whatever it counts afterwards."""
+        lost, _ = self._add(2)
+        self._hold(lost, _LARGE)
+        self.connections.remove(lost)
+        self.connections.update(lost)
+        self.connections.remove(lost)
+        self.assertEqual(self.connections.held_bytes, 0)
+
+    def _add(self, count: int) -> list[_Connection]:
+        added = [_Connection() for _ in range(count)]
+        for connection in added:
+            self.connections.add(connection)
+        return added
+
+    def _hold(self, connection: _Connection, size: int) -> None:
+        connection.held_bytes = size
+        self.connections.update(connection)
--- a/seampond/forwarding/unframed_answers.py
+++ b/seampond/forwarding/unframed_answers.py
@@ -52,8 +52,6 @@
         self._is_unframed = True
         self._cycle.chunked_encoding = False
         self._cycle.keep_alive = False
-        # Writing pauses until all bytes have been passed to the system.
-        self._cycle.transport.set_write_buffer_limits(0)
         self._set_linger(_RESET_ON_CLOSE)
 
     async def _send_body(self, payload: bytes) -> None:
--- a/seampond/gateway/components.py
+++ b/seampond/gateway/components.py
@@ -12,6 +12,7 @@
 from seampond.forwarding.app import GatewayApp
 from seampond.forwarding.backend import RemoteLoad
 from seampond.forwarding.backends import Backends
+from seampond.forwarding.caller_connections import CallerConnections
 from seampond.forwarding.retries import RetryBudget
 from seampond.forwarding.scheduler import Scheduler
 from seampond.gateway.bounds import (
@@ -19,6 +20,9 @@
     make_exposure_limits,
     make_quota_margin,
 )
+from seampond.gateway.caller_limits import (
+    compute_memory_max_bytes,
+)
 from seampond.gateway.followers import ConfigurationFollower, ServerFollower
 from seampond.gateway.rollouts import RolloutFollower
 from seampond.gateway.stalls import EventLoopStalls
@@ -77,6 +81,7 @@
     stream_store: StreamStore
     loans: RetryLoans
     connection_loans: ConnectionLoans
+    caller_connections: CallerConnections
     watches: dict[str, Watch] = field(default_factory=dict)
     _pages_to_relay: list[RelayedPage] = field(default_factory=list)
 
@@ -103,7 +108,8 @@
 
         Explanation
         -----------
-        Bounds take effect at once.  Addresses, name and zone need a restart.
+        Bounds and limits take effect at once.  Addresses, name and zone need
+        a restart.
         """
         before = _flatten(msgspec.to_builtins(self.settings))
         after = _flatten(msgspec.to_builtins(settings))
@@ -115,6 +121,9 @@
         self.quotas.margin = make_quota_margin(bounds)
         self.rollout_follower.manager.limits = make_exposure_limits(bounds)
         self.backends.grace_ms = compute_grace_ms(bounds)
+        self.caller_connections.memory_max_bytes = compute_memory_max_bytes(
+            settings.callers
+        )
         return sorted(key for key in after if before.get(key) != after[key])
 
     def handle_heartbeat(self, heartbeat: Heartbeat) -> None:
--- a/seampond/gateway/wiring.py
+++ b/seampond/gateway/wiring.py
@@ -20,6 +20,7 @@
     make_exposure_limits,
     make_quota_margin,
 )
+from seampond.gateway.caller_limits import make_caller_connections
 from seampond.gateway.components import GatewayComponents
 from seampond.gateway.followers import ConfigurationFollower, ServerFollower
 from seampond.gateway.quarantine import make_quarantine
@@ -321,4 +322,7 @@
         stream_store=stream_store,
         loans=loans,
         connection_loans=connection_loans,
+        caller_connections=make_caller_connections(
+            settings.callers, admission, clock
+        ),
     )
--- a/seampond/metrics/gateway.py
+++ b/seampond/metrics/gateway.py
@@ -22,6 +22,10 @@
             'Requests that the gateway answered itself, by cause.',
             'cause',
         )
+        self._closed_connections = self.count(
+            'seampond_gateway_closed_connections',
+            'Connections of callers closed for want of room or progress.',
+        )
         self.attempts = self.count(
             'seampond_gateway_attempts',
             'Sends to servers by how they ended.',
@@ -95,6 +99,10 @@
             registry=self.registry,
         )
 
+    def record_closed_connection(self) -> None:
+        """Count a connection that was closed early."""
+        self._closed_connections.inc()
+
     def record_suspension(self, duration_ms: int) -> None:
         """Count suspended time."""
         self.suspended.inc(duration_ms)
--- a/seampond/settings/gateway.py
+++ b/seampond/settings/gateway.py
@@ -29,6 +29,7 @@
 PositiveMs = Annotated[int, msgspec.Meta(gt=0)]
 NonNegativeMs = Annotated[int, msgspec.Meta(ge=0)]
 NonNegativeFloat = Annotated[float, msgspec.Meta(ge=0)]
+NonNegativeBytes = Annotated[int, msgspec.Meta(ge=0)]
 PositiveSeconds = Annotated[float, msgspec.Meta(gt=0)]
 
 
@@ -133,6 +134,20 @@
         return self.revoke_ms - self.proof_margin_ms
 
 
+class CallerSettings(Section, frozen=True):
+    """Limits on the connections of callers.
+
+    Parameters
+    ----------
+    memory_bytes : int
+        What requests that arrive or wait, and answers that are not read, may
+        hold together.  0 for a fifth of the machine's memory, 32 MiB at most.
+
+    """
+
+    memory_bytes: NonNegativeBytes = 0
+
+
 class GatewaySettings(Section, frozen=True):
     """Settings of `seampond gateway`.
 
@@ -152,6 +167,7 @@
     peer_listen: Address
     store: StoreSettings
     bounds: BoundSettings = msgspec.field(default_factory=BoundSettings)
+    callers: CallerSettings = msgspec.field(default_factory=CallerSettings)
     linger_ms: NonNegativeMs = 2600
     first_start: bool = False
     logs: LogSettings = msgspec.field(default_factory=LogSettings)
