Limit the number of callers' connections

What callers saw: a client that opens connections and leaves them idle takes all descriptors of a gateway; then neither callers nor servers nor the store are reached.

Cause: connections were limited by the descriptors of the process alone.

Evidence: 600 idle connections, 624 descriptors (bound 512) on the code before.

At most callers.connections are open, by default 3,000 or three quarters of the descriptors of the process. Beyond that the one that has waited longest for its caller is closed: idle, half sent, or with an answer that is not read. Only if all are being answered is the new one closed.

--- a/seampond/forwarding/caller_connection.py
+++ b/seampond/forwarding/caller_connection.py
@@ -108,7 +108,9 @@
         self.flow = _LimitedFlow(transport, lambda: len(self._unparsed))
         # The protocol is told as soon as a caller does not read.
         transport.set_write_buffer_limits(0)
-        self._context.connections.add(self)
+        if not self._context.connections.add(self):
+            self.close_early()
+            return
         self.timeout_keep_alive_task = self.loop.call_later(
             self._context.get_limits().idle_timeout_ms / MS_PER_SECOND,
             self.timeout_keep_alive_handler,
@@ -234,6 +236,7 @@
         """Record whether the next step is up to the caller."""
         self.since_ms = self._context.clock.now()
         self._is_waiting = is_waiting
+        self._context.connections.record_waiting(self, is_waiting=is_waiting)
 
     def _start_read_timer(self) -> None:
         self._unread_bytes = self.transport.get_write_buffer_size()
--- a/seampond/forwarding/caller_connections.py
+++ b/seampond/forwarding/caller_connections.py
@@ -1,4 +1,4 @@
-"""Limit on the memory of the connections of callers."""
+"""Limits on the number and the memory of the connections of callers."""
 
 from collections.abc import Callable
 from typing import Protocol
@@ -33,6 +33,9 @@
     def free(self) -> None:
         """Give back memory; a request that has not run is refused."""
 
+    def close_early(self) -> None:
+        """Close the connection, which waits for its caller."""
+
 
 class CallerConnections:
     """The open connections of callers and what they hold together.
@@ -41,10 +44,13 @@
     -----------
     A caller that sends slowly, or does not read its answer, must not keep
     others from being served.  When memory is short, the connection that has
-    used most of it for the longest time gives way.
+    used most of it for the longest time gives way.  When there are too many
+    connections, the one that has waited longest for its caller is closed.
 
     Parameters
     ----------
+    connections_max : int
+        Highest number of connections.
     memory_max_bytes : int
         Most that they may hold together.
     get_request_max_bytes : Callable[[], int]
@@ -55,16 +61,20 @@
 
     def __init__(
         self,
+        connections_max: int,
         memory_max_bytes: int,
         get_request_max_bytes: Callable[[], int],
         clock: Clock,
     ) -> None:
         """Initialize without connections."""
+        self.connections_max = connections_max
         self.memory_max_bytes = memory_max_bytes
         self._get_request_max_bytes = get_request_max_bytes
         self._clock = clock
         self._held_bytes = 0
         self._counted: dict[CountedConnection, int] = {}
+        # In the order in which they began to wait for their callers.
+        self._waiting: dict[CountedConnection, None] = {}
 
     @property
     def count(self) -> int:
@@ -76,13 +86,30 @@
         """What all connections hold together."""
         return self._held_bytes
 
-    def add(self, connection: CountedConnection) -> None:
-        """Add a new connection."""
+    def add(self, connection: CountedConnection) -> bool:
+        """Add a new connection; return False if it has to be closed."""
+        if self.count >= self.connections_max:
+            longest = next(iter(self._waiting), None)
+            if longest is None:
+                return False
+            self.remove(longest)
+            longest.close_early()
         self._counted[connection] = 0
+        self.record_waiting(connection, is_waiting=True)
+        return True
 
     def remove(self, connection: CountedConnection) -> None:
         """Remove a connection that has ended, if it is still counted."""
         self._held_bytes -= self._counted.pop(connection, 0)
+        self._waiting.pop(connection, None)
+
+    def record_waiting(
+        self, connection: CountedConnection, *, is_waiting: bool
+    ) -> None:
+        """Record whether the next step is up to the caller."""
+        self._waiting.pop(connection, None)
+        if is_waiting and connection in self._counted:
+            self._waiting[connection] = None
 
     def update(self, connection: CountedConnection) -> None:
         """Count what a connection holds now."""
--- a/seampond/forwarding/tests/test_caller_connections.py
+++ b/seampond/forwarding/tests/test_caller_connections.py
@@ -1,4 +1,4 @@
-"""Tests of the limit on the memory of connections."""
+"""Tests of the limits on the number and memory of connections."""
 
 import unittest
 from dataclasses import dataclass
@@ -19,6 +19,7 @@
     since_ms: int = 0
     is_serving: bool = False
     is_freed: bool = False
+    is_closed: bool = False
 
     @property
     def freeable_bytes(self) -> int:
@@ -28,17 +29,40 @@
         self.is_freed = True
         self.held_bytes = 0
 
+    def close_early(self) -> None:
+        self.is_closed = True
+
 
 class CallerConnectionsTest(unittest.TestCase):
     """Connections on a clock of their own."""
 
     def setUp(self) -> None:
-        """Allow eight large bodies."""
+        """Allow two connections and eight large bodies."""
         self._now_ms = 1000
         self.connections = CallerConnections(
-            8 * _LARGE, lambda: _BODY_MAX, Clock(lambda: self._now_ms)
+            2, 8 * _LARGE, lambda: _BODY_MAX, Clock(lambda: self._now_ms)
         )
 
+    def test_longest_waiting_connection_is_closed(self) -> None:
+        """When there are too many."""
+        first, second, third = self._add(3)
+        self.assertTrue(first.is_closed)
+        self.assertFalse(second.is_closed or third.is_closed)
+        self.assertEqual(self.connections.count, 2)
+
+    def test_connection_that_is_answered_is_kept(self) -> None:
+        """The next one that waits is closed instead."""
+        first, second = self._add(2)
+        self.connections.record_waiting(first, is_waiting=False)
+        self.assertTrue(self.connections.add(_Connection()))
+        self.assertEqual((first.is_closed, second.is_closed), (False, True))
+
+    def test_new_connection_is_refused_while_all_are_answered(self) -> None:
+        """None of them waits for its caller."""
+        for connection in self._add(2):
+            self.connections.record_waiting(connection, is_waiting=False)
+        self.assertFalse(self.connections.add(_Connection()))
+
     def test_longest_use_of_memory_gives_way(self) -> None:
         """Not the largest one, which has just arrived."""
         old, new = self._add(2)
@@ -71,7 +95,7 @@
     def test_single_body_inside_the_limits_has_room(self) -> None:
         """However small the memory is."""
         connections = CallerConnections(
-            1, lambda: _LARGE, Clock(lambda: self._now_ms)
+            2, 1, lambda: _LARGE, Clock(lambda: self._now_ms)
         )
         connection = _Connection(_LARGE)
         connections.add(connection)
@@ -83,14 +107,16 @@
         lost, _ = self._add(2)
         self._hold(lost, _LARGE)
         self.connections.remove(lost)
+        self.connections.record_waiting(lost, is_waiting=True)
         self.connections.update(lost)
         self.connections.remove(lost)
         self.assertEqual(self.connections.held_bytes, 0)
+        self.assertEqual(self.connections.count, 1)
 
     def _add(self, count: int) -> list[_Connection]:
         added = [_Connection() for _ in range(count)]
         for connection in added:
-            self.connections.add(connection)
+            self.assertTrue(self.connections.add(connection))
         return added
 
     def _hold(self, connection: _Connection, size: int) -> None:
--- a/seampond/gateway/components.py
+++ b/seampond/gateway/components.py
@@ -21,6 +21,7 @@
     make_quota_margin,
 )
 from seampond.gateway.caller_limits import (
+    compute_connections_max,
     compute_memory_max_bytes,
 )
 from seampond.gateway.followers import ConfigurationFollower, ServerFollower
@@ -121,7 +122,9 @@
         self.quotas.margin = make_quota_margin(bounds)
         self.rollout_follower.manager.limits = make_exposure_limits(bounds)
         self.backends.grace_ms = compute_grace_ms(bounds)
-        self.caller_connections.memory_max_bytes = compute_memory_max_bytes(
+        connections = self.caller_connections
+        connections.connections_max = compute_connections_max(settings.callers)
+        connections.memory_max_bytes = compute_memory_max_bytes(
             settings.callers
         )
         return sorted(key for key in after if before.get(key) != after[key])
--- a/seampond/gateway/tests/test_misbehaving_callers.py
+++ b/seampond/gateway/tests/test_misbehaving_callers.py
@@ -6,6 +6,7 @@
 from collections.abc import Coroutine
 from contextlib import AsyncExitStack
 from pathlib import Path
+from types import MappingProxyType
 from typing import Any
 
 from seampond.backing.http_client import make_client
@@ -50,7 +51,9 @@
 _CONNECTIONS = 300
 _IDLE_CONNECTIONS = 600
 _ANSWER = b'a' * 1_048_576
-_PAGE_REQUEST = b'GET /metrics HTTP/1.1\r\n\r\n'
+_MORE_SETTINGS = MappingProxyType(
+    {'test_idle_connections': '[gateway.callers]\nconnections = 256\n'}
+)
 
 
 class MisbehavingCallersTest(unittest.IsolatedAsyncioTestCase):
@@ -73,7 +76,12 @@
             server = await stack.enter_async_context(run_scripted(self._serve))
             put_server(self.store, name, server.address)
         gateways = await stack.enter_async_context(
-            run_gateways(Path(folder), self.store, count=1)
+            run_gateways(
+                Path(folder),
+                self.store,
+                count=1,
+                more_settings=_MORE_SETTINGS.get(self._testMethodName, ''),
+            )
         )
         await wait_ready(gateways, make_client(1))
         self.gateway = gateways[0]
--- a/seampond/settings/gateway.py
+++ b/seampond/settings/gateway.py
@@ -29,6 +29,7 @@
 PositiveMs = Annotated[int, msgspec.Meta(gt=0)]
 NonNegativeMs = Annotated[int, msgspec.Meta(ge=0)]
 NonNegativeFloat = Annotated[float, msgspec.Meta(ge=0)]
+PositiveCount = Annotated[int, msgspec.Meta(gt=0)]
 NonNegativeBytes = Annotated[int, msgspec.Meta(ge=0)]
 PositiveSeconds = Annotated[float, msgspec.Meta(gt=0)]
 
@@ -139,12 +140,16 @@
 
     Parameters
     ----------
+    connections : int
+        Highest number of open connections.  It is also limited by the
+        descriptors that the process may open.
     memory_bytes : int
         What requests that arrive or wait, and answers that are not read, may
         hold together.  0 for a fifth of the machine's memory, 32 MiB at most.
 
     """
 
+    connections: PositiveCount = 3000
     memory_bytes: NonNegativeBytes = 0
 
 
--- a/seampond/testing/gateway_processes.py
+++ b/seampond/testing/gateway_processes.py
@@ -132,8 +132,16 @@
     store: StandInStore,
     build: Path | None = None,
     count: int = GATEWAY_COUNT,
+    more_settings: str = '',
 ) -> AsyncIterator[list[GatewayProcess]]:
-    """Run gateways; kill them at the end."""
+    """Run gateways; kill them at the end.
+
+    Parameters
+    ----------
+    more_settings : str
+        Further sections of the settings file.
+
+    """
     gateways = []
     # These ports stay free while their gateway is down.
     ports = free_ports()
@@ -147,7 +155,9 @@
             name=name, ports=gateway_ports, store=store.address
         )
         gateways.append(
-            GatewayProcess(name, gateway_ports, path, settings, build)
+            GatewayProcess(
+                name, gateway_ports, path, settings + more_settings, build
+            )
         )
     try:
         for gateway in gateways:
