Bound the numbers that callers state in headers

What callers saw: after one request that stated a wait of 400 digits, each request of the same route got 500, for as long as the process lived.

Cause: the longest stated wait of a route is kept, and a whole number over 1e308 cannot be multiplied by a fraction. A number of over 4,300 digits, in this header or for tokens, raised an error while it was converted.

Evidence: test_long_numbers_do_not_fail_requests gets 500 on the code before, for the stating request from 400 digits on and then for every other one.

Result: the test passes.

--- a/seampond/forwarding/admission.py
+++ b/seampond/forwarding/admission.py
@@ -7,6 +7,7 @@
 
 from seampond.clock import Clock
 from seampond.forwarding.caller_waits import CallerWaits
+from seampond.forwarding.counts import parse_count
 from seampond.forwarding.job import Headers, Job, parse_prompt
 from seampond.forwarding.models import (
     Configuration,
@@ -26,6 +27,7 @@
 _OUTDATED_RETRY_MS = 250
 _DEADLINE_MS = 2000
 _DEFAULT_MAX_WAIT_MS = 60_000
+_MAX_WAIT_MS = 86_400_000
 # Bounds the work for a prompt of many parts.
 _PARTS_MAX = 32
 
@@ -274,10 +276,9 @@
         tenant: Tenant | None,
     ) -> Job:
         names = self._names
-        stated_wait = head.get(names.deadline)
-        max_wait_ms = _DEFAULT_MAX_WAIT_MS
-        if stated_wait.isdigit():
-            max_wait_ms = int(stated_wait)
+        max_wait_ms = parse_count(head.get(names.deadline), _MAX_WAIT_MS)
+        if max_wait_ms is None:
+            max_wait_ms = _DEFAULT_MAX_WAIT_MS
         prompt = parse_prompt(head.get(names.tokens), head.get(names.prompt))
         priority = route.priority
         if tenant is not None and tenant.priority is not None:
--- a/seampond/forwarding/job.py
+++ b/seampond/forwarding/job.py
@@ -2,11 +2,15 @@
 
 from dataclasses import dataclass
 
+from seampond.forwarding.counts import parse_count
 from seampond.forwarding.models import RequestKind, Route, Tenant
 from seampond.forwarding.server import Server
 from seampond.forwarding.server_limit import Permit
 from seampond.forwarding.stream_origins import Resumption, StreamOrigin
 
+# More than any engine holds.
+_TOKENS_MAX = 10_000_000
+
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -58,20 +62,19 @@
     0
 
     """
-    prompt_size, _, answer_size = tokens.decode('latin-1').partition(',')
-    prompt = Prompt(_parse_count(prompt_size), _parse_count(answer_size))
-    split = [part.partition(':') for part in parts.decode('latin-1').split(',')]
+    prompt_size, _, answer_size = tokens.partition(b',')
+    prompt = Prompt(_parse_tokens(prompt_size), _parse_tokens(answer_size))
+    split = [part.partition(b':') for part in parts.split(b',')]
     prompt.parts = tuple(
-        (name.strip(), _parse_count(size))
+        (name.strip().decode('latin-1'), _parse_tokens(size))
         for name, _, size in split
         if name.strip()
     )
     return prompt
 
 
-def _parse_count(text: str) -> int:
-    stripped = text.strip()
-    return int(stripped) if stripped.isdecimal() else 0
+def _parse_tokens(text: bytes) -> int:
+    return parse_count(text, _TOKENS_MAX) or 0
 
 
 @dataclass(slots=True)
--- a/seampond/gateway/tests/test_caller_input.py
+++ b/seampond/gateway/tests/test_caller_input.py
@@ -2,12 +2,20 @@
 
 import asyncio
 import gc
+from itertools import product
 
 from seampond.forwarding.job import Job
 from seampond.gateway.tests.test_limits import LimitedCase
-from seampond.platform.tests.rows import HOST, ID_HEADER, KEY
+from seampond.platform.tests.rows import (
+    DEADLINE_HEADER,
+    HOST,
+    ID_HEADER,
+    KEY,
+    PARTS_HEADER,
+    TOKENS_HEADER,
+)
 from seampond.testing.gateways import wait_until
-from seampond.testing.misbehaving import make_request
+from seampond.testing.misbehaving import ask, make_request
 
 _HEADER_BYTES = 400
 _BODY_BYTES = 1000
@@ -99,6 +107,24 @@
         self.assertTrue(answer.startswith(b'HTTP/1.1 200 '), answer)
         self.assertEqual(self.server.received[0].body, body.encode())
 
+    async def test_long_numbers_do_not_fail_requests(self) -> None:
+        """Neither the one that states them nor those that follow."""
+        gateway = await self.start_ready()
+        address = gateway.components.settings.listen
+        headers = (DEADLINE_HEADER, TOKENS_HEADER, PARTS_HEADER)
+        forms = ('{0}', '{0},{0}', 'a:{0}')
+        for header, digits, form in product(headers, (10, 400, 5000), forms):
+            stated = form.format('9' * digits)
+            request = make_request('r1').replace(
+                b'\r\n', f'\r\n{header}: {stated}\r\n'.encode(), 1
+            )
+            reader, _ = await self.send(gateway, request.decode())
+            async with asyncio.timeout(_TIMEOUT_S):
+                status = await reader.readuntil(b'\r\n')
+            self.assertNotIn(b' 500 ', status, (header, digits))
+            answer = await ask(address, 'r2')
+            self.assertEqual(answer, (200, b'whole'), (header, digits))
+
     async def test_finished_request_is_freed(self) -> None:
         """Its body does not stay until the next garbage collection."""
         gateway = await self.start_ready()
--- a/seampond/platform/tests/rows.py
+++ b/seampond/platform/tests/rows.py
@@ -18,6 +18,7 @@
 POOL = 's1'
 ID_HEADER = names.HEADERS.request_id.decode()
 STAMP_HEADER = names.HEADERS.stamp.decode()
+DEADLINE_HEADER = names.HEADERS.deadline.decode()
 TENANT_HEADER = names.HEADERS.tenant.decode()
 PARTS_HEADER = names.HEADERS.prompt.decode()
 TOKENS_HEADER = names.HEADERS.tokens.decode()
