Refuse a body that is announced as too large at once

What callers saw: 413 only after the limit of the configuration had been sent; a caller that waits before it sends a body got 408 after the idle time.

Cause: the stated length was not compared with the limit.

Evidence: two more cases of test_refusals_reach_callers_that_still_send time out on the code before.

Result: they pass.

--- a/seampond/forwarding/caller_protocol.py
+++ b/seampond/forwarding/caller_protocol.py
@@ -170,8 +170,8 @@
         Raises
         ------
         Refusal
-            If the request has a body and asks for another protocol, which the
-            parser takes the body for.
+            If the body is too large, or if the request asks for another
+            protocol, which the parser would take the body for.
 
         """
         body_headers = {
@@ -179,7 +179,10 @@
         }
         if body_headers and self.parser.should_upgrade():
             raise Refusal(Cause.malformed, step='read')
-        self._splitter.expect_body(int(body_headers.get(_CONTENT_LENGTH, 0)))
+        length = int(body_headers.get(_CONTENT_LENGTH, 0))
+        if length > self._context.get_limits().body_bytes:
+            raise Refusal(Cause.body_too_large, step='read')
+        self._splitter.expect_body(length)
 
     def _start_asgi_task(self, cycle: RequestResponseCycle, app: Any) -> None:
         if cycle.scope['http_version'] != _CHUNKING_VERSION:
--- a/seampond/gateway/tests/test_caller_input.py
+++ b/seampond/gateway/tests/test_caller_input.py
@@ -27,6 +27,9 @@
     f'Host: {HOST}\r\n{ID_HEADER}: r1\r\nAuthorization: Token {KEY}\r\n'
     'Transfer-Encoding: chunked\r\n\r\n'
 )
+_SIZED_HEAD = _CHUNKED_HEAD.replace(
+    'Transfer-Encoding: chunked\r\n\r\n', 'Content-Length: '
+)
 
 
 class CallerInputTest(LimitedCase):
@@ -41,6 +44,8 @@
             (f'{_CHUNKED_HEAD}0\r\nx: {rest}\r\ny: {rest}', 413),
             (f'{_CHUNKED_HEAD}{_SENT_BYTES:x}\r\n{rest}\r\n', 413),
             (f'{_CHUNKED_HEAD}1;x={rest}', 413),
+            (f'{_SIZED_HEAD}{_BODY_BYTES + 1}\r\n\r\n', 413),
+            (f'{_SIZED_HEAD}18446744073709551615\r\n\r\n', 413),
             ('\r\n' * _SENT_BYTES, 431),
         ):
             with self.subTest(sent=sent[:100], status=status):
