Accept only short packets before the handshake of a link

What callers saw: an agent's port takes a packet of up to 64 MiB from anybody; an agent ended out of memory, and with it the work of its engine.

Cause: the length of a packet was limited alike before and after the other side had proved the shared secret.

Evidence: test_foreign_links, six connections that each lack the last byte of such a packet: 450 MB on the code before, bound 128 MB.

A packet has 4 KiB at most until the handshake is over.

--- a/seampond/links/connection.py
+++ b/seampond/links/connection.py
@@ -11,6 +11,8 @@
 
 COALESCE_MS = 4
 MAX_UNSENT_BYTES = 134_217_728
+# A hello or a proof is far shorter.
+_HANDSHAKE_MAX_BYTES = 4096
 _LENGTH_BYTES = 4
 _BYTE_ORDER: Literal['big'] = 'big'
 
@@ -47,6 +49,7 @@
         self._flush_timer: asyncio.TimerHandle | None = None
         self._last_heard_ms = clock.now()
         self._sent_bytes = 0
+        self._packet_max_bytes = _HANDSHAKE_MAX_BYTES
         host, port = writer.get_extra_info('peername')[:2]
         self._peer = f'{host}:{port}'
 
@@ -70,6 +73,10 @@
         """Whether nothing can be sent any more."""
         return self._writer.is_closing()
 
+    def accept_long_packets(self) -> None:
+        """Accept any packet, since the other side is trusted."""
+        self._packet_max_bytes = MAX_PACKET_BYTES
+
     def send(self, message: Message) -> None:
         """Queue `message`; it leaves within a few milliseconds.
 
@@ -146,7 +153,7 @@
     async def _read_packet(self) -> bytes:
         prefix = await self._reader.readexactly(_LENGTH_BYTES)
         length = int.from_bytes(prefix, _BYTE_ORDER)
-        if not 0 < length <= MAX_PACKET_BYTES:
+        if not 0 < length <= self._packet_max_bytes:
             raise ForeignMessageError(
                 f'a packet cannot have {length} bytes',
                 step='receive',
--- a/seampond/links/trust.py
+++ b/seampond/links/trust.py
@@ -122,8 +122,10 @@
     hello = make_hello(secrets.token_bytes(NONCE_BYTES))
     try:
         async with asyncio.timeout(HANDSHAKE_SECONDS):
-            return await _exchange(link, hello, secret, sides)
+            other = await _exchange(link, hello, secret, sides)
     except asyncio.TimeoutError as error:
         raise LinkError(
             'no answer to our hello', step='handshake', peer=link.peer
         ) from error
+    link.accept_long_packets()
+    return other
