An answer with a status below 100 or over 599 is invalid

What callers saw: a request that was placed at a server which answers with status 000 ended in 504 at its deadline, while a sound server stood beside. No caller got status 000.

Cause: a status below 200 was taken for that of an interim answer, behind which the final one comes.

Evidence: both tests of test_odd_statuses get 504 for 000 on the code before.

A status outside 100 to 599 fails the exchange, as other invalid answers do: a request that may run twice goes to another server, any other gets 502.

--- a/seampond/forwarding/connection.py
+++ b/seampond/forwarding/connection.py
@@ -19,7 +19,8 @@
 
 _HIGH_WATER_BYTES = 262_144
 _MAX_BYTES_WITHOUT_BODY = 65_536
-_CONTINUE = 100
+_FIRST_STATUS = 100
+_LAST_STATUS = 599
 _FIRST_FINAL_STATUS = 200
 _TCP_USER_TIMEOUT_MS = 3000
 _CONNECT_TIMEOUT_MS = 300
@@ -307,6 +308,10 @@
         """Accept the head if it is final and answers the request."""
         head = self._parsed_head
         head.status = self._parser.get_status_code()
+        if not _FIRST_STATUS <= head.status <= _LAST_STATUS:
+            # It is no interim answer, for which another one would follow.
+            self._fail(f'invalid status {head.status}')
+            return
         if head.status < _FIRST_FINAL_STATUS or self._has_head:
             return
         if self._id_header and not self._matches_request(head):
