Limit what follows the content of a chunked body without any more of it

What callers saw: a trailer without end behind a body of 4 MiB still filled the memory of a gateway.

Cause: bytes besides the content might be eight times the content, which a single trailer could use up, and the parser keeps a trailer until it is complete.

Bytes behind the last content may be six times the limit of a head, as a head may, and count as held. Also, a connection whose caller reads again while its request is incomplete still counts as waiting for its caller.

--- a/seampond/forwarding/caller_connection.py
+++ b/seampond/forwarding/caller_connection.py
@@ -81,6 +81,7 @@
         self._unparsed = bytearray()
         self._size = RequestSize()
         self._is_waiting = True
+        self._is_in_message = False
         self._left_to_discard: int | None = None
         self._unread_bytes = 0
         self._read_timer = Timer(self._abort_unless_read)
@@ -140,7 +141,7 @@
         """Continue the answer."""
         super().resume_writing()
         self._read_timer.stop()
-        if not self._is_discarding and self._is_answering:
+        if self._is_answering and not self._is_in_message:
             self._set_waiting(is_waiting=False)
         self._context.connections.update(self)
 
--- a/seampond/forwarding/caller_protocol.py
+++ b/seampond/forwarding/caller_protocol.py
@@ -43,7 +43,6 @@
         """Initialize the protocol."""
         super().__init__(context, *args, **kwargs)
         self._splitter = MessageSplitter()
-        self._is_in_message = False
         self._head_timer = Timer(self._end_slow_head)
 
     def get_buffer(self, sizehint: int) -> memoryview:
@@ -86,7 +85,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body."""
-        self._size.body_bytes += len(body)
+        self._size.add_content(len(body))
         super().on_body(body)
 
     def on_message_complete(self) -> None:
--- a/seampond/forwarding/request_size.py
+++ b/seampond/forwarding/request_size.py
@@ -43,6 +43,8 @@
         of the trailers.
     body_bytes : int
         Size of the content of the body.
+    content_end : int
+        `received_bytes` when the head ended or content last arrived.
     kept_bytes : int
         What the head holds in memory.
 
@@ -53,6 +55,7 @@
     field_bytes: int = 0
     field_count: int = 0
     body_bytes: int = 0
+    content_end: int = 0
     kept_bytes: int = 0
 
     @property
@@ -66,7 +69,9 @@
 
         """
         if self.head_bytes:
-            return self.kept_bytes + self.body_bytes
+            # The parser keeps a trailer until it is complete.
+            pending_bytes = self.received_bytes - self.content_end
+            return self.kept_bytes + self.body_bytes + pending_bytes
         fields = self.field_count * _FIELD_BYTES
         return self.received_bytes + fields
 
@@ -75,10 +80,16 @@
         self.field_bytes += len(name) + len(text)
         self.field_count += 1
 
+    def add_content(self, size: int) -> None:
+        """Count content of the body."""
+        self.body_bytes += size
+        self.content_end = self.received_bytes
+
     def end_head(self) -> None:
         """Record the end of the head."""
         self.kept_bytes = self.held_bytes + _REQUEST_BYTES
         self.head_bytes = self.received_bytes
+        self.content_end = self.received_bytes
         self.field_bytes = 0
         self.field_count = 0
 
@@ -92,16 +103,16 @@
 
         """
         head_max_bytes = limits.header_bytes * _HEAD_OVERHEAD
+        is_long = self.received_bytes - self.content_end > head_max_bytes
         if self.field_bytes > limits.header_bytes:
             raise Refusal(Cause.header_too_large, step='read')
-        if not self.head_bytes:
-            if self.received_bytes > head_max_bytes:
-                raise Refusal(Cause.header_too_large, step='read')
-            return
+        if is_long and not self.head_bytes:
+            raise Refusal(Cause.header_too_large, step='read')
         framing_bytes = self.received_bytes - self.head_bytes - self.body_bytes
         framing_max_bytes = head_max_bytes + self.body_bytes * _CHUNK_OVERHEAD
         if (
-            self.body_bytes > limits.body_bytes
+            is_long
+            or self.body_bytes > limits.body_bytes
             or framing_bytes > framing_max_bytes
         ):
             raise Refusal(Cause.body_too_large, step='read')
--- a/seampond/gateway/tests/test_misbehaving_callers.py
+++ b/seampond/gateway/tests/test_misbehaving_callers.py
@@ -118,6 +118,10 @@
         """A trailer line without end."""
         await self._check_flood(Flood.trailer_value)
 
+    async def test_late_trailer(self) -> None:
+        """A trailer without end behind a body as large as allowed."""
+        await self._check_flood(Flood.late_trailer)
+
     async def test_chunk_extension(self) -> None:
         """The extension of a chunk without end."""
         await self._check_flood(Flood.chunk_extension)
--- a/seampond/testing/misbehaving.py
+++ b/seampond/testing/misbehaving.py
@@ -13,6 +13,7 @@
 from seampond.platform.tests.rows import HOST, ID_HEADER, KEY
 
 _BLOCK_BYTES = 65_536
+_LARGE_BYTES = 4_194_304
 _STALL_S = 1
 _RETRIES_MAX = 20
 _BYTES_PER_KIB = 1024
@@ -40,6 +41,7 @@
     empty_lines = 'empty lines before a request'
     trailer_lines = 'trailers of a body'
     trailer_value = 'one trailer'
+    late_trailer = 'one trailer behind a large body'
     chunk_extension = 'the extension of a chunk'
     body = 'a body'
     bare_requests = 'requests without the usual headers'
@@ -57,6 +59,10 @@
         Flood.empty_lines: (b'', b'\r\n'),
         Flood.trailer_lines: (b'%b0\r\n' % _CHUNKED, _HEADER_LINE),
         Flood.trailer_value: (b'%b0\r\nx: ' % _CHUNKED, _TEXT),
+        Flood.late_trailer: (
+            b'%b400000\r\n%b\r\n0\r\nx: ' % (_CHUNKED, bytes(_LARGE_BYTES)),
+            _TEXT,
+        ),
         Flood.chunk_extension: (b'%b1;x=' % _CHUNKED, _TEXT),
         Flood.body: (_CHUNKED, b'3fe\r\n%b\r\n' % _TEXT),
         Flood.bare_requests: (b'', b'GET / HTTP/1.1\r\n\r\n'),
@@ -132,14 +138,11 @@
     ----------
     longest_bytes : int
         Most bytes that one connection took.
-    closed : int
-        Connections that the other side closed.
 
     """
 
     address: str
     longest_bytes: int = 0
-    closed: int = 0
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
 
     async def flood(
@@ -196,7 +199,6 @@
             except TimeoutError:
                 return None
             except ConnectionError:
-                self.closed += 1
                 self._writers.discard(writer)
                 writer.transport.abort()
                 break
