A connection whose caller has gone can give way to another one

What callers saw: 404 or 500 in place of an answer, once, while another connection had to give way whose caller had just closed it.

Cause: the refusal is reset at once by a caller that has gone, and then the end of the connection's output cannot be sent; the error of the system went to the request that needed the memory.

Such a connection is closed at once, with a log line.

--- a/seampond/forwarding/caller_connection.py
+++ b/seampond/forwarding/caller_connection.py
@@ -1,6 +1,7 @@
 """What one connection of a caller holds, and how it is closed."""
 
 import asyncio
+import logging
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -21,6 +22,7 @@
 _DISCARD_BYTES = 1_048_576
 _DISCARD_MS = 1000
 _NO_MEMORY_RETRY_MS = 1000
+_logger = logging.getLogger(__name__)
 
 
 @dataclass(frozen=True)
@@ -208,8 +210,12 @@
         self.parser = None  # type: ignore[assignment]
         self._unset_keepalive_if_required()
         self.flow.resume_reading()
-        self.transport.write_eof()
         self._discard_timer.start(max_ms)
+        try:
+            self.transport.write_eof()
+        except OSError as error:
+            _logger.debug('caller has gone', extra={'reason': str(error)})
+            self._abort()
         self._set_waiting(is_waiting=True)
         self._context.connections.update(self)
 
--- a/seampond/gateway/tests/test_caller_input.py
+++ b/seampond/gateway/tests/test_caller_input.py
@@ -2,8 +2,11 @@
 
 import asyncio
 import gc
+import socket
 from itertools import product
+from typing import TypeVar
 
+from seampond.forwarding.caller_protocol import CallerProtocol
 from seampond.forwarding.job import Job
 from seampond.gateway.tests.test_limits import LimitedCase
 from seampond.platform.tests.rows import (
@@ -22,6 +25,7 @@
 # More than a caller sends before the answer to its head arrives.
 _SENT_BYTES = 300_000
 _TIMEOUT_S = 5
+_Kind = TypeVar('_Kind')
 _CHUNKED_HEAD = (
     'POST /x/y HTTP/1.1\r\n'
     f'Host: {HOST}\r\n{ID_HEADER}: r1\r\nAuthorization: Token {KEY}\r\n'
@@ -139,7 +143,22 @@
         async with asyncio.timeout(_TIMEOUT_S):
             await reader.readuntil(b'whole')
         await wait_until(lambda: not gateway.components.web.open_requests)
-        self.assertEqual(_find_jobs(), [])
+        self.assertEqual(_find_objects(Job), [])
+
+    async def test_connection_whose_caller_has_gone_can_be_freed(self) -> None:
+        """Another one that needs its memory does not fail."""
+        gateway = await self.start_ready()
+        host, _, port = gateway.components.settings.listen.rpartition(':')
+        connections = gateway.components.caller_connections
+        with socket.create_connection((host, int(port))) as caller:
+            caller.sendall(b'POST /x/y HTTP/1.1\r\nHost: ')
+            await wait_until(lambda: connections.held_bytes)
+            found = _find_objects(CallerProtocol)
+        # The gateway's event loop has not seen the close yet, and the answer
+        # is reset at once.
+        for connection in found:
+            connection.free()
+        await wait_until(lambda: not connections.held_bytes)
 
     async def _check_refused(self, sent: str, status: int) -> None:
         gateway = await self.start_limited(
@@ -153,7 +172,6 @@
         self.assertEqual(self.server.received, [])
 
 
-def _find_jobs() -> list[bytes]:
-    """Return the ids of the requests in memory."""
-    objects = gc.get_objects()
-    return [found.request_id for found in objects if isinstance(found, Job)]
+def _find_objects(kind: type[_Kind]) -> list[_Kind]:
+    """Return the objects of a class that are in memory."""
+    return [found for found in gc.get_objects() if isinstance(found, kind)]
