Limit what the callers of an entry hold, and their connections

What callers saw: an entry, which the product's own callers reach, ended out of memory while bodies within the limit arrived on many connections, and any number of idle connections took its descriptors.

Cause: only whole bodies count toward the entry's room.

An entry's connections count what arrived since their last answer, with the same rules as those of a gateway: routing.arriving_max_bytes (32 MiB) and routing.connections_max (3,000). The connection that gives way is closed without an answer. Heads, trailers and requests sent ahead are limited by the web server that an entry uses.

--- a/seampond/daemons/entry.py
+++ b/seampond/daemons/entry.py
@@ -1,5 +1,6 @@
 """The entry daemon, which accepts requests and sends them to agents."""
 
+import functools
 import logging
 import random
 import secrets
@@ -12,6 +13,7 @@
 from seampond.backing.vms import make_vm_lister
 from seampond.callers.admission import AdmissionContext
 from seampond.callers.app import ReadinessChecks, make_caller_app
+from seampond.callers.protocol import EntryProtocol, make_entry_connections
 from seampond.callers.responses import ResponseContext
 from seampond.clock import Clock
 from seampond.limits import Limiter
@@ -242,6 +244,15 @@
             _make_response_context(components), readiness, pages
         )
         web = await stack.enter_async_context(
-            serve_http(app, settings.listen, drain_ms=settings.drain_ms)
+            serve_http(
+                app,
+                settings.listen,
+                drain_ms=settings.drain_ms,
+                protocol=functools.partial(
+                    EntryProtocol,
+                    make_entry_connections(settings.routing, clock),
+                    clock,
+                ),
+            )
         )
         yield RunningEntry(components, web)
--- a/seampond/settings/models.py
+++ b/seampond/settings/models.py
@@ -73,6 +73,8 @@
     retry_share: float = Field(default=0.1, ge=0, le=_HUNDRED_PERCENT)
     resume_ms: PositiveMs = 10_000
     body_max_bytes: int = Field(default=8_388_608, gt=0)
+    connections_max: int = Field(default=3000, gt=0)
+    arriving_max_bytes: int = Field(default=33_554_432, gt=0)
 
 
 class EntrySettings(Section):
