A success lifts a quarantine at all gateways and in the store

Cause: a gateway that has just started knows a quarantine from the rows of the store alone. `Suspects.record_success` then returned before it noted the success for the heartbeats, so only the gateway of the trial lifted it. The others had read the row with one trial more when their own claims conflicted, and did not read the table again.

Now a success is reported whenever it lifts a quarantine, for three heartbeats from then on, and again whenever another gateway repeats a crash that it refutes. A gateway that refuses a request reads the table again, at most once in 5 s. The removal of a row is tried until it is done, and gateways that heard of the success look later whether the row has gone.

`test_lifted_quarantine_resets_trials` calls `lift`, which replaces `drop`.

--- a/seampond/gateway/daemon.py
+++ b/seampond/gateway/daemon.py
@@ -215,7 +215,7 @@
         trials.is_loaded = False
         async with run_tasks(_read_trials(components)):
             yield
-        trials.table = None
+        await trials.close()
 
 
 @asynccontextmanager
--- a/seampond/quarantine/quarantine.py
+++ b/seampond/quarantine/quarantine.py
@@ -76,7 +76,6 @@
         self._active: Counter[int] = Counter()
         self._active_ended = asyncio.Event()
         self.runs = RunOutcomes(hash_name, self._add_crash, self._clear, clock)
-        self._lift_tasks: set[asyncio.Task[None]] = set()
 
     def is_quarantined(self, job: Job) -> bool:
         """Return True if a request may be sent on trial only."""
@@ -114,6 +113,7 @@
         tried = self._select_tried(job)
         may_try = self.trials.wait_ms(tried) == 0 or self._is_local_due(tried)
         if not may_try and not self._active[tried]:
+            self.trials.request_read()
             raise self._refuse(job)
 
     @asynccontextmanager
@@ -139,11 +139,26 @@
             self._release(job)
 
     def apply_reports(
-        self, crashes: Iterable[CrashReport], successes: Mapping[int, int]
+        self,
+        crashes: Iterable[CrashReport],
+        successes: Mapping[int, int],
     ) -> None:
-        """Apply the crashes and successes in another gateway's heartbeat."""
+        """Apply what another gateway's heartbeat reports.
+
+        Parameters
+        ----------
+        successes : Mapping[int, int]
+            Ages of successes by fingerprint.
+
+        """
         self.suspects.apply_reports(crashes, successes)
-        self.trials.forget(successes)
+        now_ms = self._clock.now()
+        self.trials.apply_successes(
+            {
+                fingerprint: now_ms - age_ms
+                for fingerprint, age_ms in successes.items()
+            }
+        )
         self._local_trials.forget(successes)
 
     def _is_quarantined(self, fingerprint: int) -> bool:
@@ -206,9 +221,10 @@
             is_quarantined = self._is_quarantined(fingerprint)
             self.suspects.record_success(fingerprint, at_ms)
             if is_quarantined:
-                self._lift(fingerprint)
+                self.suspects.record_cleared(fingerprint, at_ms)
+                self._lift(fingerprint, at_ms)
 
-    def _lift(self, fingerprint: int) -> None:
+    def _lift(self, fingerprint: int, at_ms: int) -> None:
         """Lift the quarantine of a fingerprint."""
         self._notify_peers()
         self._local_trials.forget((fingerprint,))
@@ -216,11 +232,7 @@
             'request released from quarantine',
             extra={'fingerprint': format_fingerprint(fingerprint)},
         )
-        if not self.trials.is_quarantined(fingerprint):
-            return
-        task = asyncio.create_task(self.trials.drop(fingerprint))
-        self._lift_tasks.add(task)
-        task.add_done_callback(self._lift_tasks.discard)
+        self.trials.lift(fingerprint, at_ms)
 
     def _release(self, job: Job) -> None:
         self._active.subtract(job.fingerprints)
--- a/seampond/quarantine/suspects.py
+++ b/seampond/quarantine/suspects.py
@@ -5,6 +5,7 @@
 """
 
 import itertools
+import math
 from collections import OrderedDict
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
@@ -132,8 +133,8 @@
         # Time of the last success by fingerprint, the latest at the end.
         self._success_ms: OrderedDict[int, int] = OrderedDict()
         self._cleared_ms: dict[int, int] = {}
-        # Those of them that this gateway has cleared.
-        self._own_cleared_ms: dict[int, int] = {}
+        # Until when this gateway reports some of them.
+        self._report_until_ms: dict[int, float] = {}
         self._next_cleanup_ms = 0
 
     def __len__(self) -> int:
@@ -166,6 +167,8 @@
     ) -> None:
         """Record that a server crashed under a fingerprint of this gateway."""
         crash = Crash(incarnation, started_ms, self._clock.now())
+        if self._is_refuted(fingerprint, crash):
+            return
         self._add(
             fingerprint, crash, had_success=self.had_recent_success(fingerprint)
         )
@@ -184,11 +187,14 @@
             self._success_ms.popitem(last=False)
         if fingerprint not in self._suspects:
             return False
-        self._record_cleared(fingerprint, at_ms)
-        self._own_cleared_ms.pop(fingerprint, None)
-        self._own_cleared_ms[fingerprint] = at_ms
+        self.record_cleared(fingerprint, at_ms)
         return self._clear(fingerprint, at_ms)
 
+    def record_cleared(self, fingerprint: int, at_ms: int) -> None:
+        """Record a success that clears a fingerprint at all gateways."""
+        self._record_cleared(fingerprint, at_ms)
+        self._report_cleared(fingerprint)
+
     def list_crash_reports(self) -> list[CrashReport]:
         """Return the crashes to report in the next heartbeat.
 
@@ -199,7 +205,6 @@
         reported for a while by the gateway that observed them.
         """
         now_ms = self._clock.now()
-        report_ms = _REPORT_HEARTBEATS * self._heartbeat_ms()
         by_crash_count = sorted(
             self._suspects.items(),
             key=lambda entry: entry[1].crash_count,
@@ -218,29 +223,37 @@
             if suspect.crash_count >= QUARANTINE_CRASHES
             or (
                 crash.incarnation in suspect.observed
-                and now_ms - crash.at_ms < report_ms
+                and now_ms - crash.at_ms < self._report_ms
             )
         ]
         return reports[:_REPORTS_MAX]
 
     def list_cleared(self) -> dict[int, int]:
-        """Return the age of the success of requests cleared here."""
+        """Return the ages of the successes to report, by fingerprint."""
         now_ms = self._clock.now()
-        oldest_ms = now_ms - _REPORT_HEARTBEATS * self._heartbeat_ms()
-        self._own_cleared_ms = {
-            fingerprint: at_ms
-            for fingerprint, at_ms in self._own_cleared_ms.items()
-            if at_ms > oldest_ms
+        self._report_until_ms = {
+            fingerprint: until_ms
+            for fingerprint, until_ms in self._report_until_ms.items()
+            if until_ms > now_ms and fingerprint in self._cleared_ms
+        }
+        latest = itertools.islice(reversed(self._report_until_ms), _REPORTS_MAX)
+        return {
+            fingerprint: now_ms - self._cleared_ms[fingerprint]
+            for fingerprint in latest
         }
-        latest = itertools.islice(
-            reversed(self._own_cleared_ms.items()), _REPORTS_MAX
-        )
-        return {fingerprint: now_ms - at_ms for fingerprint, at_ms in latest}
 
     def apply_reports(
-        self, crashes: Iterable[CrashReport], successes: Mapping[int, int]
+        self,
+        crashes: Iterable[CrashReport],
+        successes: Mapping[int, int],
     ) -> None:
-        """Apply crashes and ages of successes from another gateway."""
+        """Apply crashes and ages of successes from another gateway.
+
+        Explanation
+        -----------
+        A gateway that missed an earlier report repeats crashes that are
+        refuted since.  It is told so in the next heartbeats.
+        """
         now_ms = self._clock.now()
         for report in crashes:
             crash = Crash(
@@ -248,21 +261,45 @@
                 now_ms - report.run_age_ms,
                 now_ms - report.crash_age_ms,
             )
-            self._add(report.fingerprint, crash, had_success=report.had_success)
+            if self._is_refuted(report.fingerprint, crash):
+                self._report_cleared(report.fingerprint)
+            else:
+                self._add(
+                    report.fingerprint, crash, had_success=report.had_success
+                )
         for fingerprint, age_ms in successes.items():
             self._record_cleared(fingerprint, now_ms - age_ms)
             self._clear(fingerprint, now_ms - age_ms)
         self._remove_expired()
 
+    @property
+    def _report_ms(self) -> float:
+        """How long something is reported."""
+        return _REPORT_HEARTBEATS * self._heartbeat_ms()
+
+    def _last_success_ms(self, fingerprint: int) -> float:
+        """Return the time of the last known success."""
+        return max(
+            self._success_ms.get(fingerprint, -math.inf),
+            self._cleared_ms.get(fingerprint, -math.inf),
+        )
+
+    def _is_refuted(self, fingerprint: int, crash: Crash) -> bool:
+        """Return True if a crash does not count against a fingerprint."""
+        return self._last_success_ms(fingerprint) >= crash.at_ms
+
+    def _report_cleared(self, fingerprint: int) -> None:
+        """Report the last success to the other gateways for a while."""
+        self._record_cleared(
+            fingerprint, int(self._last_success_ms(fingerprint))
+        )
+        self._report_until_ms.pop(fingerprint, None)
+        until_ms = self._clock.now() + self._report_ms
+        self._report_until_ms[fingerprint] = until_ms
+
     def _add(
         self, fingerprint: int, crash: Crash, *, had_success: bool
     ) -> None:
-        success_ms = max(
-            self._success_ms.get(fingerprint, crash.at_ms - 1),
-            self._cleared_ms.get(fingerprint, crash.at_ms - 1),
-        )
-        if success_ms >= crash.at_ms:
-            return
         suspect = self._suspects.setdefault(fingerprint, Suspect())
         suspect.had_success = suspect.had_success or had_success
         known = suspect.crashes.get(crash.incarnation)
--- a/seampond/quarantine/tests/test_suspects.py
+++ b/seampond/quarantine/tests/test_suspects.py
@@ -146,3 +146,37 @@
             suspects.apply_reports([], {_REQUEST: 0})
             suspects.apply_reports(crashes, {})
             self.assertEqual(suspects.count_crashes(_REQUEST), 0)
+
+
+class RefutedReportTest(unittest.TestCase):
+    """One of two gateways knows why a crash does not count."""
+
+    def setUp(self) -> None:
+        """Start without suspects."""
+        self.clock = ManualClock(100_000)
+        self.knowing = Suspects(self.clock)
+        self.other = Suspects(self.clock)
+
+    def test_gateway_that_missed_the_success_stays_quarantined(self) -> None:
+        """It repeats its crashes, and hears again that they are cleared."""
+        for incarnation in range(QUARANTINE_CRASHES):
+            self.other.record_crash(_REQUEST, incarnation, self.clock.now())
+        self._exchange()
+        self.clock.advance(100)
+        self.knowing.record_success(_REQUEST, self.clock.now())
+        # The other one is silent for longer than successes are reported.
+        self.clock.advance(60_000)
+        self.assertEqual(self.knowing.list_cleared(), {})
+        self._exchange()
+        self.assertEqual(self.other.count_crashes(_REQUEST), 0)
+
+    def _exchange(self) -> None:
+        """Send a heartbeat each way, that of the other gateway first."""
+        for sender, receiver in (
+            (self.other, self.knowing),
+            (self.knowing, self.other),
+        ):
+            receiver.apply_reports(
+                sender.list_crash_reports(),
+                sender.list_cleared(),
+            )
--- a/seampond/quarantine/tests/test_trials.py
+++ b/seampond/quarantine/tests/test_trials.py
@@ -3,9 +3,12 @@
 import asyncio
 import unittest
 from collections.abc import Mapping
+from dataclasses import replace
+from unittest.mock import patch
 
 from seampond.clock import ManualClock
 from seampond.errors import ConflictError, UnknownOutcomeError
+from seampond.quarantine import trials as trials_module
 from seampond.quarantine.models import TrialRow
 from seampond.quarantine.trials import TRIAL_PAUSES_MS, Trials
 from seampond.watches import Page, StoreClock, make_version
@@ -38,7 +41,7 @@
             raise ConflictError('changed', step='t')
         self._version += 1
         version = make_version(self.era, self._version)
-        self.rows[request] = TrialRow(row.trials, row.at_ms, version)
+        self.rows[request] = replace(row, version=version)
         self._check(is_down=self.loses_replies)
 
     async def drop_trial(self, request: int, version: int) -> None:
@@ -131,7 +134,8 @@
         """Guards against trials that stay counted after a success."""
         trials = self.gateways[0]
         self.assertTrue(await trials.claim(_REQUEST))
-        await trials.drop(_REQUEST)
+        trials.lift(_REQUEST, self.clock.now())
+        await asyncio.sleep(0.01)
         self.assertEqual(self.table.rows, {})
         self.assertTrue(await trials.claim(_REQUEST))
 
@@ -140,3 +144,21 @@
         trials = self.make_trials()
         trials.table = None
         self.assertFalse(await trials.claim(_REQUEST))
+
+    async def test_row_stays_after_a_success_elsewhere(self) -> None:
+        """The gateway that had it did not know the row, or has ended."""
+        trials = self.gateways[0]
+        self.assertTrue(await trials.claim(_REQUEST))
+        with patch.object(trials_module, '_REMOVAL_DELAYS_MS', (0, 1)):
+            trials.apply_successes({_REQUEST: self.clock.now()})
+            self.assertFalse(trials.is_quarantined(_REQUEST))
+            await asyncio.sleep(0.05)
+        self.assertEqual(self.table.rows, {})
+
+    async def test_row_of_a_later_trial_is_removed(self) -> None:
+        """The success was before its claim."""
+        trials = self.gateways[0]
+        self.assertTrue(await trials.claim(_REQUEST))
+        self.clock.advance(1000)
+        trials.apply_successes({_REQUEST: self.clock.now() - 2000})
+        self.assertTrue(trials.is_quarantined(_REQUEST))
--- a/seampond/quarantine/trials.py
+++ b/seampond/quarantine/trials.py
@@ -7,7 +7,9 @@
 
 import asyncio
 import logging
-from collections.abc import Iterable, Mapping
+import random
+from collections.abc import Mapping
+from contextlib import suppress
 from dataclasses import replace
 from typing import Protocol
 
@@ -15,6 +17,7 @@
 from seampond.errors import ConflictError, PlatformError
 from seampond.quarantine.fingerprints import format_fingerprint
 from seampond.quarantine.models import TrialRow
+from seampond.tasks import TaskSet
 from seampond.watches import StoreClock, era_of
 
 # Pause before each trial since the one before it.  The first is made at once,
@@ -24,6 +27,11 @@
 TRIAL_PAUSES_MS = (0, 10 * MS_PER_SECOND, 10 * MS_PER_MINUTE)
 # Pause after a failed call to the store.
 _FAILURE_PAUSE_MS = 1000
+# Pause between two tries to remove an obsolete row.
+_REMOVAL_PAUSE_MS = 2 * MS_PER_SECOND
+# When other gateways look whether an obsolete row was removed.
+_REMOVAL_DELAYS_MS = (5 * MS_PER_SECOND, MS_PER_MINUTE // 2)
+_READ_PAUSE_MS = 5 * MS_PER_SECOND
 _ROWS_MAX = 1024
 _logger = logging.getLogger(__name__)
 
@@ -69,9 +77,13 @@
         self._store_clock = store_clock
         self._clock = clock
         self._rows: dict[int, TrialRow] = {}
+        # Times of the successes that lifted quarantines, the latest at the end.
+        self._lifted_ms: dict[int, int] = {}
         self._claimed: set[int] = set()
         self._failed_until_ms = 0
+        self._read_ms = 0
         self._lock = asyncio.Lock()
+        self._tasks = TaskSet()
 
     @property
     def is_store_unreachable(self) -> bool:
@@ -100,34 +112,59 @@
         """Claim a trial for this gateway; return True if it succeeds."""
         if self.table is None or self.wait_ms(fingerprint) != 0:
             return False
+        known = self._row(fingerprint)
+        at_ms = self._store_clock.to_store_ms(self._clock.now())
+        row = TrialRow(known.trials + 1, at_ms, known.version)
         self._claimed.add(fingerprint)
         try:
             async with self._lock:
-                return await self._write(self.table, fingerprint)
+                return await self._write(self.table, fingerprint, row)
         finally:
             self._claimed.discard(fingerprint)
 
-    async def drop(self, fingerprint: int) -> None:
-        """Lift the quarantine of a fingerprint after a success."""
-        row = self._rows.pop(fingerprint, None)
-        if row is None or self.table is None:
+    async def close(self) -> None:
+        """Stop using the table."""
+        self.table = None
+        await self._tasks.cancel()
+
+    def lift(self, fingerprint: int, success_ms: int) -> None:
+        """Lift a quarantine after a success at this gateway."""
+        row = self._lift(fingerprint, success_ms)
+        if row is not None:
+            self._tasks.add(self._remove(fingerprint, row))
+
+    def apply_successes(self, successes: Mapping[int, int]) -> None:
+        """Lift quarantines after successes at other gateways.
+
+        Explanation
+        -----------
+        The gateway that had the success removes the row.  It may not have
+        known of it or may have ended since, so the others look later.
+
+        Parameters
+        ----------
+        successes : Mapping[int, int]
+            Times of the successes by fingerprint.
+
+        """
+        for fingerprint, success_ms in successes.items():
+            row = self._lift(fingerprint, success_ms)
+            if row is not None:
+                delay_ms = random.uniform(*_REMOVAL_DELAYS_MS)
+                self._tasks.add(self._remove(fingerprint, row, delay_ms))
+
+    def request_read(self) -> None:
+        """Read the table again unless that was done a short time ago.
+
+        Explanation
+        -----------
+        A gateway may have missed that another one lifted a quarantine.
+        """
+        now_ms = self._clock.now()
+        if self.table is None or now_ms - self._read_ms < _READ_PAUSE_MS:
             return
-        try:
-            async with self._lock:
-                await self.table.drop_trial(fingerprint, row.version)
-        except PlatformError as error:
-            _logger.warning(
-                'quarantine not lifted in the store',
-                extra={
-                    'fingerprint': format_fingerprint(fingerprint),
-                    'reason': error.message,
-                },
-            )
-
-    def forget(self, requests: Iterable[int]) -> None:
-        """Drop the known rows of requests that other gateways cleared."""
-        for fingerprint in requests:
-            self._rows.pop(fingerprint, None)
+        self._read_ms = now_ms
+        self._tasks.add(self._try_read())
 
     async def read(self) -> None:
         """Read the table from the store.
@@ -139,12 +176,69 @@
 
         """
         if self.table is not None:
-            rows = dict(await self.table.read_trials())
+            stored = await self.table.read_trials()
+            rows = {
+                fingerprint: row
+                for fingerprint, row in stored.items()
+                if not self._is_lifted(fingerprint, row)
+            }
             rows.update(self._find_lost_rows(rows, self.table.era))
             newest = sorted(rows.items(), key=lambda row: row[1].version)
             self._rows = dict(newest[-_ROWS_MAX:])
+            self._read_ms = self._clock.now()
             self.is_loaded = True
 
+    def _lift(self, fingerprint: int, success_ms: int) -> TrialRow | None:
+        """Record a success and return the row that it makes obsolete."""
+        row = self._rows.get(fingerprint)
+        if row is None:
+            return None
+        self._lifted_ms.pop(fingerprint, None)
+        self._lifted_ms[fingerprint] = success_ms
+        if len(self._lifted_ms) > _ROWS_MAX:
+            self._lifted_ms.pop(next(iter(self._lifted_ms)))
+        if not self._is_lifted(fingerprint, row):
+            return None
+        return self._rows.pop(fingerprint)
+
+    def _is_lifted(self, fingerprint: int, row: TrialRow) -> bool:
+        """Return True if a success followed the claim of the last trial."""
+        success_ms = self._lifted_ms.get(fingerprint)
+        if success_ms is None:
+            return False
+        return self._store_clock.to_local_ms(row.at_ms) <= success_ms
+
+    async def _remove(
+        self, fingerprint: int, row: TrialRow, delay_ms: float = 0
+    ) -> None:
+        """Remove an obsolete row, when the store can be reached."""
+        await self._clock.sleep(delay_ms)
+        while self.table is not None:
+            try:
+                async with self._lock:
+                    return await self._remove_once(self.table, fingerprint, row)
+            except PlatformError as error:
+                _log_failure(
+                    'quarantine not lifted in the store', fingerprint, error
+                )
+            await self._clock.sleep(_REMOVAL_PAUSE_MS)
+
+    async def _remove_once(
+        self, table: TrialTable, fingerprint: int, row: TrialRow
+    ) -> None:
+        with suppress(ConflictError):
+            return await table.drop_trial(fingerprint, row.version)
+        # Another trial was claimed before the success, or the row has gone.
+        stored = (await table.read_trials()).get(fingerprint)
+        if stored is not None and self._is_lifted(fingerprint, stored):
+            await table.drop_trial(fingerprint, stored.version)
+
+    async def _try_read(self) -> None:
+        try:
+            await self.read()
+        except PlatformError as error:
+            _logger.warning('trials not read', extra={'reason': error.message})
+
     def _find_lost_rows(
         self, rows: Mapping[int, TrialRow], era: int
     ) -> dict[int, TrialRow]:
@@ -163,26 +257,26 @@
         return lost
 
     def _row(self, fingerprint: int) -> TrialRow:
-        """Return the known row of a fingerprint, with no trials after a day.
+        """Return the known row of a fingerprint, with the trials that count.
 
         Explanation
         -----------
         Rows of the store do not expire, while the fault that caused the
-        crashes may have been fixed.
+        crashes may have been fixed: after a day no trial counts.
         """
         row = self._rows.get(fingerprint, TrialRow())
         if not row.trials:
             return row
-        age_ms = self._clock.now() - self._store_clock.to_local_ms(row.at_ms)
-        return TrialRow(version=row.version) if age_ms > MS_PER_DAY else row
-
-    async def _write(self, table: TrialTable, fingerprint: int) -> bool:
-        known = self._row(fingerprint)
-        at_ms = self._store_clock.to_store_ms(self._clock.now())
+        claimed_ms = self._store_clock.to_local_ms(row.at_ms)
+        if self._clock.now() - claimed_ms > MS_PER_DAY:
+            return TrialRow(version=row.version)
+        return row
+
+    async def _write(
+        self, table: TrialTable, fingerprint: int, row: TrialRow
+    ) -> bool:
         try:
-            await table.write_trial(
-                fingerprint, TrialRow(known.trials + 1, at_ms, known.version)
-            )
+            await table.write_trial(fingerprint, row)
         except ConflictError:
             await self._refresh(fingerprint)
             return False
@@ -202,10 +296,17 @@
     def _record_failure(self, fingerprint: int, error: PlatformError) -> None:
         """Pause further trials, since a failed write may still be applied."""
         self._failed_until_ms = self._clock.now() + _FAILURE_PAUSE_MS
-        _logger.warning(
-            'trial not permitted: call to the store failed',
-            extra={
-                'fingerprint': format_fingerprint(fingerprint),
-                'reason': error.message,
-            },
+        _log_failure(
+            'trial not permitted: call to the store failed', fingerprint, error
         )
+
+
+def _log_failure(event: str, fingerprint: int, error: PlatformError) -> None:
+    """Log a failed call to the store."""
+    _logger.warning(
+        event,
+        extra={
+            'fingerprint': format_fingerprint(fingerprint),
+            'reason': error.message,
+        },
+    )
--- a/seampond/tasks.py
+++ b/seampond/tasks.py
@@ -32,6 +32,25 @@
         )
 
 
+class TaskSet:
+    """Background tasks that end by themselves or with their owner."""
+
+    def __init__(self) -> None:
+        """Start without tasks."""
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def add(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        """Run a coroutine in the background."""
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(_log_failure)
+
+    async def cancel(self) -> None:
+        """Cancel the tasks and wait until all have ended."""
+        await cancel_all(list(self._tasks))
+
+
 @asynccontextmanager
 async def run_tasks(
     *coroutines: Coroutine[Any, Any, None],
