An announced end of a server is no crash

Cause: a server that refuses connections after a run on it was cut counts as crashed under the run's fingerprints. A server with a planned end does the same, although it had announced its end: its row said `draining`, or went while it still served. Two such ends quarantine what the cut requests share, unless it succeeded in the 10 s before.

Now `Suspects` knows announced exits by server incarnation. `draining` is final, so it excuses any end of that incarnation. A row that goes excuses only what ends afterwards, since the row of a crashed server lapses later, and not while calls to the store fail. A gateway that has not read the row reports a crash; one that has read it answers in its heartbeats (two new columns, which older builds ignore), and both drop it. A log line tells the cases apart: `request cut by an announced end of its server`.

--- a/seampond/forwarding/backends.py
+++ b/seampond/forwarding/backends.py
@@ -10,13 +10,14 @@
 from seampond.clock import Clock
 from seampond.forwarding.backend import Backend, RemoteLoad
 from seampond.forwarding.connection import Connection, open_connection
-from seampond.forwarding.server import Server
+from seampond.forwarding.server import Listing, Server
 from seampond.forwarding.server_limit import ServerLimit
 from seampond.forwarding.server_signals import ServerSignals
 from seampond.forwarding.signal_state import SignalRegistry
 from seampond.forwarding.speeds import PoolSpeed
 
 ServerCallback = Callable[[Server], None]
+ListingCallback = Callable[[Server, Listing], None]
 _logger = logging.getLogger(__name__)
 
 
@@ -42,6 +43,15 @@
     """Ignore the server."""
 
 
+def _ignore_listing(server: Server, listing: Listing) -> None:
+    """Ignore the server."""
+
+
+def _listing_of(server: Server) -> Listing:
+    """Return what the row of a server says."""
+    return Listing.draining if server.is_draining else Listing.serving
+
+
 def _has_other_version(backend: Backend, server: Server) -> bool:
     """Return True if a row names another version than the one known."""
     known = backend.server
@@ -82,6 +92,9 @@
         Called when a response has reported a limit or its end.
     on_connections_lost : ServerCallback
         Called when all connections to a server have ended.
+    on_listing : ListingCallback
+        Called when a server is listed, announces its end or is not listed any
+        more while its row cannot have lapsed.
     on_restart : ServerCallback
         Called when a later process has replaced that of a server.
     failed_ms : Callable[[], int]
@@ -103,6 +116,7 @@
         self.grace_ms = grace_ms
         self.on_limit: LimitCallback = _ignore_limit
         self.on_connections_lost: ServerCallback = _ignore_server
+        self.on_listing: ListingCallback = _ignore_listing
         self.on_restart: ServerCallback = _ignore_server
         self.failed_ms: Callable[[], int] = _never
         self._proved_ms = 0
@@ -245,6 +259,7 @@
             key = self._hash_name(backend.server.incarnation)
             self.on_limit(key, limit, has_changed=limit.rate != before)
         if reported.is_draining:
+            self.on_listing(backend.server, Listing.draining)
             backend.close_idle_connections()
 
     def apply_limit_report(
@@ -323,6 +338,7 @@
         load = self._remote_loads.get(self._hash_name(server.incarnation))
         signals = self._signals.state_of(server)
         self._signals.apply_row(server, signals)
+        self.on_listing(server, _listing_of(server))
         self._by_id[server.id] = Backend(
             server,
             signals,
@@ -345,6 +361,7 @@
             backend.server = replace(server, started_ms=reported_ms)
             backend.signals.started_ms = reported_ms
             self._signals.apply_row(server, backend.signals)
+            self.on_listing(server, _listing_of(server))
             backend.is_listed = True
             backend.is_readable = True
         # Otherwise the row of an earlier incarnation has arrived late.
@@ -360,6 +377,8 @@
             since_ms = self._proved_ms
             if self.failed_ms() >= since_ms:
                 since_ms = self._clock.now()
+            else:
+                self.on_listing(backend.server, Listing.removed)
             backend.fallback_until_ms = since_ms + self.grace_ms
         backend.close_idle_connections()
         _log('server gone', backend.server, len(self))
--- a/seampond/forwarding/server.py
+++ b/seampond/forwarding/server.py
@@ -1,8 +1,18 @@
 """Servers as registered in the store."""
 
+import enum
 from dataclasses import dataclass
 
 
+@enum.unique
+class Listing(enum.Enum):
+    """What the list of servers says of a server."""
+
+    serving = 'serving'
+    draining = 'draining'
+    removed = 'removed'
+
+
 @dataclass(frozen=True, slots=True)
 class Server:
     """One server as registered in the store.
--- a/seampond/gateway/components.py
+++ b/seampond/gateway/components.py
@@ -135,7 +135,9 @@
         self.rollout_follower.manager.apply_reports(
             heartbeat.name, heartbeat.incarnation, heartbeat.rollouts
         )
-        self.quarantine.apply_reports(heartbeat.crashes, heartbeat.successes)
+        self.quarantine.apply_reports(
+            heartbeat.crashes, heartbeat.successes, heartbeat.exits
+        )
         self.permit_manager.apply_reports(heartbeat.limit_reports)
         # Pages go first: proofs trigger reads of the changes still missing.
         for relayed in heartbeat.pages:
@@ -189,6 +191,7 @@
             rollouts=self.rollout_follower.manager.build_reports(),
             crashes=tuple(self.quarantine.suspects.list_crash_reports()),
             successes=self.quarantine.suspects.list_cleared(),
+            exits=self.quarantine.suspects.exits.list_reports(),
             limit_reports=self.permit_manager.collect_reports(),
             issues_permits=True,
             keeps_origins=True,
--- a/seampond/gateway/quarantine.py
+++ b/seampond/gateway/quarantine.py
@@ -1,11 +1,13 @@
 """Construction of the quarantine of a gateway."""
 
+import functools
 import random
 from collections.abc import Callable
 
 from seampond.clock import Clock
 from seampond.forwarding.backends import Backends
 from seampond.forwarding.connection import open_connection
+from seampond.forwarding.server import Listing, Server
 from seampond.forwarding.server_checks import ServerChecks
 from seampond.metrics.gateway import GatewayMetrics
 from seampond.platform import HEADERS
@@ -33,8 +35,9 @@
         Called to send a heartbeat without delay.
 
     """
+    suspects = Suspects(clock, lambda: peers.heartbeat_interval_ms)
     quarantine = Quarantine(
-        Suspects(clock, lambda: peers.heartbeat_interval_ms),
+        suspects,
         Trials(store_clock, clock),
         LocalTrials(lambda: peers.count, clock, random.Random()),
         hash_name,
@@ -59,5 +62,23 @@
     quarantine.runs.on_unclear = checks.request
     backends.on_connections_lost = checks.request
     backends.on_restart = quarantine.runs.record_restart
+    backends.on_listing = functools.partial(_apply_listing, suspects, clock)
     metrics.suspects.set_function(lambda: len(quarantine.suspects))
     return quarantine
+
+
+def _apply_listing(
+    suspects: Suspects, clock: Clock, server: Server, listing: Listing
+) -> None:
+    """Record whether the end of a server is announced."""
+    incarnation = hash_name(server.incarnation)
+    if listing is Listing.serving:
+        suspects.exits.record_listed(
+            incarnation, is_unique=server.started_ms > 0
+        )
+        return
+    if listing is Listing.draining:
+        suspects.exits.record_draining(incarnation)
+    else:
+        suspects.exits.record_removed(incarnation, clock.now())
+    suspects.drop_announced(incarnation)
--- a/seampond/quarantine/quarantine.py
+++ b/seampond/quarantine/quarantine.py
@@ -142,6 +142,7 @@
         self,
         crashes: Iterable[CrashReport],
         successes: Mapping[int, int],
+        exits: Mapping[int, int],
     ) -> None:
         """Apply what another gateway's heartbeat reports.
 
@@ -149,9 +150,11 @@
         ----------
         successes : Mapping[int, int]
             Ages of successes by fingerprint.
+        exits : Mapping[int, int]
+            Ages of announced exits by server incarnation.
 
         """
-        self.suspects.apply_reports(crashes, successes)
+        self.suspects.apply_reports(crashes, successes, exits)
         now_ms = self._clock.now()
         self.trials.apply_successes(
             {
@@ -197,6 +200,13 @@
 
     def _add_crash(self, run: InterruptedRun) -> None:
         """Blame the fingerprints of a run for the crash of its server."""
+        now_ms = self._clock.now()
+        if self.suspects.exits.is_announced(run.incarnation, now_ms):
+            _logger.info(
+                'request cut by an announced end of its server',
+                extra={'fingerprint': format_fingerprint(run.fingerprints[0])},
+            )
+            return
         for fingerprint in run.fingerprints:
             before = self.suspects.count_crashes(fingerprint)
             self.suspects.record_crash(
--- a/seampond/quarantine/suspects.py
+++ b/seampond/quarantine/suspects.py
@@ -9,8 +9,10 @@
 from collections import OrderedDict
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
+from types import MappingProxyType
 
 from seampond.clock import MS_PER_DAY, MS_PER_MINUTE, Clock
+from seampond.quarantine.exits import AnnouncedExits
 from seampond.quarantine.models import Crash, CrashReport
 
 # Number of crashes that quarantine a fingerprint.  A single crash also
@@ -29,6 +31,7 @@
 _CLEANUP_INTERVAL_MS = 1000
 _SUSPECT_TTL_MS = 10 * MS_PER_MINUTE
 _QUARANTINED_TTL_MS = MS_PER_DAY
+_NO_EXITS: Mapping[int, int] = MappingProxyType({})
 
 
 def _default_heartbeat_ms() -> float:
@@ -106,6 +109,11 @@
     heartbeat_ms : Callable[[], float]
         Returns the interval of regular heartbeats.
 
+    Attributes
+    ----------
+    exits : AnnouncedExits
+        Announced ends of servers, which are no crashes.
+
     Examples
     --------
     >>> suspects = Suspects(Clock(lambda: 0))
@@ -129,6 +137,7 @@
         """Start without suspects."""
         self._clock = clock
         self._heartbeat_ms = heartbeat_ms
+        self.exits = AnnouncedExits(clock)
         self._suspects: dict[int, Suspect] = {}
         # Time of the last success by fingerprint, the latest at the end.
         self._success_ms: OrderedDict[int, int] = OrderedDict()
@@ -246,8 +255,9 @@
         self,
         crashes: Iterable[CrashReport],
         successes: Mapping[int, int],
+        exits: Mapping[int, int] = _NO_EXITS,
     ) -> None:
-        """Apply crashes and ages of successes from another gateway.
+        """Apply crashes, ages of successes and exits from another gateway.
 
         Explanation
         -----------
@@ -255,6 +265,8 @@
         refuted since.  It is told so in the next heartbeats.
         """
         now_ms = self._clock.now()
+        for incarnation in self.exits.apply_reports(exits):
+            self.drop_announced(incarnation)
         for report in crashes:
             crash = Crash(
                 report.incarnation,
@@ -262,7 +274,7 @@
                 now_ms - report.crash_age_ms,
             )
             if self._is_refuted(report.fingerprint, crash):
-                self._report_cleared(report.fingerprint)
+                self._report_refutation(report.fingerprint, crash)
             else:
                 self._add(
                     report.fingerprint, crash, had_success=report.had_success
@@ -272,6 +284,17 @@
             self._clear(fingerprint, now_ms - age_ms)
         self._remove_expired()
 
+    def drop_announced(self, incarnation: int) -> None:
+        """Drop the crashes of an incarnation that were announced exits."""
+        for fingerprint, suspect in list(self._suspects.items()):
+            crash = suspect.crashes.get(incarnation)
+            if crash is None:
+                continue
+            if self.exits.is_announced(incarnation, crash.at_ms):
+                suspect.crashes.pop(incarnation)
+            if not suspect.crashes:
+                self._suspects.pop(fingerprint)
+
     @property
     def _report_ms(self) -> float:
         """How long something is reported."""
@@ -286,13 +309,21 @@
 
     def _is_refuted(self, fingerprint: int, crash: Crash) -> bool:
         """Return True if a crash does not count against a fingerprint."""
-        return self._last_success_ms(fingerprint) >= crash.at_ms
+        return (
+            self.exits.is_announced(crash.incarnation, crash.at_ms)
+            or self._last_success_ms(fingerprint) >= crash.at_ms
+        )
+
+    def _report_refutation(self, fingerprint: int, crash: Crash) -> None:
+        """Report to the other gateways why a crash does not count."""
+        if self.exits.is_announced(crash.incarnation, crash.at_ms):
+            self.exits.report(crash.incarnation, self._report_ms)
+        else:
+            success_ms = int(self._last_success_ms(fingerprint))
+            self.record_cleared(fingerprint, success_ms)
 
     def _report_cleared(self, fingerprint: int) -> None:
         """Report the last success to the other gateways for a while."""
-        self._record_cleared(
-            fingerprint, int(self._last_success_ms(fingerprint))
-        )
         self._report_until_ms.pop(fingerprint, None)
         until_ms = self._clock.now() + self._report_ms
         self._report_until_ms[fingerprint] = until_ms
--- a/seampond/quarantine/tests/test_suspects.py
+++ b/seampond/quarantine/tests/test_suspects.py
@@ -157,6 +157,36 @@
         self.knowing = Suspects(self.clock)
         self.other = Suspects(self.clock)
 
+    def test_gateway_that_has_not_read_the_row_blames_a_planned_end(
+        self,
+    ) -> None:
+        """Its peer knows that the servers drained, and says so."""
+        for incarnation in range(QUARANTINE_CRASHES):
+            self.knowing.exits.record_draining(incarnation)
+            self.other.record_crash(_REQUEST, incarnation, self.clock.now())
+        self.clock.advance(20)
+        self._exchange()
+        for suspects in (self.knowing, self.other):
+            self.assertEqual(suspects.count_crashes(_REQUEST), 0)
+        # Nothing is left to report.
+        self.clock.advance(5000)
+        self.assertEqual(self.other.list_crash_reports(), [])
+        self.assertEqual(self.knowing.exits.list_reports(), {})
+
+    def test_row_that_goes_after_a_crash_excuses_it(self) -> None:
+        """A server that has crashed is silent, so its row lapses later."""
+        for incarnation in range(QUARANTINE_CRASHES):
+            self.other.record_crash(_REQUEST, incarnation, self.clock.now())
+            self.clock.advance(3000)
+            now_ms = self.clock.now()
+            for suspects in (self.knowing, self.other):
+                suspects.exits.record_removed(incarnation, now_ms)
+                suspects.drop_announced(incarnation)
+        self._exchange()
+        for suspects in (self.knowing, self.other):
+            crash_count = suspects.count_crashes(_REQUEST)
+            self.assertEqual(crash_count, QUARANTINE_CRASHES)
+
     def test_gateway_that_missed_the_success_stays_quarantined(self) -> None:
         """It repeats its crashes, and hears again that they are cleared."""
         for incarnation in range(QUARANTINE_CRASHES):
@@ -179,4 +209,5 @@
             receiver.apply_reports(
                 sender.list_crash_reports(),
                 sender.list_cleared(),
+                sender.exits.list_reports(),
             )
--- a/seampond/sharing/heartbeat.capnp
+++ b/seampond/sharing/heartbeat.capnp
@@ -39,6 +39,8 @@
   keepsOrigins @31 :Bool;
   lendsRetries @32 :Bool;
   lendsConnections @33 :Bool;
+  exitLives @34 :List(UInt64);
+  exitAgoMs @35 :List(UInt32);
 }
 
 struct Rollout {
--- a/seampond/sharing/heartbeats.py
+++ b/seampond/sharing/heartbeats.py
@@ -100,6 +100,9 @@
     successes : Mapping[int, int]
         By fingerprint, milliseconds since a successful answer to a request
         that is suspected of crashes.
+    exits : Mapping[int, int]
+        By hash of the server's incarnation, milliseconds since its end was
+        announced.
     limit_reports : Mapping[int, LimitReport]
         Limits reported by servers, by hash of the server's incarnation.
     issues_permits : bool
@@ -134,6 +137,7 @@
     keeps_origins: bool = False
     lends_retries: bool = False
     lends_connections: bool = False
+    exits: Mapping[int, int] = field(default_factory=dict)
 
 
 @functools.cache
@@ -301,6 +305,10 @@
         keepsOrigins=heartbeat.keeps_origins,
         lendsRetries=heartbeat.lends_retries,
         lendsConnections=heartbeat.lends_connections,
+        exitLives=list(heartbeat.exits),
+        exitAgoMs=[
+            _clamp_uint32(ago_ms) for ago_ms in heartbeat.exits.values()
+        ],
     )
     packed: bytes = message.to_bytes_packed()
     return packed
@@ -352,6 +360,7 @@
             reader.keepsOrigins,
             reader.lendsRetries,
             reader.lendsConnections,
+            _zip_columns(reader.exitLives, reader.exitAgoMs),
         )
     except _DECODE_ERRORS as error:
         raise ForeignMessageError(
