A trial without a result does not count once it is known to be harmless

Cause: a claim raised the count in the row, and only a success lowered it.

Now the row also tells the server incarnation that the trial was sent to, written before the send, and when its request has ended at the latest. From 3 s after that on the last trial does not count if it was not sent, or if that incarnation is still listed or had announced its end. Otherwise it counts as before, so a part that crashes its servers still ends five of them at most, also through a loss of all gateways. Rows of earlier builds count as before.

Tests, failing before: test_trial_that_was_not_sent_counts, test_trial_whose_server_goes_on_counts.

--- a/seampond/forwarding/attempt.py
+++ b/seampond/forwarding/attempt.py
@@ -132,6 +132,10 @@
         self.progress.tried_servers.add(self.backend.server.id)
 
     async def _connect_and_send(self) -> Outcome:
+        if not await self.quarantine.record_trial_server(
+            self.progress.job, self.backend.server
+        ):
+            return Outcome.unreachable
         try:
             connection = await self.backends.acquire_connection(
                 self.backend, self.progress.job.request_id
--- a/seampond/forwarding/job.py
+++ b/seampond/forwarding/job.py
@@ -105,6 +105,8 @@
     crash_count : int
         Number of servers that crashed while they ran it, earlier tries
         included.
+    stored_trial : int or None
+        Fingerprint whose trial was claimed in the store for it.
     is_concurrent_duplicate : bool
         Whether the same request is running in this gateway and has not
         succeeded yet.
@@ -144,6 +146,7 @@
     crash_count: int = 0
     is_concurrent_duplicate: bool = False
     is_trial: bool = False
+    stored_trial: int | None = None
     permit: Permit | None = None
     origin: StreamOrigin | None = None
     resumption: Resumption | None = None
--- a/seampond/gateway/quarantine.py
+++ b/seampond/gateway/quarantine.py
@@ -11,6 +11,7 @@
 from seampond.forwarding.server_checks import ServerChecks
 from seampond.metrics.gateway import GatewayMetrics
 from seampond.platform import HEADERS
+from seampond.quarantine.exits import AnnouncedExits
 from seampond.quarantine.local_trials import LocalTrials
 from seampond.quarantine.quarantine import Quarantine
 from seampond.quarantine.suspects import Suspects
@@ -38,7 +39,11 @@
     suspects = Suspects(clock, lambda: peers.heartbeat_interval_ms)
     quarantine = Quarantine(
         suspects,
-        Trials(store_clock, clock),
+        Trials(
+            store_clock,
+            clock,
+            functools.partial(_has_survived, backends, suspects.exits),
+        ),
         LocalTrials(lambda: peers.count, clock, random.Random()),
         hash_name,
         notify_peers,
@@ -82,3 +87,12 @@
     else:
         suspects.exits.record_removed(incarnation, clock.now())
     suspects.drop_announced(incarnation)
+
+
+def _has_survived(
+    backends: Backends, exits: AnnouncedExits, incarnation: int, since_ms: int
+) -> bool:
+    """Return True if a server is known not to have crashed since a time."""
+    backend = backends.find_incarnation(incarnation)
+    is_listed = backend is not None and backend.is_listed
+    return is_listed or exits.is_announced(incarnation, since_ms)
--- a/seampond/platform/quarantine.py
+++ b/seampond/platform/quarantine.py
@@ -22,6 +22,8 @@
 
     trials: NonNegativeInt
     at_ms: NonNegativeInt
+    until_ms: NonNegativeInt | None = None
+    incarnation: str = ''
 
 
 class QuarantineTable:
@@ -53,7 +55,14 @@
     async def write_trial(self, fingerprint: int, row: TrialRow) -> None:
         """Write a row if the stored one still has its version."""
         name = (names.QUARANTINE_TABLE, format_fingerprint(fingerprint))
-        content = msgspec.json.encode(_Trial(row.trials, row.at_ms))
+        content = msgspec.json.encode(
+            _Trial(
+                row.trials,
+                row.at_ms,
+                row.until_ms,
+                format_fingerprint(row.incarnation),
+            )
+        )
         await self._table.commit(
             RowTransaction({name: row.version}, {name: content})
         )
@@ -65,4 +74,10 @@
 
 def _parse(row: Row) -> TrialRow:
     trial = decode_row(row.content, _Trial, step='quarantine', peer=row.key)
-    return TrialRow(trial.trials, trial.at_ms, row.version)
+    return TrialRow(
+        trial.trials,
+        trial.at_ms,
+        row.version,
+        trial.until_ms,
+        int(trial.incarnation or '0', _HEX_BASE),
+    )
--- a/seampond/quarantine/models.py
+++ b/seampond/quarantine/models.py
@@ -55,9 +55,16 @@
         When the last trial was claimed, on the store's monotonic clock.
     version : int
         Version of the row, 0 if there is none.
+    until_ms : int or None
+        When the last trial has ended at the latest, on the store's clock;
+        None if that or its server is unknown.
+    incarnation : int
+        Key of the server incarnation of the last trial, 0 if it was not sent.
 
     """
 
     trials: int = 0
     at_ms: int = 0
     version: int = 0
+    until_ms: int | None = None
+    incarnation: int = 0
--- a/seampond/quarantine/quarantine.py
+++ b/seampond/quarantine/quarantine.py
@@ -9,6 +9,7 @@
 from seampond.clock import MS_PER_MINUTE, MS_PER_SECOND, Clock
 from seampond.forwarding.job import Job
 from seampond.forwarding.refusals import Cause, Refusal
+from seampond.forwarding.server import Server
 from seampond.quarantine.fingerprints import format_fingerprint
 from seampond.quarantine.interrupted import InterruptedRun
 from seampond.quarantine.local_trials import LocalTrials
@@ -73,6 +74,7 @@
         self._notify_peers = notify_peers
         self._count_trial = count_trial
         self._clock = clock
+        self._hash_name = hash_name
         self._active: Counter[int] = Counter()
         self._active_ended = asyncio.Event()
         self.runs = RunOutcomes(hash_name, self._add_crash, self._clear, clock)
@@ -138,6 +140,14 @@
             job.is_trial = job.is_trial and job.attempts == attempts_before
             self._release(job)
 
+    async def record_trial_server(self, job: Job, server: Server) -> bool:
+        """Record where a job is sent on trial; return True if it may be."""
+        if not job.is_trial or job.stored_trial is None:
+            return True
+        # A later start of a server that does not tell its start looks alike.
+        key = self._hash_name(server.incarnation) if server.started_ms else 0
+        return await self.trials.record_server(job.stored_trial, key)
+
     def apply_reports(
         self,
         crashes: Iterable[CrashReport],
@@ -288,13 +298,15 @@
 
     async def _claim_trial(self, job: Job) -> None:
         tried = self._select_tried(job)
-        is_claimed = await self.trials.claim(tried) or (
+        is_stored = await self.trials.claim(tried, job.deadline_ms)
+        is_claimed = is_stored or (
             self._is_local_due(tried) and self._local_trials.claim(tried)
         )
         self._count_trial('given' if is_claimed else 'refused')
         if not is_claimed:
             raise self._refuse(job)
         job.is_trial = True
+        job.stored_trial = tried if is_stored else None
         _logger.info(
             'trial of a quarantined request',
             extra={
--- a/seampond/quarantine/tests/test_trials.py
+++ b/seampond/quarantine/tests/test_trials.py
@@ -14,6 +14,7 @@
 from seampond.watches import Page, StoreClock, make_version
 
 _REQUEST = 7
+_INCARNATION = 11
 
 
 class InMemoryTable:
@@ -61,13 +62,14 @@
         """Create the table and two gateways."""
         self.clock = ManualClock(1000)
         self.table = InMemoryTable()
+        self.survivors: set[int] = set()
         self.gateways = [self.make_trials() for _ in range(2)]
 
     def make_trials(self) -> Trials:
         """Return the trials of a gateway that has just started."""
         store_clock = StoreClock()
         store_clock.update(Page((), 1, 5000, 1000, 1000, is_snapshot=False))
-        trials = Trials(store_clock, self.clock)
+        trials = Trials(store_clock, self.clock, self._has_survived)
         trials.table = self.table
         return trials
 
@@ -145,6 +147,41 @@
         trials.table = None
         self.assertFalse(await trials.claim(_REQUEST))
 
+    async def test_trial_that_was_not_sent_counts(self) -> None:
+        """Its caller left, or its gateway ended, before a server had it."""
+        await self._end_trials_without_result()
+        self.assertEqual(self.table.rows[_REQUEST].trials, 1)
+
+    async def test_trial_whose_server_goes_on_counts(self) -> None:
+        """Its gateway ended, or its caller left, before there was a result."""
+        self.survivors.add(_INCARNATION)
+        await self._end_trials_without_result(_INCARNATION)
+        self.assertEqual(self.table.rows[_REQUEST].trials, 1)
+
+    async def test_trial_whose_server_is_unknown_does_not_count(self) -> None:
+        """It may have crashed its server just before its gateway ended."""
+        await self._end_trials_without_result(_INCARNATION)
+        self.assertEqual(self.table.rows[_REQUEST].trials, 3)
+
+    async def test_trial_of_a_server_without_a_start_does_not_count(
+        self,
+    ) -> None:
+        """A later process of the server would look alike."""
+        self.survivors.add(0)
+        await self._end_trials_without_result(0)
+        self.assertEqual(self.table.rows[_REQUEST].trials, 3)
+
+    async def test_trial_counts_less_while_its_request_runs(self) -> None:
+        """Its server may still crash under it."""
+        trials = self.gateways[0]
+        self.survivors.add(_INCARNATION)
+        deadline_ms = self.clock.now() + 15_000
+        self.assertTrue(await trials.claim(_REQUEST, deadline_ms))
+        self.assertTrue(await trials.record_server(_REQUEST, _INCARNATION))
+        self.clock.advance(12_000)
+        self.assertTrue(await trials.claim(_REQUEST, deadline_ms + 12_000))
+        self.assertEqual(self.table.rows[_REQUEST].trials, 2)
+
     async def test_row_stays_after_a_success_elsewhere(self) -> None:
         """The gateway that had it did not know the row, or has ended."""
         trials = self.gateways[0]
@@ -162,3 +199,20 @@
         self.clock.advance(1000)
         trials.apply_successes({_REQUEST: self.clock.now() - 2000})
         self.assertTrue(trials.is_quarantined(_REQUEST))
+
+    async def _end_trials_without_result(
+        self, incarnation: int | None = None
+    ) -> None:
+        """Claim every trial that is due, each at a gateway that then ends."""
+        for _ in range(60):
+            trials = self.make_trials()
+            await trials.read()
+            deadline_ms = self.clock.now() + 15_000
+            is_claimed = await trials.claim(_REQUEST, deadline_ms)
+            if is_claimed and incarnation is not None:
+                is_recorded = await trials.record_server(_REQUEST, incarnation)
+                self.assertTrue(is_recorded)
+            self.clock.advance(20_000)
+
+    def _has_survived(self, incarnation: int, since_ms: int) -> bool:
+        return incarnation in self.survivors
--- a/seampond/quarantine/trials.py
+++ b/seampond/quarantine/trials.py
@@ -8,7 +8,7 @@
 import asyncio
 import logging
 import random
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from contextlib import suppress
 from dataclasses import replace
 from typing import Protocol
@@ -16,6 +16,7 @@
 from seampond.clock import MS_PER_DAY, MS_PER_MINUTE, MS_PER_SECOND, Clock
 from seampond.errors import ConflictError, PlatformError
 from seampond.quarantine.fingerprints import format_fingerprint
+from seampond.quarantine.interrupted import RESTART_SEEN_MS
 from seampond.quarantine.models import TrialRow
 from seampond.tasks import TaskSet
 from seampond.watches import StoreClock, era_of
@@ -53,13 +54,29 @@
         """Remove a row if it has this version."""
 
 
+def _is_unknown(incarnation: int, since_ms: int) -> bool:
+    """Return that a server is not known to have survived."""
+    return False
+
+
 class Trials:
     """Claims trials of quarantined requests in the store.
 
+    Explanation
+    -----------
+    A trial counts until it is known to have been harmless.  A success lifts
+    the quarantine.  A trial without a result does not count once its request
+    must have ended, if it was not sent or its server is known to have
+    survived it.  Any gateway can tell, so it also does not matter if the
+    gateway that claimed the trial has ended.
+
     Parameters
     ----------
     store_clock : StoreClock
         Converts between the store's clock and the local one.
+    has_survived : Callable[[int, int], bool]
+        Returns whether the server incarnation with a key is known not to have
+        crashed since a time.
 
     Attributes
     ----------
@@ -70,12 +87,18 @@
 
     """
 
-    def __init__(self, store_clock: StoreClock, clock: Clock) -> None:
+    def __init__(
+        self,
+        store_clock: StoreClock,
+        clock: Clock,
+        has_survived: Callable[[int, int], bool] = _is_unknown,
+    ) -> None:
         """Start without a table."""
         self.table: TrialTable | None = None
         self.is_loaded = True
         self._store_clock = store_clock
         self._clock = clock
+        self._has_survived = has_survived
         self._rows: dict[int, TrialRow] = {}
         # Times of the successes that lifted quarantines, the latest at the end.
         self._lifted_ms: dict[int, int] = {}
@@ -108,13 +131,27 @@
         due_ms += TRIAL_PAUSES_MS[row.trials]
         return max(0, due_ms - now_ms, self._failed_until_ms - now_ms)
 
-    async def claim(self, fingerprint: int) -> bool:
-        """Claim a trial for this gateway; return True if it succeeds."""
+    async def claim(
+        self, fingerprint: int, deadline_ms: int | None = None
+    ) -> bool:
+        """Claim a trial for this gateway; return True if it succeeds.
+
+        Parameters
+        ----------
+        deadline_ms : int or None
+            When its request ends at the latest.  If it is None, the trial
+            counts whatever becomes of it.
+
+        """
         if self.table is None or self.wait_ms(fingerprint) != 0:
             return False
         known = self._row(fingerprint)
-        at_ms = self._store_clock.to_store_ms(self._clock.now())
-        row = TrialRow(known.trials + 1, at_ms, known.version)
+        row = TrialRow(
+            known.trials + 1,
+            self._store_clock.to_store_ms(self._clock.now()),
+            known.version,
+            self._to_store_ms(deadline_ms),
+        )
         self._claimed.add(fingerprint)
         try:
             async with self._lock:
@@ -122,6 +159,26 @@
         finally:
             self._claimed.discard(fingerprint)
 
+    async def record_server(self, fingerprint: int, incarnation: int) -> bool:
+        """Record where the claimed trial is sent; return True if it may be.
+
+        Parameters
+        ----------
+        incarnation : int
+            Key of the server incarnation, 0 if a restart of the server would
+            not change it.  Then the trial counts unless it succeeds.
+
+        """
+        row = self._rows.get(fingerprint)
+        if self.table is None or row is None:
+            return False
+        if row.until_ms is None:
+            return True
+        until_ms = row.until_ms if incarnation else None
+        row = replace(row, until_ms=until_ms, incarnation=incarnation)
+        async with self._lock:
+            return await self._write(self.table, fingerprint, row)
+
     async def close(self) -> None:
         """Stop using the table."""
         self.table = None
@@ -270,8 +327,27 @@
         claimed_ms = self._store_clock.to_local_ms(row.at_ms)
         if self._clock.now() - claimed_ms > MS_PER_DAY:
             return TrialRow(version=row.version)
+        if self._is_inconclusive(row):
+            return replace(row, trials=row.trials - 1)
         return row
 
+    def _is_inconclusive(self, row: TrialRow) -> bool:
+        """Return True if the last trial ended without any sign of a crash."""
+        if row.until_ms is None:
+            return False
+        ended_ms = self._store_clock.to_local_ms(row.until_ms)
+        if self._clock.now() < ended_ms + RESTART_SEEN_MS:
+            return False
+        claimed_ms = self._store_clock.to_local_ms(row.at_ms)
+        return not row.incarnation or self._has_survived(
+            row.incarnation, claimed_ms
+        )
+
+    def _to_store_ms(self, local_ms: int | None) -> int | None:
+        if local_ms is None:
+            return None
+        return self._store_clock.to_store_ms(local_ms)
+
     async def _write(
         self, table: TrialTable, fingerprint: int, row: TrialRow
     ) -> bool:
