Limit what the answers of all servers hold

What callers saw: on a gateway before servers that send bodies or events slowly and without end, the memory passes that of its machine. The process ends, and with it the requests of sound servers.

Cause: each answer is limited and their sum is not. Chunks and headers are counted by their bytes, though each is an object of several times that size.

Now `AnswerMemory` counts what connections, their readers and kept error answers hold (`answers.memory_bytes`, a tenth of the machine's memory, 16 MiB at most). When it is short, the server whose answers hold most gives up the one that has used most for the longest time. Sound answers end soon and are not chosen; a single answer always fits. Chunks are joined as they arrive, an answer has 1000 header lines at most, and the rest of an event is dropped with its run.

--- a/seampond/forwarding/attempt.py
+++ b/seampond/forwarding/attempt.py
@@ -162,6 +162,8 @@
             )
             raise
         finally:
+            # The rest of an event is not counted once the connection is free.
+            self.progress.splitter.restart()
             self.backends.release_connection(
                 self.backend, connection, keep_alive_ms
             )
@@ -268,9 +270,13 @@
     ) -> Outcome:
         body = await connection.read_body(_BODY_MAX_BYTES)
         await self._check_survival(connection, head)
+        connection.held.check('body')
         if head.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
             self.backend.record_failure(self.clock.now(), _ERRORS_BEFORE_PAUSE)
-            self.progress.fallback_answer = BufferedAnswer(head, body)
+            self.progress.keep_fallback(
+                BufferedAnswer(head, body, self.backend.server.address),
+                self.backends.answer_memory,
+            )
             return Outcome.failed
         sink = self.progress.sink
         if sink.has_started:
@@ -278,6 +284,8 @@
                 f'status {head.status} in answer to a resumed stream'
             )
         self._record_first_byte()
+        # From here on it counts as an answer that the caller has not read.
+        connection.held.retain(0)
         await sink.start(head, len(body))
         await sink.send(body)
         await sink.finish()
@@ -319,8 +327,11 @@
             )
             self._record_chunk(chunk_count)
             events = progress.splitter.feed(chunk)
+            retained = progress.splitter.remaining_bytes
+            connection.held.retain(retained + len(events.payload))
             if events.payload:
                 await self._pass_on(events, connection, head)
+                connection.held.retain(retained)
             if events.fault:
                 raise self._make_error(events.fault, cut=Cut.not_event)
             if progress.splitter.remaining_bytes > _EVENT_MAX_BYTES:
--- a/seampond/forwarding/backends.py
+++ b/seampond/forwarding/backends.py
@@ -8,6 +8,7 @@
 from typing import Protocol
 
 from seampond.clock import Clock
+from seampond.forwarding.answer_memory import make_unlimited_memory
 from seampond.forwarding.backend import Backend, RemoteLoad
 from seampond.forwarding.connection import Connection, open_connection
 from seampond.forwarding.server import Listing, Server
@@ -88,6 +89,8 @@
 
     Attributes
     ----------
+    answer_memory : AnswerMemory
+        Limits what the answers of all servers hold together.
     on_limit : LimitCallback
         Called when a response has reported a limit or its end.
     on_connections_lost : ServerCallback
@@ -114,6 +117,7 @@
         """Start without servers."""
         self.connection_limit = connection_limit
         self.grace_ms = grace_ms
+        self.answer_memory = make_unlimited_memory(clock)
         self.on_limit: LimitCallback = _ignore_limit
         self.on_connections_lost: ServerCallback = _ignore_server
         self.on_listing: ListingCallback = _ignore_listing
@@ -315,7 +319,10 @@
 
         """
         connection = await open_connection(
-            backend.server.address, self._clock, self._id_header
+            backend.server.address,
+            self._clock,
+            self._id_header,
+            memory=self.answer_memory,
         )
         backend.connections.add(connection)
         connection.on_lost = functools.partial(_report_exit, self, backend)
--- a/seampond/forwarding/connection.py
+++ b/seampond/forwarding/connection.py
@@ -9,6 +9,11 @@
 import httptools
 
 from seampond.clock import MS_PER_SECOND, Clock
+from seampond.forwarding.answer_memory import (
+    AnswerBuffer,
+    AnswerMemory,
+    make_unlimited_memory,
+)
 from seampond.forwarding.response_head import (
     AnswerEnd,
     AnswerSizeError,
@@ -19,6 +24,7 @@
 
 _HIGH_WATER_BYTES = 262_144
 _MAX_BYTES_WITHOUT_BODY = 65_536
+_FIELDS_MAX = 1000
 _FIRST_STATUS = 100
 _LAST_STATUS = 599
 _FIRST_FINAL_STATUS = 200
@@ -45,9 +51,13 @@
     id_header : bytes
         Lower-case name of the header in which answers repeat the request id;
         empty if they do not.
+    memory : AnswerMemory
+        Counts what the connection holds of its answer.
 
     Attributes
     ----------
+    held : AnswerBuffer
+        What it and its reader hold of the current answer.
     received_bytes : int
         Number of bytes received of the body of the current answer.
     connected_ms : int
@@ -78,11 +88,14 @@
     _error: str
     _is_lost: bool
     _is_orderly: bool
-    _chunks: 'deque[bytes]'
-    _buffered_bytes: int
-    _bytes_without_body: int
 
-    def __init__(self, peer: str, clock: Clock, id_header: bytes) -> None:
+    def __init__(
+        self,
+        peer: str,
+        clock: Clock,
+        id_header: bytes,
+        memory: AnswerMemory | None = None,
+    ) -> None:
         """Initialize an unconnected protocol."""
         self.peer = peer
         self.idle_until_ms = 0
@@ -95,6 +108,9 @@
         self.on_lost: Callable[[], None] = _do_nothing
         self.carried_ids: deque[bytes] = deque(maxlen=_CARRIED_IDS)
         self._clock = clock
+        self.held = AnswerBuffer(
+            peer, memory or make_unlimited_memory(clock), self.close
+        )
         self._id_header = id_header
         self._transport: asyncio.Transport | None = None
         self._request_id = b''
@@ -152,6 +168,7 @@
 
         """
         while not self._has_head:
+            self.held.check('head')
             await self._wait_for_data('head')
         return self._head
 
@@ -164,16 +181,16 @@
             If the answer was cut short.
 
         """
-        while not self._chunks:
+        self.held.check('body')
+        while not self.held.received:
             if self._is_complete:
                 return None
             await self._wait_for_data('body')
-        chunk = b''.join(self._chunks)
-        self._chunks.clear()
-        if self._buffered_bytes > _HIGH_WATER_BYTES and self._transport:
+            self.held.check('body')
+        chunk = self.held.take()
+        if self.is_paused and self._transport:
             self._transport.resume_reading()
             self.is_paused = False
-        self._buffered_bytes = 0
         return chunk
 
     async def read_body(
@@ -196,8 +213,7 @@
             If no chunk arrived in time.
 
         """
-        chunks: list[bytes] = []
-        size = 0
+        body = bytearray()
         seconds = (
             None if idle_timeout_ms is None else idle_timeout_ms / MS_PER_SECOND
         )
@@ -207,10 +223,10 @@
             async with asyncio.timeout(seconds):
                 chunk = await self.read_chunk()
             if chunk is None:
-                return b''.join(chunks)
-            chunks.append(chunk)
-            size += len(chunk)
-            _check_size(size, max_bytes, self.peer)
+                return bytes(body)
+            body += chunk
+            self.held.retain(len(body))
+            _check_size(len(body), max_bytes, self.peer)
 
     def close(self) -> None:
         """Abort the connection, which cancels the request."""
@@ -235,10 +251,14 @@
         is_reusable = (
             self._is_complete and is_intact and is_sent and not is_closing
         )
+        self.held.clear()
         if not is_reusable or keep_alive_ms is None or keep_alive_ms <= 0:
             self.close()
             return False
         self._request_id = b''
+        # An idle connection keeps nothing of its last answer.
+        self._head = ResponseHead()
+        self._parsed_head = self._head
         self.idle_until_ms = self._clock.now() + keep_alive_ms
         return True
 
@@ -261,16 +281,17 @@
         except httptools.HttpParserUpgrade:
             self._fail('unexpected protocol upgrade')
         if self._is_complete or self.received_bytes > body_bytes:
-            self._bytes_without_body = 0
+            self.held.framing_bytes = 0
         else:
-            self._bytes_without_body += len(payload)
+            self.held.framing_bytes += len(payload)
         # Heads of 1xx, header lines, trailers and extensions of chunks may go
         # on without end.
-        if self._bytes_without_body > _MAX_BYTES_WITHOUT_BODY:
+        if self.held.framing_bytes > _MAX_BYTES_WITHOUT_BODY:
             self._fail('too many bytes without any of a body')
             self.close()
         if was_complete:
             self.close()
+        self.held.update()
         self._wake_reader()
 
     def eof_received(self) -> None:
@@ -299,9 +320,15 @@
         if self._is_complete:
             self._is_broken = True
         self._parsed_head = ResponseHead()
+        self.held.clear_fields()
 
     def on_header(self, name: bytes, text: bytes) -> None:
         """Store a header."""
+        self.held.count_field(name, text)
+        if self.held.field_count > _FIELDS_MAX:
+            self._fail('too many header lines')
+            self.close()
+            return
         self._parsed_head.headers.append((name.lower(), text))
 
     def on_headers_complete(self) -> None:
@@ -328,10 +355,9 @@
         """Store a chunk of the body."""
         if not self._is_current_response:
             return
-        self._chunks.append(payload)
+        self.held.received += payload
         self.received_bytes += len(payload)
-        self._buffered_bytes += len(payload)
-        if self._buffered_bytes > _HIGH_WATER_BYTES and self._transport:
+        if len(self.held.received) > _HIGH_WATER_BYTES and self._transport:
             self._transport.pause_reading()
             self.is_paused = True
 
@@ -370,10 +396,8 @@
         self._error = ''
         self._is_lost = False
         self._is_orderly = False
-        self._chunks = deque()
-        self._buffered_bytes = 0
-        self._bytes_without_body = 0
         self.received_bytes = 0
+        self.held.clear()
 
     async def _wait_for_data(self, step: str) -> None:
         if self._error:
@@ -416,6 +440,7 @@
     clock: Clock,
     id_header: bytes,
     timeout_ms: int = _CONNECT_TIMEOUT_MS,
+    memory: AnswerMemory | None = None,
 ) -> Connection:
     """Open a connection to a server.
 
@@ -430,7 +455,9 @@
     try:
         async with asyncio.timeout(timeout_ms / MS_PER_SECOND):
             _, connection = await loop.create_connection(
-                lambda: Connection(address, clock, id_header), host, int(port)
+                lambda: Connection(address, clock, id_header, memory),
+                host,
+                int(port),
             )
     except TimeoutError as error:
         raise ConnectTimeoutError(
--- a/seampond/forwarding/forwarder.py
+++ b/seampond/forwarding/forwarder.py
@@ -130,6 +130,8 @@
             )
         except Refusal as refusal:
             await self._answer_refusal(progress, refusal)
+        finally:
+            progress.drop_fallback(self._context.backends.answer_memory)
 
     async def _try_servers(self, progress: Progress) -> None:
         job = progress.job
@@ -220,7 +222,7 @@
         sink, fallback = progress.sink, progress.fallback_answer
         if sink.has_started:
             raise AbortedResponseError(refusal.cause.value)
-        if fallback is not None:
+        if fallback is not None and not fallback.is_lost:
             await sink.start(fallback.head, len(fallback.body))
             await sink.send(fallback.body)
             await sink.finish()
--- a/seampond/forwarding/progress.py
+++ b/seampond/forwarding/progress.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from seampond.forwarding.answer_memory import AnswerMemory
 from seampond.forwarding.event_order import EventOrder, EventSteps
 from seampond.forwarding.events import Events, EventSplitter
 from seampond.forwarding.job import Job
@@ -45,12 +46,33 @@
     exhausted = 'exhausted'
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class BufferedAnswer:
-    """A complete answer, kept in case every other attempt fails."""
+    """A complete answer, kept in case every other attempt fails.
+
+    Parameters
+    ----------
+    peer : str
+        Address of the server that sent it.
+    is_lost : bool
+        Whether it has given way to other answers.
+
+    """
 
     head: ResponseHead
     body: bytes
+    peer: str = ''
+    is_lost: bool = False
+
+    @property
+    def held_bytes(self) -> int:
+        """What it holds."""
+        return len(self.body)
+
+    def give_way(self) -> None:
+        """Give up the answer, since memory is short."""
+        self.body = b''
+        self.is_lost = True
 
 
 @dataclass(slots=True)
@@ -177,6 +199,19 @@
         follows = self.last_id if self.job.route.may_resume else b''
         self.order = EventOrder(steps, follows)
 
+    def keep_fallback(
+        self, answer: BufferedAnswer, memory: AnswerMemory
+    ) -> None:
+        """Keep an error answer in place of the one before."""
+        self.drop_fallback(memory)
+        self.fallback_answer = answer
+        memory.update(answer)
+
+    def drop_fallback(self, memory: AnswerMemory) -> None:
+        """Give back the memory of the error answer that is kept."""
+        if self.fallback_answer is not None:
+            memory.remove(self.fallback_answer)
+
     def begin_run(self) -> None:
         """Begin another run of the request."""
         self.splitter.restart()
--- a/seampond/forwarding/response_head.py
+++ b/seampond/forwarding/response_head.py
@@ -21,6 +21,7 @@
     server_lost = 'server-lost'
     event_order = 'event-order'
     not_event = 'not-event'
+    no_memory = 'no-memory'
 
 
 class ExchangeError(EngineError):
--- a/seampond/gateway/components.py
+++ b/seampond/gateway/components.py
@@ -20,11 +20,12 @@
     make_exposure_limits,
     make_quota_margin,
 )
-from seampond.gateway.caller_limits import (
-    compute_connections_max,
-    compute_memory_max_bytes,
-)
+from seampond.gateway.caller_limits import compute_connections_max
 from seampond.gateway.followers import ConfigurationFollower, ServerFollower
+from seampond.gateway.memory_limits import (
+    compute_answers_max_bytes,
+    compute_callers_max_bytes,
+)
 from seampond.gateway.rollouts import RolloutFollower
 from seampond.gateway.stalls import EventLoopStalls
 from seampond.loans.connections import ConnectionLoans
@@ -86,6 +87,10 @@
     watches: dict[str, Watch] = field(default_factory=dict)
     _pages_to_relay: list[RelayedPage] = field(default_factory=list)
 
+    def __post_init__(self) -> None:
+        """Limit the memory of answers."""
+        self._limit_answers()
+
     @property
     def is_ready(self) -> bool:
         """Whether the load balancer should send callers here."""
@@ -122,9 +127,10 @@
         self.quotas.margin = make_quota_margin(bounds)
         self.rollout_follower.manager.limits = make_exposure_limits(bounds)
         self.backends.grace_ms = compute_grace_ms(bounds)
+        self._limit_answers()
         connections = self.caller_connections
         connections.connections_max = compute_connections_max(settings.callers)
-        connections.memory_max_bytes = compute_memory_max_bytes(
+        connections.memory_max_bytes = compute_callers_max_bytes(
             settings.callers
         )
         return sorted(key for key in after if before.get(key) != after[key])
@@ -224,6 +230,11 @@
             )
         )
 
+    def _limit_answers(self) -> None:
+        self.backends.answer_memory.max_bytes = compute_answers_max_bytes(
+            self.settings.answers
+        )
+
     def _handle_relayed_page(self, relayed: RelayedPage) -> None:
         """Apply a page of the store that another gateway has read."""
         page = Page(
--- a/seampond/settings/gateway.py
+++ b/seampond/settings/gateway.py
@@ -153,6 +153,20 @@
     memory_bytes: NonNegativeBytes = 0
 
 
+class AnswerSettings(Section, frozen=True):
+    """Limits on the answers of servers.
+
+    Parameters
+    ----------
+    memory_bytes : int
+        What answers may hold together until they are passed on.  0 for a
+        tenth of the machine's memory, 16 MiB at most.
+
+    """
+
+    memory_bytes: NonNegativeBytes = 0
+
+
 class GatewaySettings(Section, frozen=True):
     """Settings of `seampond gateway`.
 
@@ -173,6 +187,7 @@
     store: StoreSettings
     bounds: BoundSettings = msgspec.field(default_factory=BoundSettings)
     callers: CallerSettings = msgspec.field(default_factory=CallerSettings)
+    answers: AnswerSettings = msgspec.field(default_factory=AnswerSettings)
     linger_ms: NonNegativeMs = 2600
     first_start: bool = False
     logs: LogSettings = msgspec.field(default_factory=LogSettings)
--- a/seampond/testing/endless.py
+++ b/seampond/testing/endless.py
@@ -18,6 +18,7 @@
     ReceivedRequest,
     format_chunk,
     format_chunked_response,
+    format_unframed_response,
 )
 
 _ID_HEADER = HEADERS.request_id.decode()
@@ -25,6 +26,11 @@
 _LINE = b'x' * 1022
 _BLOCK_BYTES = 1_048_576
 _INTERVAL_S = 0.008
+_TRICKLE_BYTES = 65_536
+_TRICKLE_LINE_BYTES = 4096
+_TRICKLE_INTERVAL_S = 0.05
+_SHORT_LINES = 512
+_TINY_CHUNKS = 2048
 _SAMPLE_S = 0.02
 _BYTES_PER_KIB = 1024
 _BYTES_PER_MIB = 1_048_576
@@ -65,9 +71,11 @@
 
 def format_head(request: ReceivedRequest) -> bytes:
     """Return the head of a chunked answer to a request."""
-    return format_chunked_response(
-        {_ID_HEADER: request.get(_ID_HEADER), _STAMP_HEADER: 's'}
-    )
+    return format_chunked_response(_make_headers(request))
+
+
+def _make_headers(request: ReceivedRequest) -> dict[str, str]:
+    return {_ID_HEADER: request.get(_ID_HEADER), _STAMP_HEADER: 's'}
 
 
 async def send_endless(
@@ -93,6 +101,53 @@
         await asyncio.sleep(_INTERVAL_S)
 
 
+@enum.unique
+class Trickle(enum.Enum):
+    """What a server sends slowly and does not end."""
+
+    unframed_body = 'a body without a length'
+    chunked_body = 'a body in chunks'
+    event = 'one event of a stream'
+    header_lines = 'header lines'
+    short_lines = 'header lines of a few bytes'
+    tiny_chunks = 'a body in chunks of a few bytes'
+
+
+def _make_trickle(
+    kind: Trickle, request: ReceivedRequest
+) -> tuple[bytes, bytes]:
+    """Return what is sent first and what is repeated after it."""
+    head = format_head(request)
+    block = b'x' * _TRICKLE_BYTES
+    unframed = format_unframed_response(_make_headers(request), b'')
+    return {
+        Trickle.unframed_body: (unframed, block),
+        Trickle.chunked_body: (head, format_chunk(block)),
+        Trickle.event: (head + format_chunk(b'data: '), format_chunk(block)),
+        Trickle.header_lines: (
+            b'HTTP/1.1 200 OK\r\n',
+            b'x: %b\r\n' % block[:_TRICKLE_LINE_BYTES],
+        ),
+        Trickle.short_lines: (
+            b'HTTP/1.1 200 OK\r\n',
+            b'ab: cd\r\n' * _SHORT_LINES,
+        ),
+        Trickle.tiny_chunks: (head, format_chunk(b'xy') * _TINY_CHUNKS),
+    }[kind]
+
+
+async def send_trickle(
+    kind: Trickle, request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    """Answer with a piece at each interval until the connection is closed."""
+    first, repeated = _make_trickle(kind, request)
+    writer.write(first)
+    while True:
+        writer.write(repeated)
+        await writer.drain()
+        await asyncio.sleep(_TRICKLE_INTERVAL_S)
+
+
 def read_memory_mib(process_id: int) -> float:
     """Return the resident memory of a process in MiB."""
     status = Path(f'/proc/{process_id}/status').read_text()
@@ -129,7 +184,11 @@
 
 
 async def _ask(
-    client: aiosonic.HTTPClient, url: str, request_id: str, answer: bytes
+    client: aiosonic.HTTPClient,
+    url: str,
+    request_id: str,
+    body: bytes,
+    answer: bytes,
 ) -> bool:
     """Return whether a request is answered as expected."""
     headers = {
@@ -138,11 +197,11 @@
         _ID_HEADER: request_id,
     }
     try:
-        response = await client.post(url, headers=headers, data=request_id)
-        body = await response.content()
+        response = await client.post(url, headers=headers, data=body)
+        received = await response.content()
     except CALL_ERRORS:
         return False
-    return bool(response.status_code == 200 and body == answer)
+    return bool(response.status_code == 200 and received == answer)
 
 
 async def measure_gateway(
@@ -152,6 +211,7 @@
     *,
     callers: int,
     seconds: float,
+    body: bytes = b'asked',
 ) -> EndlessReport:
     """Send requests to a gateway and measure its memory meanwhile.
 
@@ -159,6 +219,8 @@
     ----------
     answer : bytes
         The body that each request should get.
+    body : bytes
+        The body of each request.
 
     """
     report = EndlessReport(read_memory_mib(process_id))
@@ -169,7 +231,8 @@
             request_id = f'r{len(report.asked)}'
             report.asked.add(request_id)
             since_s = time.monotonic()
-            if await _ask(client, f'http://{address}/x/y', request_id, answer):
+            url = f'http://{address}/x/y'
+            if await _ask(client, url, request_id, body, answer):
                 report.served.add(request_id)
             took_ms = (time.monotonic() - since_s) * MS_PER_SECOND
             report.longest_ms = max(report.longest_ms, took_ms)
