Send nothing in a planned stop that its server cannot answer in time

What callers saw: requests that may not be repeated, sent 3 to 4.5 s after SIGTERM, got 504 at 7.5 s while their server was still at work. Requests that were open at the end got 500 from the web server, or no answer.

Cause: whether a request fits was judged by the target of its route, once, on its arrival. Open requests kept deadlines beyond the end, and the last answers were due at the moment of the abort.

Evidence: failing before, test_late_requests: a server of 4 s before a route with a target of 1 s (504, received), the same after fast answers, a second run of an idempotent request (2 runs, 1 expected), 16 open requests (500 for 504).

Now `StopLimits` checks before each send that twice the longest recent service time of the pool is left, counting requests that are not answered yet, or the whole time-out where nothing is known. Open requests end with the stop, and 250 ms of the margin are left for their answers.

--- a/seampond/forwarding/app.py
+++ b/seampond/forwarding/app.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
 from http import HTTPStatus
@@ -34,9 +33,6 @@
 )
 _CLOSE_HEADER = (b'connection', b'close')
 _DISCONNECT = 'http.disconnect'
-# The balancer removes a stopping gateway within two seconds, but a retry may
-# reach another one at once.
-_STOP_RETRY_MS = 300
 _logger = logging.getLogger(__name__)
 
 
@@ -44,43 +40,15 @@
     """The caller has disconnected."""
 
 
-@dataclass(frozen=True, slots=True)
-class PlannedStop:
-    """The times of a planned stop.
-
-    Parameters
-    ----------
-    accepts_until_ms : int
-        Until when the balancer may still send callers here.
-    close_ms : int
-        When open requests are aborted.
-
-    """
-
-    accepts_until_ms: int
-    close_ms: int
-
-
 @dataclass
 class GatewayApp:
-    """The ASGI application that serves callers.
-
-    Parameters
-    ----------
-    has_ready_peer : Callable[[], bool]
-        Returns whether another gateway accepts callers.
-    stop : PlannedStop or None
-        The planned stop that has begun, None otherwise.
-
-    """
+    """The ASGI application that serves callers."""
 
     admission: Admission
     forwarder: Forwarder
     metrics: GatewayMetrics
     clock: Clock
     promises: Promises
-    has_ready_peer: Callable[[], bool]
-    stop: PlannedStop | None = None
     _open_tasks: set['asyncio.Task[Any]'] = field(default_factory=set)
 
     async def __call__(
@@ -104,29 +72,21 @@
     @property
     def is_stopping(self) -> bool:
         """Whether a planned stop has begun."""
-        return self.stop is not None
+        return self.forwarder.stop_limits.stop is not None
 
     @property
     def open_requests(self) -> int:
         """The number of open requests."""
         return len(self._open_tasks)
 
-    async def wait_for_open_requests(self) -> None:
-        """Wait for the requests that are open now."""
-        remaining_ms = 0
-        if self.stop is not None:
-            remaining_ms = max(0, self.stop.close_ms - self.clock.now())
+    async def wait_for_open_requests(self, until_ms: int) -> None:
+        """Wait for the requests that are open now, until a time."""
+        remaining_ms = max(0, until_ms - self.clock.now())
         if self._open_tasks:
             await asyncio.wait(
                 set(self._open_tasks), timeout=remaining_ms / MS_PER_SECOND
             )
 
-    def stop_retry_after_ms(self, stop: PlannedStop) -> int:
-        """Return when a caller that is refused by a stop may retry."""
-        if self.has_ready_peer():
-            return _STOP_RETRY_MS
-        return max(_STOP_RETRY_MS, stop.close_ms - self.clock.now())
-
 
 class RequestHandler:
     """Handles one request of a caller."""
@@ -210,36 +170,10 @@
         body = await self._read_body(receive)
         job = app.admission.admit(self._arrival, body)
         self._progress = Progress(job, self)
-        self._check_stop(job)
+        app.forwarder.stop_limits.check(job)
         app.admission.check(job)
         await app.forwarder.forward(self._progress)
 
-    def _check_stop(self, job: Job) -> None:
-        """Refuse requests that a planned stop would abort.
-
-        Explanation
-        -----------
-        Requests still arrive if no other gateway is ready.  An answer without
-        streaming is expected within its target; the duration of a stream is
-        unknown.
-        """
-        app = self._app
-        stop = app.stop
-        if stop is None:
-            return
-        now_ms = app.clock.now()
-        is_late = now_ms + job.route.target_ms > stop.close_ms
-        if job.is_stream:
-            is_late = now_ms > stop.accepts_until_ms
-        if is_late:
-            raise Refusal(
-                Cause.stopping,
-                step='stop',
-                retry_after_ms=app.stop_retry_after_ms(stop),
-            )
-        # The time-out is answered before the connection is closed.
-        job.deadline_ms = min(job.deadline_ms, stop.close_ms)
-
     async def _start(
         self, status: int, headers: list[tuple[bytes, bytes]]
     ) -> None:
--- a/seampond/forwarding/forwarder.py
+++ b/seampond/forwarding/forwarder.py
@@ -1,18 +1,18 @@
 """Try servers in turn until a request has its final answer."""
 
-import asyncio
 from collections import defaultdict
 from collections.abc import Awaitable, Callable
 from contextlib import ExitStack
 from dataclasses import dataclass
 
-from seampond.clock import MS_PER_SECOND, Clock
+from seampond.clock import Clock
 from seampond.forwarding.attempt import Attempt
 from seampond.forwarding.backend import Backend
 from seampond.forwarding.backends import Backends
 from seampond.forwarding.event_order import EventSteps
 from seampond.forwarding.job import Job
 from seampond.forwarding.models import HeaderNames
+from seampond.forwarding.planned_stop import StopLimits
 from seampond.forwarding.progress import (
     AttemptRecord,
     Outcome,
@@ -37,6 +37,11 @@
     """The answer has begun and cannot be completed."""
 
 
+def _has_no_peer() -> bool:
+    """Return False: there is no other gateway."""
+    return False
+
+
 async def _borrow_nothing(pool: str) -> bool:
     """Return False: no gateway lends retries."""
     return False
@@ -60,6 +65,8 @@
         Records which versions began streams.
     borrow_retry : Callable[[str], Awaitable[bool]]
         Borrows a retry for a pool from another gateway if possible.
+    has_ready_peer : Callable[[], bool]
+        Returns whether another gateway accepts callers.
 
     """
 
@@ -75,13 +82,24 @@
     versions: VersionPolicy = ANY_VERSION
     origins: OriginSource = NO_ORIGINS
     borrow_retry: Callable[[str], Awaitable[bool]] = _borrow_nothing
+    has_ready_peer: Callable[[], bool] = _has_no_peer
 
 
 class Forwarder:
-    """Sends requests to servers and relays their answers."""
+    """Sends requests to servers and relays their answers.
+
+    Attributes
+    ----------
+    stop_limits : StopLimits
+        Limits that a planned stop sets to requests.
+
+    """
 
     def __init__(self, context: ForwarderContext) -> None:
         """Initialize the forwarder."""
+        self.stop_limits = StopLimits(
+            context.clock, context.backends, context.has_ready_peer
+        )
         self._context = context
         self._clock = context.clock
         self._event_steps: defaultdict[str, EventSteps] = defaultdict(
@@ -115,9 +133,8 @@
 
         """
         job = progress.job
-        remaining_ms = max(0, job.deadline_ms - self._clock.now())
         try:
-            async with asyncio.timeout(remaining_ms / MS_PER_SECOND):
+            async with self.stop_limits.limit(job):
                 await self._context.origins.resolve(job)
                 progress.begin_stream(self._event_steps[job.pool])
                 self._context.budget.record_first_attempt(
@@ -161,8 +178,10 @@
         release_slot: Callable[[], None],
     ) -> Outcome:
         context = self._context
-        # The proof may have expired while the request waited.
+        # The proof may have expired while the request waited, or a planned
+        # stop may have begun.
         context.check_proof(progress.job)
+        self.stop_limits.check(progress.job)
         attempt = Attempt(
             progress,
             backend,
--- a/seampond/forwarding/speeds.py
+++ b/seampond/forwarding/speeds.py
@@ -9,6 +9,8 @@
 _POOL_WEIGHT = 0.05
 # The longest pause decays by this factor with each stream.
 _PAUSE_DECAY = 0.97
+# The longest service time decays by this factor with each answer.
+_SERVICE_DECAY = 0.97
 _MIN_SLOWDOWN = 0.25
 _MAX_SLOWDOWN = 8.0
 _MIN_FACTOR = 0.3
@@ -34,12 +36,15 @@
         Time from request to end of a response that is not streamed.
     pause_ms : float
         Longest recent pause in a stream, decaying.
+    longest_service_ms : float
+        Longest recent service time, decaying.
 
     """
 
     gap_ms: float = 0
     service_ms: float = 0
     pause_ms: float = 0
+    longest_service_ms: float = 0
 
     def record_pause(self, pause_ms: float) -> None:
         """Record the longest pause of one stream."""
@@ -54,6 +59,9 @@
         self.service_ms = _blend(
             self.service_ms, max(1.0, took_ms), _SERVER_WEIGHT
         )
+        self.longest_service_ms = max(
+            self.longest_service_ms * _SERVICE_DECAY, took_ms, 1.0
+        )
 
 
 @dataclass(slots=True)
--- a/seampond/gateway/daemon.py
+++ b/seampond/gateway/daemon.py
@@ -10,8 +10,8 @@
 
 from seampond.clock import Clock
 from seampond.errors import PlatformError
-from seampond.forwarding.app import PlannedStop
 from seampond.forwarding.caller_protocol import CallerProtocol
+from seampond.forwarding.planned_stop import PlannedStop
 from seampond.gateway.callers import make_caller_context
 from seampond.gateway.components import GatewayComponents
 from seampond.gateway.rollouts import execute_rollouts
@@ -51,6 +51,8 @@
 from seampond.web import WebServer, serve_http
 
 _STOP_MARGIN_MS = 500
+# A part of the margin.
+_ANSWER_MS = 250
 # Once a configuration is known, a gateway waits 3 s for the trials at most.
 _TRIALS_RETRY_MS = 250
 _TRIALS_TRIES_MAX = 12
@@ -86,11 +88,12 @@
             now_ms + settings.linger_ms,
             now_ms + settings.bounds.stop_ms - _STOP_MARGIN_MS,
         )
-        web.stop = stop
+        web.forwarder.stop_limits.begin(stop)
         _logger.info('gateway stops', extra={'open': web.open_requests})
         await clock.sleep(settings.linger_ms)
-        await web.wait_for_open_requests()
-        await self.server.drain(stop.close_ms - clock.now())
+        await web.wait_for_open_requests(stop.close_ms)
+        # Requests that end with the stop still get their answers.
+        await self.server.drain(stop.close_ms + _ANSWER_MS - clock.now())
         _logger.info('gateway stopped', extra={'open': web.open_requests})
 
 
--- a/seampond/gateway/wiring.py
+++ b/seampond/gateway/wiring.py
@@ -287,16 +287,10 @@
             versions,
             origins,
             loans.borrow,
+            lambda: peers.has_serving_peer,
         )
     )
-    web = GatewayApp(
-        admission,
-        forwarder,
-        metrics,
-        clock,
-        promises,
-        lambda: peers.has_serving_peer,
-    )
+    web = GatewayApp(admission, forwarder, metrics, clock, promises)
     return GatewayComponents(
         settings=settings,
         clock=clock,
--- a/seampond/platform/tests/rows.py
+++ b/seampond/platform/tests/rows.py
@@ -44,6 +44,8 @@
         Whether a broken stream may be resumed.
     has_once_route : bool
         Whether there is a route, at `/once/`, whose streams may not be.
+    timeout_ms : int
+        Longest time to the end of an answer.
 
     """
 
@@ -56,6 +58,7 @@
     other_tenants: int = 0
     may_resume: bool = False
     has_once_route: bool = False
+    timeout_ms: int = 5000
 
     def make(self) -> dict[str, Any]:
         """Return the row as the store holds it."""
@@ -64,7 +67,7 @@
             'host': HOST,
             'path-prefix': '/x/',
             'kind': self.kind,
-            'timeout-ms': 5000,
+            'timeout-ms': self.timeout_ms,
             'target-latency-ms': 1000,
             'service': POOL,
             'max-attempts': 2,
