Infer the version of a stream only if nobody can know another one

What callers saw: streams that began at servers of a new version, through a gateway that was cut off from the others, went on at a server of the old version when they were resumed at a gateway that had missed the release.

Cause: `OriginSearch` took the single version that all replies name as certain as soon as one gateway had replied. Those that reply may have missed the same news, and the one that knows the version may be cut off, taken for dead, or not asked.

Now it is certain only if each listed gateway has replied, or the list of servers is proved from after the request came.

--- a/seampond/gateway/tests/streaming_case.py
+++ b/seampond/gateway/tests/streaming_case.py
@@ -1,11 +1,15 @@
 """Base of tests with servers of two versions and callers that resume."""
 
 import asyncio
+from collections.abc import Iterator
+from contextlib import contextmanager
 from typing import Any
+from unittest.mock import patch
 
 from seampond.clock import Clock
 from seampond.gateway.daemon import RunningGateway, run_gateway
 from seampond.gateway.tests.test_gateway import GatewayCase, build_settings
+from seampond.platform.names import SERVERS_TABLE
 from seampond.platform.tests.rows import (
     STREAM,
     ConfigurationRow,
@@ -27,6 +31,17 @@
 _START_TIMEOUT_S = 20
 
 
+@contextmanager
+def without_server_rows(gateway: RunningGateway) -> Iterator[None]:
+    """Let a gateway receive neither rows of servers nor proofs of them."""
+    watch = gateway.components.watches[SERVERS_TABLE]
+    with (
+        patch.object(watch, '_try_apply', lambda page: False),
+        patch.object(watch.freshness, 'apply_proof', lambda proof: None),
+    ):
+        yield
+
+
 class StreamingCase(VirtualTimeCase, GatewayCase):
     """Some gateways in front of servers of two versions."""
 
--- a/seampond/gateway/tests/test_stream_versions.py
+++ b/seampond/gateway/tests/test_stream_versions.py
@@ -4,18 +4,14 @@
 """
 
 import asyncio
-from collections.abc import Iterator
-from contextlib import contextmanager
 from http import HTTPStatus
-from unittest.mock import patch
 
-from seampond.gateway.daemon import RunningGateway
 from seampond.gateway.tests.streaming_case import (
     NEW_VERSION,
     OLD_VERSION,
     StreamingCase,
+    without_server_rows,
 )
-from seampond.platform.names import SERVERS_TABLE
 from seampond.testing.streaming import CallerPlan, StreamingServer
 
 _RUN_MS = 4000
@@ -31,17 +27,6 @@
 _UNREAD_MS = 400
 
 
-@contextmanager
-def _without_server_rows(gateway: RunningGateway) -> Iterator[None]:
-    """Let a gateway receive neither rows of servers nor proofs of them."""
-    watch = gateway.components.watches[SERVERS_TABLE]
-    with (
-        patch.object(watch, '_try_apply', lambda page: False),
-        patch.object(watch.freshness, 'apply_proof', lambda proof: None),
-    ):
-        yield
-
-
 async def _restart(server: StreamingServer, version: str) -> None:
     """Crash a server and wait until it serves another version."""
     server.crash()
@@ -165,7 +150,7 @@
         restarted = fleet.servers[:_SERVERS_RESTARTED]
         for server in restarted:
             server.may_restart = True
-        with _without_server_rows(self.gateways[1]):
+        with without_server_rows(self.gateways[1]):
             for number in range(restarts):
                 for server in restarted:
                     await _restart(server, f'v{number + 3}')
--- a/seampond/slopes/stream_origins.py
+++ b/seampond/slopes/stream_origins.py
@@ -52,6 +52,11 @@
     name: str
     origin_keepers: tuple[str, ...]
 
+    @property
+    def names(self) -> frozenset[str]:
+        """Names of the others."""
+        return frozenset(self.origin_keepers)
+
     @property
     def count(self) -> int:
         """Number of gateways."""
--- a/seampond/streams/owners.py
+++ b/seampond/streams/owners.py
@@ -17,6 +17,10 @@
     def origin_keepers(self) -> tuple[str, ...]:
         """Names of the other reachable gateways that keep origins."""
 
+    @property
+    def names(self) -> frozenset[str]:
+        """Names of all others that are listed, also silent ones."""
+
     @property
     def count(self) -> int:
         """Number of gateways that may be running."""
--- a/seampond/streams/search.py
+++ b/seampond/streams/search.py
@@ -189,7 +189,10 @@
             return None
         origin = StreamOrigin(pool, versions.pop())
         inferred = Resumption(origin, 'single-version')
-        return inferred if replies else self._check_list(inferred, since_ms)
+        # Some that replied may have missed a version that another one knows.
+        if replies and len(replies) == len(self._gateways.names):
+            return inferred
+        return self._check_list(inferred, since_ms)
 
     def _check_list(self, inferred: Resumption, since_ms: int) -> Resumption:
         """Return an inference, unverified if the list of servers is older.
--- a/seampond/streams/tests/test_registry.py
+++ b/seampond/streams/tests/test_registry.py
@@ -173,6 +173,11 @@
         self.count = 0
         self._fleet = fleet
 
+    @property
+    def names(self) -> frozenset[str]:
+        """Names of all others."""
+        return frozenset(self._fleet.registries) - {self.name}
+
     @property
     def origin_keepers(self) -> tuple[str, ...]:
         """Names of the others that are alive."""
--- a/seampond/streams/tests/test_stream_store.py
+++ b/seampond/streams/tests/test_stream_store.py
@@ -38,6 +38,7 @@
     rank: int = 0
     count: int = 1
     origin_keepers: tuple[str, ...] = ()
+    names: frozenset[str] = frozenset()
 
     def address_of(self, name: str) -> str:
         """Return that it is not listed."""
