An answer of another version than HTTP/1.0 and HTTP/1.1 is invalid

Cause: the parser takes the versions 0.9 and 2.0 as well, and the connection did not look at the version of an answer. Neither can come over HTTP/1.

Now the head fails, and the request is tried at another server where its route allows it.

--- a/seampond/forwarding/connection.py
+++ b/seampond/forwarding/connection.py
@@ -25,6 +25,7 @@
 _HIGH_WATER_BYTES = 262_144
 _MAX_BYTES_WITHOUT_BODY = 65_536
 _FIELDS_MAX = 1000
+_VERSIONS = ('1.0', '1.1')
 _FIRST_STATUS = 100
 _LAST_STATUS = 599
 _FIRST_FINAL_STATUS = 200
@@ -335,6 +336,10 @@
         """Accept the head if it is final and answers the request."""
         head = self._parsed_head
         head.status = self._parser.get_status_code()
+        version = self._parser.get_http_version()
+        if version not in _VERSIONS:
+            self._fail(f'invalid HTTP version {version}')
+            return
         if not _FIRST_STATUS <= head.status <= _LAST_STATUS:
             # It is no interim answer, for which another one would follow.
             self._fail(f'invalid status {head.status}')
--- a/seampond/gateway/tests/test_odd_statuses.py
+++ b/seampond/gateway/tests/test_odd_statuses.py
@@ -1,4 +1,4 @@
-"""Servers that answer with a status that HTTP does not have."""
+"""Servers that answer with a status or version that HTTP/1 does not have."""
 
 import asyncio
 
@@ -21,6 +21,7 @@
 )
 
 _STATUSES = ('000', '001', '099', '600', '999')
+_VERSIONS = ('0.9', '2.0')
 # Enough for both servers.
 _REQUESTS = 6
 
@@ -31,7 +32,8 @@
     async def asyncSetUp(self) -> None:
         """Start the server in trouble."""
         await super().asyncSetUp()
-        self._status = ''
+        self._status = '200'
+        self._version = '1.1'
         self._odd_ids: list[str] = []
         self._odd = await self.stack.enter_async_context(
             run_scripted(self._answer_oddly)
@@ -42,17 +44,14 @@
         put_server(self.store, 'odd', self._odd.address)
         for status in _STATUSES:
             self._status = status
-            self._odd_ids.clear()
-            gateway = await self.start_ready()
-            answers = await asyncio.gather(
-                *(
-                    self.ask(gateway, request_id=f'{status}-{number}')
-                    for number in range(_REQUESTS)
-                )
-            )
-            statuses = {answer.status_code for answer in answers}
-            self.assertEqual(statuses, {200}, status)
-            self.assertTrue(self._odd_ids, 'the odd server got no request')
+            await self._check_sound(status)
+
+    async def test_answers_of_another_version_are_passed_on(self) -> None:
+        """The parser reads them as if they were of HTTP/1.1."""
+        put_server(self.store, 'odd', self._odd.address)
+        for version in _VERSIONS:
+            self._version = version
+            await self._check_sound(version)
 
     async def test_request_that_may_not_run_twice_fails(self) -> None:
         """The status is not passed on, and says nothing of the run."""
@@ -62,6 +61,22 @@
             self.assertEqual(answer.status_code, 502, status)
             self.assertNotIn(STAMP_HEADER, answer.headers)
 
+    async def _check_sound(self, name: str) -> None:
+        """Check that the answers of the odd server are not passed on."""
+        self._odd_ids.clear()
+        gateway = await self.start_ready()
+        answers = await asyncio.gather(
+            *(
+                self.ask(gateway, request_id=f'{name}-{number}')
+                for number in range(_REQUESTS)
+            )
+        )
+        statuses = {answer.status_code for answer in answers}
+        self.assertEqual(statuses, {200}, name)
+        bodies = {await answer.content() for answer in answers}
+        self.assertEqual(bodies, {b'whole'}, name)
+        self.assertTrue(self._odd_ids, 'the odd server got no request')
+
     async def _ask_odd_server(self, request_id: str) -> aiosonic.HttpResponse:
         """Send a request that may run once to a gateway that knows no other."""
         gateway = await self.start_ready()
@@ -84,4 +99,5 @@
         self._odd_ids.append(request_id)
         headers = {ID_HEADER: request_id, STAMP_HEADER: 'odd'}
         answer = format_response(200, headers, b'odd')
-        writer.write(answer.replace(b' 200 ', f' {self._status} '.encode(), 1))
+        start = f'HTTP/{self._version} {self._status} '.encode()
+        writer.write(answer.replace(b'HTTP/1.1 200 ', start, 1))
