--- a/seampond/gateway/tests/test_crashing.py
+++ b/seampond/gateway/tests/test_crashing.py
@@ -112,7 +112,7 @@
     ) -> int:
         """Send requests, each kind at its interval; return the start."""
         since_ms = fleet.clock.now()
-        addresses = [gateway.components.settings.listen for gateway in gateways]
+        addresses = addresses_of(gateways)
         async with asyncio.TaskGroup() as group:
             for make_content, every_ms in streams:
                 group.create_task(
@@ -206,7 +206,7 @@
         fleet.timeout_ms = 4000
         for server in fleet.servers:
             server.service_ms = 800
-        addresses = [gateway.components.settings.listen for gateway in gateways]
+        addresses = addresses_of(gateways)
         bodies = [
             _make_harmless_body(number) for number in range(20 * _SERVERS)
         ]
@@ -293,7 +293,7 @@
         fleet.timeout_ms = 4000
         for server in fleet.servers:
             server.service_ms = 800
-        addresses = [gateway.components.settings.listen for gateway in gateways]
+        addresses = addresses_of(gateways)
         asked = []
         for number in range(20 * _SERVERS):
             address = addresses[number % gateways_used]
@@ -331,6 +331,11 @@
         self.assertEqual(served, 1)
 
 
+def addresses_of(gateways: list[RunningGateway]) -> list[str]:
+    """Return the addresses of gateways for callers."""
+    return [gateway.components.settings.listen for gateway in gateways]
+
+
 def _is_up(gateway: RunningGateway) -> bool:
     components = gateway.components
     is_complete = (
--- a/seampond/gateway/tests/test_planned_ends.py
+++ b/seampond/gateway/tests/test_planned_ends.py
@@ -13,13 +13,13 @@
 from http import HTTPStatus
 
 from seampond.gateway.daemon import RunningGateway
-from seampond.gateway.tests.test_crashing import CrashingCase
+from seampond.gateway.tests.test_crashing import CrashingCase, addresses_of
 from seampond.platform.names import DRAINING_STATE
 from seampond.platform.tests.rows import (
     drop_server,
     is_quarantine_empty,
 )
-from seampond.testing.crashing import Content, CrashingFleet, CrashingServer
+from seampond.testing.crashing import CrashingFleet, CrashingServer
 
 _SHARED_PART = 'a0'
 _LONG_MS = 4500
@@ -63,7 +63,9 @@
             self.assertEqual(len(gateway.components.quarantine.suspects), 0)
         self.assertTrue(is_quarantine_empty(self.store))
         await fleet.clock.sleep(_SETTLED_MS)
-        statuses = await _ask_each(fleet, gateways)
+        statuses = await fleet.send_in_turn(
+            addresses_of(gateways), _SHARED_PART, _ASKED_LATER
+        )
         self.assertEqual(set(statuses), {HTTPStatus.OK})
 
     async def _replace_busy_servers(
@@ -112,17 +114,5 @@
 async def _ask(
     fleet: CrashingFleet, gateway: RunningGateway, number: int
 ) -> int:
-    content = Content(b'draft %d' % number, (_SHARED_PART, f'own-{number}'))
     address = gateway.components.settings.listen
-    return await fleet.send_request(address, content.body, content.parts)
-
-
-async def _ask_each(
-    fleet: CrashingFleet, gateways: list[RunningGateway]
-) -> list[int]:
-    """Send requests with the part to each gateway, one after the other."""
-    statuses = []
-    for number in range(_ASKED_LATER):
-        for gateway in gateways:
-            statuses.append(await _ask(fleet, gateway, 100 + number))
-    return statuses
+    return await fleet.send_sharing(address, _SHARED_PART, number)
--- a/seampond/gateway/tests/test_stored_quarantine.py
+++ b/seampond/gateway/tests/test_stored_quarantine.py
@@ -5,13 +5,13 @@
 from unittest.mock import patch
 
 from seampond.gateway.daemon import RunningGateway
-from seampond.gateway.tests.test_crashing import CrashingCase
+from seampond.gateway.tests.test_crashing import CrashingCase, addresses_of
 from seampond.platform.tests.rows import (
     POOL,
     is_quarantine_empty,
 )
 from seampond.quarantine import fingerprint_part
-from seampond.testing.crashing import Content, CrashingFleet
+from seampond.testing.crashing import CrashingFleet
 
 _SHARED_PART = 'a0'
 _ASKED_LATER = 8
@@ -23,7 +23,9 @@
     async def test_trial_lifts_the_quarantine_at_one_gateway_only(self) -> None:
         """The other one has read the row, too."""
         fleet, gateways = await self._start_again()
-        statuses = await _ask_each(fleet, gateways)
+        statuses = await fleet.send_in_turn(
+            addresses_of(gateways), _SHARED_PART, _ASKED_LATER
+        )
         self.assertEqual(statuses.count(HTTPStatus.OK), len(statuses))
         self.assertTrue(is_quarantine_empty(self.store))
 
@@ -77,17 +79,5 @@
 async def _ask(
     fleet: CrashingFleet, gateway: RunningGateway, number: int
 ) -> int:
-    content = Content(b'draft %d' % number, (_SHARED_PART, f'own-{number}'))
     address = gateway.components.settings.listen
-    return await fleet.send_request(address, content.body, content.parts)
-
-
-async def _ask_each(
-    fleet: CrashingFleet, gateways: list[RunningGateway]
-) -> list[int]:
-    """Send requests with the part to each gateway, one after the other."""
-    statuses = []
-    for number in range(_ASKED_LATER):
-        for gateway in gateways:
-            statuses.append(await _ask(fleet, gateway, 100 + number))
-    return statuses
+    return await fleet.send_sharing(address, _SHARED_PART, number)
--- a/seampond/testing/crashing.py
+++ b/seampond/testing/crashing.py
@@ -442,6 +442,22 @@
                 request.status = response.status_code
         return request.status
 
+    async def send_sharing(self, address: str, part: str, number: int) -> int:
+        """Send a request that shares the first part of its prompt."""
+        return await self.send_request(
+            address, b'draft %d' % number, (part, f'own-{number}')
+        )
+
+    async def send_in_turn(
+        self, addresses: Sequence[str], part: str, count: int
+    ) -> list[int]:
+        """Send such requests to each gateway, one after the other."""
+        return [
+            await self.send_sharing(address, part, 100 + number)
+            for number in range(count)
+            for address in addresses
+        ]
+
     async def send_requests(
         self,
         addresses: Sequence[str],
