A planned stop does not fail while a request ends

What callers would see: a gateway that gets SIGTERM while the time of a request is over, and the request has not returned yet, stops with an error and cuts all open requests.

Cause: StopLimits.begin changed the deadline of every open request, which asyncio refuses for one that is expiring.

Now these are left out. Test, failing before with RuntimeError: test_stop_fails_while_a_request_ends.

--- a/seampond/forwarding/planned_stop.py
+++ b/seampond/forwarding/planned_stop.py
@@ -95,6 +95,9 @@
         """Begin to stop; open requests end with it at the latest."""
         self.stop = stop
         for timeout, job in self._open.items():
+            if timeout.expired():
+                # Its request ends in this moment.
+                continue
             job.deadline_ms = min(job.deadline_ms, stop.close_ms)
             timeout.reschedule(self._to_loop_time(job.deadline_ms))
 
--- a/seampond/gateway/tests/test_late_requests.py
+++ b/seampond/gateway/tests/test_late_requests.py
@@ -17,7 +17,7 @@
     put_server,
 )
 from seampond.testing.caller import CALL_ERRORS
-from seampond.testing.gateways import get_backend, wait_until
+from seampond.testing.gateways import build_job, get_backend, wait_until
 from seampond.testing.scripted import (
     ReceivedRequest,
     format_response,
@@ -132,6 +132,20 @@
             {HTTPStatus.GATEWAY_TIMEOUT},
         )
 
+    async def test_stop_fails_while_a_request_ends(self) -> None:
+        """The time of a request that has not returned yet is over."""
+        gateway = await self._start(ONCE)
+        components = gateway.components
+        stop_limits = components.web.forwarder.stop_limits
+        job = build_job(deadline_ms=components.clock.now())
+        with self.assertRaises(TimeoutError):
+            async with stop_limits.limit(job):
+                try:
+                    await components.clock.sleep(_SHORT_WORK_MS)
+                finally:
+                    await gateway.drain()
+        self.assertFalse(components.is_ready)
+
     async def _check_late(self, gateway: RunningGateway) -> None:
         """Send requests during the grace, while one is open."""
         clock = gateway.components.clock
