A draining server stays announced on machines that run for long

Cause: heartbeats clamp ages to 32 bits. On a machine with an uptime of more than 49 days a report that an incarnation drains was taken for a row that went at that time, which a late row of the same incarnation takes back. Found by reading.

Now the largest age stands for draining. Test, failing before: test_draining_counts_as_a_row_that_went.

--- a/seampond/quarantine/exits.py
+++ b/seampond/quarantine/exits.py
@@ -9,7 +9,8 @@
 _REPORTS_MAX = 64
 # Draining is final for an incarnation, so it holds for any time; no age in
 # reports is larger.
-_ALWAYS_MS = -4_294_967_295
+_AGE_MAX_MS = 4_294_967_295
+_ALWAYS_MS = -_AGE_MAX_MS
 
 
 class AnnouncedExits:
@@ -91,7 +92,10 @@
         """Apply another gateway's reports; return the incarnations."""
         now_ms = self._clock.now()
         for incarnation, age_ms in ages_ms.items():
-            self._record(incarnation, now_ms - age_ms)
+            is_always = age_ms >= _AGE_MAX_MS
+            self._record(
+                incarnation, _ALWAYS_MS if is_always else now_ms - age_ms
+            )
         return ages_ms.keys()
 
     def _record(self, incarnation: int, since_ms: int) -> None:
