--- a/seampond/gateway/tests/test_planned_ends.py
+++ b/seampond/gateway/tests/test_planned_ends.py
@@ -1,11 +1,7 @@
 """Tests of prompt parts whose requests are cut by planned ends of servers.
 
-A few callers share the first part of their prompts.  Two of their servers are
-replaced: their rows announced the end, yet the requests that it cut counted as
-two crashes under the part.  It was quarantined, its trials were counted in the
-store without any result, and a success after a loss of all gateways lifted the
-quarantine at one of them only: 8 of 46 requests were served from 12 s after
-the loss on, the others got 503 `quarantined`.
+A few callers share the first part of their prompts, and two of their servers
+are replaced.  The ends are announced, so they are no evidence against the part.
 """
 
 import asyncio
--- a/seampond/gateway/tests/test_slow_answers.py
+++ b/seampond/gateway/tests/test_slow_answers.py
@@ -1,7 +1,6 @@
 """A gateway process before servers that answer slowly and without end.
 
-Each answer was limited, and their sum was not: with twelve such servers and
-240 callers the gateway had 212 to 284 MB, on machines that have 150 MB.
+Each answer stays within its limit; their sum needs one as well.
 """
 
 import asyncio
