A stream that has begun goes on at another server during a stop

What callers would see: a stream that its server breaks off more than 2.6 s after SIGTERM ends there, although another server of its version could go on.

Cause: StopLimits.check also stands before the send that takes up a stream inside its own answer, where it refuses streams like those of new callers.

Now a stream that has passed on an event is not refused.

Test, failing before with AbortedResponseError (stopping): test_broken_stream_is_cut_by_a_planned_stop.

--- a/seampond/forwarding/planned_stop.py
+++ b/seampond/forwarding/planned_stop.py
@@ -106,7 +106,8 @@
 
         Explanation
         -----------
-        The duration of a stream is unknown.
+        The duration of a stream is unknown.  One that has begun here goes on
+        at another server if its own breaks it off.
 
         Raises
         ------
@@ -115,7 +116,7 @@
 
         """
         stop = self.stop
-        if stop is None:
+        if stop is None or job.has_streamed:
             return
         now_ms = self._clock.now()
         is_late = now_ms > stop.accepts_until_ms
--- a/seampond/forwarding/tests/test_forwarder.py
+++ b/seampond/forwarding/tests/test_forwarder.py
@@ -16,6 +16,7 @@
 from seampond.forwarding.connection import Connection
 from seampond.forwarding.forwarder import AbortedResponseError
 from seampond.forwarding.models import RequestKind
+from seampond.forwarding.planned_stop import PlannedStop
 from seampond.forwarding.progress import Outcome, Progress
 from seampond.forwarding.refusals import Cause, Refusal
 from seampond.forwarding.retries import RetryBudget
@@ -50,6 +51,7 @@
 _LOAD_HEADER = NAMES.load.decode()
 _STREAM = build_route(kind=RequestKind.stream, may_resume=True)
 _ONCE = build_route(kind=RequestKind.once, attempts=2)
+_STOP_MS = 3000
 Step = Callable[[ReceivedRequest, asyncio.StreamWriter], Awaitable[None]]
 
 
@@ -216,6 +218,23 @@
         last_ids = sorted(request.get('last-event-id') for request in received)
         self.assertEqual(last_ids, ['', '2'])
 
+    async def test_broken_stream_is_cut_by_a_planned_stop(self) -> None:
+        """It began before the stop, which refuses new streams by now."""
+
+        async def break_in_the_stop(
+            request: ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> None:
+            now_ms = Clock().now()
+            stop = PlannedStop(now_ms - 1, now_ms + _STOP_MS)
+            self.forwarder.stop_limits.begin(stop)
+            await _break_stream(request, writer)
+
+        _, sink = await self._forward(
+            break_in_the_stop, _end_stream, route=_STREAM
+        )
+        self.assertTrue(sink.is_complete)
+        self.assertEqual(self.sends, 2)
+
     async def test_stream_cut_before_its_first_event_looks_whole(self) -> None:
         """It has no length; another server is tried where that is allowed."""
         _, sink = await self._forward(
@@ -391,9 +410,9 @@
             build_server(f'i-{number}', server.address)
             for number, server in enumerate(self.servers)
         )
-        forwarder = build_forwarder(self.backends)
+        self.forwarder = build_forwarder(self.backends)
         progress, sink = build_progress(**changes)
         self._sink = sink
         async with asyncio.timeout(10):
-            await forwarder.forward(progress)
+            await self.forwarder.forward(progress)
         return progress, sink
